--- a/caller/answer.go
+++ b/caller/answer.go
@@ -20,6 +20,8 @@
 	HeaderRetryAfterMillis = "Retry-After-Ms"
 )
 
+const millisPerSecond = 1000
+
 // Answer is the body of an answer to a fault.
 type Answer struct {
 	Code             string `json:"code"`
@@ -32,6 +34,11 @@
 // WriteFault answers with the row of the fault's kind. The answer is final; its
 // body is left out for HEAD.
 func WriteFault(w http.ResponseWriter, method, requestID string, f *fault.Fault) {
+	writeFaultAnswer(w, method, requestID, f, false)
+}
+
+// writeFaultAnswer is WriteFault, with Retry-After in fractions of a second where these are read.
+func writeFaultAnswer(w http.ResponseWriter, method, requestID string, f *fault.Fault, fractions bool) {
 	row := f.Kind.Row()
 	answer := Answer{Code: row.Code, Ran: f.Ran.String(), Detail: f.Detail, RequestID: requestID}
 	h := w.Header()
@@ -39,6 +46,10 @@
 		fraction := rand.Float64()
 		answer.RetryAfterMillis = spread(roundUp(wait, time.Millisecond), fraction)
 		h.Set("Retry-After", strconv.FormatInt(spread(roundUp(wait, time.Second), fraction), 10))
+		if fractions {
+			seconds := float64(answer.RetryAfterMillis) / millisPerSecond
+			h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+		}
 		h.Set(HeaderRetryAfterMillis, strconv.FormatInt(answer.RetryAfterMillis, 10))
 	}
 	body, err := json.Marshal(answer)
--- a/caller/config.go
+++ b/caller/config.go
@@ -47,6 +47,18 @@
 	// does not answer a ping. Default 15 s after 30 s.
 	PingAfter   time.Duration
 	PingTimeout time.Duration
+	// RequestIDHeader is the field by which callers name their requests, in canonical
+	// form. Default X-Request-Id.
+	RequestIDHeader string
+	// Untraced leaves out the fields that the router adds of its own accord: a trace
+	// context and the caller's address.
+	Untraced bool
+	// FractionalWaits gives the advised wait in Retry-After in fractions of a second, for
+	// callers that read them; whole seconds are too coarse where a wait of 100 ms does.
+	FractionalWaits bool
+	// ClosesAfter says whether the caller's connection is to end after the answer, which is
+	// then announced; nil keeps all.
+	ClosesAfter func() bool
 	// Admit refuses a request of the class for reasons of the router's own, at once; nil
 	// refuses none.
 	Admit func(class request.Class) *fault.Fault
@@ -70,6 +82,9 @@
 func (c Config) withDefaults() Config {
 	orDefault(&c.ReadHeaderTimeout, 10*time.Second)
 	orDefault(&c.MaxHeaderBytes, 64*kibibyte)
+	if c.RequestIDHeader == "" {
+		c.RequestIDHeader = headerRequestID
+	}
 	orDefault(&c.MaxKeyBytes, kibibyte)
 	orDefault(&c.IdleTimeout, 75*time.Second)
 	orDefault(&c.BodyWindow, 30*time.Second)
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -66,6 +66,9 @@
 
 func (x *exchange) begin(status int) {
 	x.status = status
+	if closes := x.handler.cfg.ClosesAfter; closes != nil && x.r.ProtoMajor < 2 && closes() {
+		x.w.Header().Set("Connection", "close")
+	}
 	x.declared = declaredLength(x.w.Header())
 	x.firstByte = time.Since(x.began)
 	if x.ctx != nil {
--- a/caller/fuzz_test.go
+++ b/caller/fuzz_test.go
@@ -28,7 +28,7 @@
 			assert.Assert(t, !isOwn(key), "%q went on", key)
 			assert.Assert(t, !isHopByHop(key) || key == "Te" && h.Get(key) == "trailers", "%q went on", key)
 		}
-		id := requestID(h)
+		id := requestID(h, headerRequestID)
 		assert.Assert(t, id != "" && len(id) <= maxIDBytes)
 		assert.Assert(t, !strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r >= 0x7f }), "%q", id)
 		left, ok := parseLeft(deadline)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -66,9 +66,9 @@
 // serve extracts and forwards.
 func (x *exchange) serve(inFlight int64) *fault.Fault {
 	h := x.handler
-	x.meta.ID = requestID(x.r.Header)
+	x.meta.ID = requestID(x.r.Header, h.cfg.RequestIDHeader)
 	x.idValue[0] = x.meta.ID
-	x.w.Header()[headerRequestID] = x.idValue[:]
+	x.w.Header()[h.cfg.RequestIDHeader] = x.idValue[:]
 	if inFlight > int64(h.cfg.MaxRequests) {
 		return fault.New(fault.RouterBusy, "")
 	}
@@ -175,7 +175,11 @@
 func (x *exchange) prepareHeader(out *http.Request) {
 	header := out.Header
 	dropForeign(header)
-	header[headerRequestID] = x.idValue[:]
+	cfg := &x.handler.cfg
+	header[cfg.RequestIDHeader] = x.idValue[:]
+	if cfg.Untraced {
+		return
+	}
 	if len(header[headerTraceparent]) == 0 {
 		x.traceValue[0] = newTraceparent()
 		header[headerTraceparent] = x.traceValue[:]
@@ -256,7 +260,7 @@
 	if x.distrusts {
 		x.w.Header().Set("Connection", "close")
 	}
-	WriteFault(x, x.r.Method, x.meta.ID, f)
+	writeFaultAnswer(x, x.r.Method, x.meta.ID, f, x.handler.cfg.FractionalWaits)
 	return x.writeErr != nil
 }
 
@@ -266,7 +270,7 @@
 	for name := range header {
 		delete(header, name)
 	}
-	header[headerRequestID] = x.idValue[:]
+	header[x.handler.cfg.RequestIDHeader] = x.idValue[:]
 }
 
 func (h *Handler) observe(x *exchange, f *fault.Fault, aborted bool) {
--- a/caller/id.go
+++ b/caller/id.go
@@ -18,8 +18,8 @@
 
 // requestID returns the caller's id, or a new one where it brings none or one
 // that does not fit into a log line.
-func requestID(h http.Header) string {
-	if ids := h[headerRequestID]; len(ids) == 1 && validID(ids[0]) {
+func requestID(h http.Header, name string) string {
+	if ids := h[name]; len(ids) == 1 && validID(ids[0]) {
 		return ids[0]
 	}
 	var id [idHexBytes]byte
--- /dev/null
+++ b/core/assign/plan.go
@@ -0,0 +1,221 @@
+package assign
+
+import (
+	"sort"
+	"time"
+
+	"tarragongw/core/keyspace"
+)
+
+const (
+	// piecesPerSeat is into how many parts the keys that a target leaves behind are cut at
+	// most, so that not one other target gets all of them.
+	maxPieces = 8
+	// moveGap is the difference of two targets' utilisation above which keys are moved;
+	// below it the difference is mostly chance.
+	moveGap = 0.12
+	// moveShare is the part of half the difference that one move takes, less than all of
+	// it so that what was chance is not moved back.
+	moveShare = 0.8
+	// tooMuch is how much more than that a range may have and still be moved.
+	tooMuch = 1.6
+	// maxMoving bounds the ranges that are on their way at once.
+	maxMoving = 4
+	// defaultServiceTime is used for targets whose own is not known, in seconds.
+	defaultServiceTime = 0.15
+)
+
+// Speeds gives the time that a target takes for a request, in seconds; zero where it is
+// not known.
+type Speeds func(target string) float64
+
+// place is a target with the load that it has in a plan.
+type place struct {
+	*seat
+	// cost is the part of the target's time that one request takes.
+	cost float64
+	load float64
+}
+
+func (p *place) utilisation() float64 { return p.load * p.cost }
+
+// plan is the load of all targets that take keys.
+type plan struct {
+	heat  *Heat
+	seats []*place
+	byID  map[string]*place
+}
+
+// newPlan adds up what each target holds now. Keys that are on their way count for the
+// target that they go to.
+func (a *Assigner) newPlan(now time.Time) *plan { return a.planWith(now, nil) }
+
+func (a *Assigner) planWith(now time.Time, speeds Speeds) *plan {
+	a.heat.settle(now)
+	p := &plan{heat: a.heat, byID: map[string]*place{}}
+	for id, s := range a.seats {
+		if !s.takes() {
+			continue
+		}
+		at := &place{seat: s, cost: costOf(s, id, speeds)}
+		p.seats = append(p.seats, at)
+		p.byID[id] = at
+	}
+	sort.Slice(p.seats, func(i, j int) bool { return p.seats[i].target.ID < p.seats[j].target.ID })
+	for i := range a.spans {
+		s := &a.spans[i]
+		holder := s.Target
+		if s.Moving {
+			holder = s.next
+		}
+		if at := p.byID[holder]; at != nil {
+			at.load += a.heat.of(s.From, s.To)
+		}
+	}
+	return p
+}
+
+func costOf(s *seat, id string, speeds Speeds) float64 {
+	service := 0.0
+	if speeds != nil {
+		service = speeds(id)
+	}
+	if service <= 0 {
+		service = defaultServiceTime
+	}
+	return service / float64(max(s.target.Slots, 1))
+}
+
+// least returns the seat with the least utilisation.
+func (p *plan) least() *seat { return p.leastPlace().seat }
+
+func (p *plan) leastPlace() *place {
+	least := p.seats[0]
+	for _, at := range p.seats[1:] {
+		if at.utilisation() < least.utilisation() {
+			least = at
+		}
+	}
+	return least
+}
+
+func (p *plan) add(s *seat, from, to keyspace.Key) {
+	if at := p.byID[s.target.ID]; at != nil {
+		at.load += p.heat.of(from, to)
+	}
+}
+
+// splitFree cuts free ranges into parts of the load that one target should get.
+func (a *Assigner) splitFree(p *plan) {
+	whole := a.heat.of(0, keyspace.LastKey)
+	part := whole / float64(len(p.seats))
+	for i := 0; i < len(a.spans); i++ {
+		s := &a.spans[i]
+		if s.Target != "" || s.next != "" || s.Len() < 2 {
+			continue
+		}
+		load := a.heat.of(s.From, s.To)
+		size := part
+		if load < whole*0.99 {
+			size = max(part/2, load/maxPieces)
+		}
+		if load <= size*1.2 {
+			continue
+		}
+		last := a.heat.cut(s.From, s.To, size)
+		if last < s.To {
+			a.carve(i, s.From, last)
+		}
+	}
+}
+
+// Rebalance returns moves from the target with the highest utilisation to that with the
+// least. rate is the requests a second that one remembered request stands for.
+//
+// It answers popular keys that lie close together and change within seconds: a range is
+// cut where the load is, down to a single key, and the smallest range that evens two
+// targets out is moved.
+func (a *Assigner) Rebalance(now time.Time, speeds Speeds, rate float64) []Move {
+	room := maxMoving - a.Moving()
+	if room <= 0 {
+		return nil
+	}
+	p := a.planWith(now, speeds)
+	var moves []Move
+	for range room {
+		m, ok := a.oneMove(p, rate)
+		if !ok {
+			break
+		}
+		moves = append(moves, m)
+	}
+	return moves
+}
+
+func (a *Assigner) oneMove(p *plan, rate float64) (Move, bool) {
+	if len(p.seats) < 2 {
+		return Move{}, false
+	}
+	hot, cool := p.seats[0], p.leastPlace()
+	for _, at := range p.seats[1:] {
+		if at.utilisation() > hot.utilisation() {
+			hot = at
+		}
+	}
+	gap := (hot.utilisation() - cool.utilisation()) * rate
+	if gap < moveGap {
+		return Move{}, false
+	}
+	want := moveShare * (hot.utilisation() - cool.utilisation()) / (hot.cost + cool.cost)
+	from, to, load, ok := a.bestRange(p, hot.target.ID, want)
+	if !ok {
+		return Move{}, false
+	}
+	hot.load -= load
+	cool.load += load
+	return Move{From: from, To: to, Target: cool.target.ID}, true
+}
+
+// bestRange returns the range of the holder's keys, at an end of one of its segments,
+// whose load is nearest to the wanted one.
+func (a *Assigner) bestRange(p *plan, holder string, want float64) (from, to keyspace.Key, load float64, found bool) {
+	least := want * (tooMuch - 1)
+	consider := func(f, t keyspace.Key) {
+		l := p.heat.of(f, t)
+		off := l - want
+		if off < 0 {
+			off = -off
+		}
+		if off < least {
+			from, to, load, found, least = f, t, l, true, off
+		}
+	}
+	for i := range a.spans {
+		s := &a.spans[i]
+		if s.Target != holder || s.Moving || s.busy || !s.acked {
+			continue
+		}
+		if p.heat.of(s.From, s.To) <= want {
+			consider(s.From, s.To)
+			continue
+		}
+		last := p.heat.cut(s.From, s.To, want)
+		consider(s.From, last)
+		if last > s.From {
+			consider(s.From, last-1)
+		}
+		if first, ok := p.heat.cutBack(s.From, s.To, want); ok {
+			consider(first, s.To)
+		}
+	}
+	return from, to, load, found
+}
+
+// cutBack returns the first key of the shortest range up to the last key that has the load.
+func (h *Heat) cutBack(from, to keyspace.Key, load float64) (keyspace.Key, bool) {
+	n := sort.Search(int(to)-int(from), func(i int) bool {
+		return h.of(to-keyspace.Key(i), to) >= load
+	})
+	first := to - keyspace.Key(n)
+	return first, first > from
+}
--- /dev/null
+++ b/core/directory/directory.go
@@ -0,0 +1,173 @@
+// Package directory decides which targets there are, from what the store tells of them.
+//
+// The store's word lags and has gaps: entries lapse while it is away and come back after
+// it. The package does no I/O and takes the time as a parameter.
+package directory
+
+import (
+	"sort"
+	"time"
+
+	"tarragongw/core/keyspace"
+)
+
+// ReturnGrace is how long an entry that vanished with the store's absence may take to
+// come back, in time from the store's return: targets write theirs again within about
+// two seconds, the rest is for the way to this router.
+const ReturnGrace = 2200 * time.Millisecond
+
+// Target is what one life of a target says of itself.
+type Target struct {
+	// ID is new with each target; one that starts again may keep it.
+	ID string
+	// Born is the Unix millisecond of the target's start; zero where it doesn't say.
+	Born       int64
+	Address    string
+	Service    string
+	DataCentre string
+	// Slots is how many requests the target works on at once.
+	Slots int
+	// Draining targets take no new work.
+	Draining bool
+	// ColdFor is how long the target is still slow after its start, from when it said so;
+	// ColdUntil is when that ends, which the Directory works out.
+	ColdFor   time.Duration
+	ColdUntil time.Time
+	// Seq counts the target's reports within one life.
+	Seq uint64
+}
+
+// Holder is how the table of keys names this life of the target.
+func (t *Target) Holder() keyspace.Holder {
+	return keyspace.Holder{Target: t.ID, Born: t.Born}
+}
+
+// entry is a target with the router's own belief.
+type entry struct {
+	target Target
+	// goneAt is when the target is taken for gone unless it is heard of; zero where it
+	// stands in the store.
+	goneAt time.Time
+}
+
+// Directory is the router's belief about all targets. It is not safe for concurrent use.
+type Directory struct {
+	entries map[string]*entry
+	// away says that the store is not reached; back is when it was reached again last.
+	away bool
+	back time.Time
+}
+
+// New returns a directory that knows no target.
+func New() *Directory { return &Directory{entries: map[string]*entry{}} }
+
+// Put notes what a target said. It reports whether something changed beyond its count
+// of reports.
+func (d *Directory) Put(now time.Time, t Target) bool {
+	old, known := d.entries[t.ID]
+	if known && t.Born < old.target.Born {
+		// A life that has ended says no more; the record came late.
+		return false
+	}
+	t.ColdUntil = now.Add(t.ColdFor)
+	d.entries[t.ID] = &entry{target: t}
+	if !known || !old.goneAt.IsZero() {
+		return true
+	}
+	before, after := old.target, t
+	after.Seq, after.ColdFor, after.ColdUntil = before.Seq, before.ColdFor, before.ColdUntil
+	return before != after
+}
+
+// Remove notes that the target's entry is gone from the store. Where the store was away
+// until just now, the entry may have lapsed for that alone, and the target is believed
+// until it has had the time to write it again.
+//
+// What goes wrong without that: each outage of the store takes all targets away for
+// seconds, although all of them serve.
+func (d *Directory) Remove(now time.Time, id string) (changed bool) {
+	e, known := d.entries[id]
+	if !known || !e.goneAt.IsZero() {
+		return false
+	}
+	e.goneAt = now
+	if d.away {
+		e.goneAt = now.Add(ReturnGrace)
+	} else if until := d.back.Add(ReturnGrace); !d.back.IsZero() && until.After(now) {
+		e.goneAt = until
+	}
+	return d.sweep(now)
+}
+
+// Replace notes a whole listing of the store: what it doesn't name has been removed.
+func (d *Directory) Replace(now time.Time, listed []Target) (changed bool) {
+	seen := make(map[string]bool, len(listed))
+	for _, t := range listed {
+		seen[t.ID] = true
+		changed = d.Put(now, t) || changed
+	}
+	for id := range d.entries {
+		if !seen[id] {
+			changed = d.Remove(now, id) || changed
+		}
+	}
+	return changed
+}
+
+// StoreAway notes that the store is not reached.
+func (d *Directory) StoreAway() { d.away = true }
+
+// StoreBack notes that the store is reached.
+func (d *Directory) StoreBack(now time.Time) {
+	if !d.away {
+		return
+	}
+	d.away, d.back = false, now
+	for _, e := range d.entries {
+		if !e.goneAt.IsZero() {
+			e.goneAt = now.Add(ReturnGrace)
+		}
+	}
+}
+
+// Tick carries out what has become due; it reports whether a target is gone since.
+func (d *Directory) Tick(now time.Time) (changed bool) { return d.sweep(now) }
+
+func (d *Directory) sweep(now time.Time) (changed bool) {
+	if d.away {
+		return false
+	}
+	for id, e := range d.entries {
+		if !e.goneAt.IsZero() && !now.Before(e.goneAt) {
+			delete(d.entries, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Next is when Tick is due next; the zero time means never.
+func (d *Directory) Next() time.Time {
+	var next time.Time
+	for _, e := range d.entries {
+		if !e.goneAt.IsZero() && (next.IsZero() || e.goneAt.Before(next)) {
+			next = e.goneAt
+		}
+	}
+	return next
+}
+
+// Targets returns the targets that are believed in, in order of service and id.
+func (d *Directory) Targets() []Target {
+	all := make([]Target, 0, len(d.entries))
+	for _, e := range d.entries {
+		all = append(all, e.target)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].Service != all[j].Service {
+			return all[i].Service < all[j].Service
+		}
+		return all[i].ID < all[j].ID
+	})
+	return all
+}
--- /dev/null
+++ b/core/dispatch/load.go
@@ -0,0 +1,166 @@
+// Package dispatch decides where and when a request is sent: it places work on the
+// targets of a service, lets what finds no room wait in order of worth, and refuses at
+// once what can't be answered in time.
+//
+// Many routers share a few slots at each target and don't talk to each other, so each
+// reckons with its own work in flight and with what answers tell of the others' work.
+// The package is deterministic: time and the random source are parameters.
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"tarragongw/core/directory"
+)
+
+const (
+	// othersMemory is the time constant with which a report of the others' work gives way
+	// to its mean: about the time that one request is at work, after which the report says
+	// nothing of who is there now.
+	othersMemory = 200 * time.Millisecond
+	// othersGain is the weight of a new report in the mean of the others' work.
+	othersGain = 0.2
+	// serviceGain is the weight of a new answer in the mean service time of a target; it
+	// remembers about the last ten.
+	serviceGain = 0.1
+	// failureGain is the weight of one outcome in the share of failures, and
+	// failureHalfLife is how fast the share is forgotten where nothing is sent, so that a
+	// target that has recovered is tried again.
+	failureGain     = 0.2
+	failureHalfLife = 2 * time.Second
+	// coldFactor is how much slower a target that has just started is taken to be.
+	coldFactor = 2.0
+	// minDepth and depthPerSlot bound the work that may wait at a target beyond its slots;
+	// targets queue only a few requests and break connections off beyond that.
+	minDepth     = 1.0
+	depthPerSlot = 2.0
+	// depthCut and depthGain lower the depth by a part when a target refuses or breaks
+	// off, and raise it by a part of a request with each answer.
+	depthCut  = 0.5
+	depthGain = 0.05
+)
+
+// Report is what an answer tells of its target's work.
+type Report struct {
+	Running, Waiting, Slots int
+}
+
+// Load is what this router believes of one target.
+type Load struct {
+	directory.Target
+	// inFlight is this router's own work at the target.
+	inFlight int
+	// others is the mean of the other routers' work; lastOthers is what the last report
+	// said of it, at lastReport.
+	others, lastOthers float64
+	lastReport         time.Time
+	// service is the mean time of an answer that did not wait, in seconds; zero before
+	// the first.
+	service float64
+	// failing is the share of work that failed, as of failedAt.
+	failing  float64
+	failedAt time.Time
+	// depth is how much work may wait at the target.
+	depth float64
+}
+
+func newLoad(t directory.Target) *Load {
+	l := &Load{Target: t}
+	l.depth = l.maxDepth()
+	return l
+}
+
+func (l *Load) slots() float64 { return math.Max(float64(l.Slots), 1) }
+
+func (l *Load) maxDepth() float64 { return math.Max(depthPerSlot*l.slots(), minDepth) }
+
+// othersNow is the work of other routers that is to be expected at the target.
+func (l *Load) othersNow(now time.Time) float64 {
+	if l.lastReport.IsZero() {
+		return l.others
+	}
+	fresh := math.Exp(-now.Sub(l.lastReport).Seconds() / othersMemory.Seconds())
+	return l.others + (l.lastOthers-l.others)*fresh
+}
+
+// work is all that is to be expected at the target.
+func (l *Load) work(now time.Time) float64 { return float64(l.inFlight) + l.othersNow(now) }
+
+// hasRoom reports whether one more request may be sent. A router that has none in flight
+// may always send one: it would else never learn that the others' work has ended.
+func (l *Load) hasRoom(now time.Time) bool {
+	return l.inFlight == 0 || l.work(now) < l.slots()+l.depth
+}
+
+// waiting is the number of requests that a new one would wait for.
+func (l *Load) waiting(now time.Time) float64 {
+	return math.Max(l.work(now)+1-l.slots(), 0)
+}
+
+// serviceTime is how long the target takes for a request, by the service's mean where it
+// isn't known; in seconds.
+func (l *Load) serviceTime(now time.Time, mean float64) float64 {
+	t := l.service
+	if t == 0 {
+		t = mean
+	}
+	if now.Before(l.ColdUntil) {
+		t = math.Max(t, mean*coldFactor)
+	}
+	return t
+}
+
+// wait is how long a new request would wait for a slot, in seconds.
+func (l *Load) wait(now time.Time, mean float64) float64 {
+	return l.waiting(now) / l.slots() * l.serviceTime(now, mean)
+}
+
+// expected is the time to a new request's answer in seconds, failures taken into
+// account: a target that fails half of its work costs each request a second try.
+func (l *Load) expected(now time.Time, mean float64) float64 {
+	failing := math.Min(l.failingNow(now), maxFailing)
+	return (l.wait(now, mean) + l.serviceTime(now, mean)) / (1 - failing)
+}
+
+// maxFailing keeps a target that fails all work from being compared with infinity.
+const maxFailing = 0.95
+
+func (l *Load) failingNow(now time.Time) float64 {
+	if l.failing == 0 {
+		return 0
+	}
+	return l.failing * math.Exp2(-now.Sub(l.failedAt).Seconds()/failureHalfLife.Seconds())
+}
+
+// outcome notes whether work failed.
+func (l *Load) outcome(now time.Time, failure float64) {
+	l.failing = l.failingNow(now)*(1-failureGain) + failure*failureGain
+	l.failedAt = now
+}
+
+// report notes what an answer tells, while this router's own work is counted in it.
+func (l *Load) report(now time.Time, r Report) {
+	others := math.Max(float64(r.Running+r.Waiting-l.inFlight), 0)
+	if l.lastReport.IsZero() {
+		l.others = others
+	}
+	l.others += (others - l.others) * othersGain
+	l.lastOthers, l.lastReport = others, now
+}
+
+// answered notes the time that an answer took.
+func (l *Load) answered(took time.Duration, waited bool) {
+	l.depth = math.Min(l.depth+depthGain, l.maxDepth())
+	if waited {
+		return
+	}
+	if l.service == 0 {
+		l.service = took.Seconds()
+		return
+	}
+	l.service += (took.Seconds() - l.service) * serviceGain
+}
+
+// full notes that the target had no room.
+func (l *Load) full() { l.depth = math.Max(l.depth*depthCut, minDepth) }
--- /dev/null
+++ b/core/dispatch/service.go
@@ -0,0 +1,343 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"tarragongw/core/directory"
+	"tarragongw/core/fault"
+	"tarragongw/core/keyspace"
+)
+
+const (
+	// initialService is the service time assumed before any answer came.
+	initialService = 0.15
+	// meanGain is the weight of a new answer in the service's mean.
+	meanGain = 0.02
+	// candidates is how many targets of a large service are compared for one request,
+	// beside those of the own data centre: comparing all costs a router with hundreds of
+	// targets more than the better choice brings.
+	candidates = 8
+	// crossingPerByte is the time that a byte to or from another data centre counts for in
+	// the choice of a target. At 2.5 us, 60 kB are worth 150 ms of waiting, a tenth of a
+	// second less than what makes them late.
+	crossingPerByte = 2500 * time.Nanosecond
+	// movePatience is how long a request waits for a key that is being handed over; the
+	// work that runs on it has to end first.
+	movePatience = 800 * time.Millisecond
+	// lapseRetryAfter is the advice where a key's holder is lost and its grant has to lapse.
+	lapseRetryAfter = 700 * time.Millisecond
+	// emptyRetryAfter is the advice where no target is there at all.
+	emptyRetryAfter = 500 * time.Millisecond
+	// minRetryAfter is the least advice where all targets are full.
+	minRetryAfter = 100 * time.Millisecond
+)
+
+// Request asks for a place.
+type Request struct {
+	// ID names the request among all that the Service holds.
+	ID uint64
+	// Key is set for services that are divided by key.
+	Key *keyspace.Key
+	// Rank is the urgency, zero the highest.
+	Rank int
+	// Due is when the answer loses most of its worth, and Deadline when it must have
+	// begun; zero means never.
+	Due, Deadline time.Time
+	// Bytes is the expected size of request and answer.
+	Bytes int64
+	// Avoid names the target of the attempt before, which is taken only where no other is.
+	Avoid string
+	// since is when the request came.
+	since time.Time
+}
+
+// Verdict is what becomes of a request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Send Verdict = iota
+	Wait
+	Refuse
+)
+
+// Decision answers a request.
+type Decision struct {
+	Verdict Verdict
+	// Target is where to send; its work counts from now on until Done.
+	Target directory.Target
+	// Work is what was expected at the target, and ReportAge how old the last report of
+	// it was; negative where there was none.
+	Work      float64
+	ReportAge time.Duration
+	// Fault and RetryAfter say why and for how long a request is refused.
+	Fault      fault.Kind
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// Result is how work at a target ended.
+type Result uint8
+
+// The results.
+const (
+	// Answered work has its answer, whatever its status.
+	Answered Result = iota
+	// Failed work has none that holds.
+	Failed
+	// Shed work was not run for want of room.
+	Shed
+	// Misplaced work was not run because the target doesn't hold the key.
+	Misplaced
+	// Left work ended because the caller did or its time was over.
+	Left
+)
+
+// Service decides for all requests of one service. It is not safe for concurrent use.
+type Service struct {
+	dataCentre string
+	byKey      bool
+	table      *keyspace.Table
+	loads      map[string]*Load
+	order      []*Load
+	near       int
+	mean       float64
+	random     *rand.Rand
+	queue      queue
+}
+
+// New returns the decisions of a router in the data centre.
+func New(dataCentre string, byKey bool, random *rand.Rand) *Service {
+	return &Service{dataCentre: dataCentre, byKey: byKey, loads: map[string]*Load{}, mean: initialService, random: random}
+}
+
+// SetTargets puts the targets that there are in force; what is known of those that stay is kept.
+func (s *Service) SetTargets(targets []directory.Target) {
+	loads := make(map[string]*Load, len(targets))
+	s.order, s.near = s.order[:0], 0
+	for _, t := range targets {
+		l, known := s.loads[t.ID]
+		if !known || l.Born != t.Born {
+			l = newLoad(t)
+		}
+		l.Target = t
+		loads[t.ID] = l
+		s.order = append(s.order, l)
+		if t.DataCentre == s.dataCentre {
+			last := len(s.order) - 1
+			s.order[s.near], s.order[last] = s.order[last], s.order[s.near]
+			s.near++
+		}
+	}
+	s.loads = loads
+}
+
+// SetTable puts the division of the keys in force.
+func (s *Service) SetTable(t *keyspace.Table) { s.table = t }
+
+// Offer decides on a new request. One that waits is answered by Poll.
+func (s *Service) Offer(now time.Time, r Request) Decision {
+	r.since = now
+	d, blocked := s.place(now, &r)
+	if blocked == nil {
+		return d
+	}
+	if refusal, hopeless := s.hopeless(now, &r, blocked); hopeless {
+		return refusal
+	}
+	s.queue.add(&r)
+	return Decision{Verdict: Wait}
+}
+
+// Poll returns the decisions on requests that need not wait any longer.
+func (s *Service) Poll(now time.Time) map[uint64]Decision {
+	if s.queue.empty() {
+		return nil
+	}
+	decided := map[uint64]Decision{}
+	for _, r := range s.queue.ordered(now) {
+		d, blocked := s.place(now, r)
+		if blocked != nil {
+			refusal, hopeless := s.hopeless(now, r, blocked)
+			if !hopeless {
+				continue
+			}
+			d = refusal
+		}
+		s.queue.remove(r.ID)
+		decided[r.ID] = d
+	}
+	return decided
+}
+
+// Cancel forgets a request that waits; false means that it was decided already.
+func (s *Service) Cancel(id uint64) bool { return s.queue.remove(id) }
+
+// Waiting is the number of requests that wait.
+func (s *Service) Waiting() int { return len(s.queue.all) }
+
+// Report notes what an answer of the target tells of its work.
+func (s *Service) Report(now time.Time, id string, r Report) {
+	if l := s.loads[id]; l != nil {
+		l.report(now, r)
+	}
+}
+
+// Done ends work at a target that took so long; waited says that it had to wait there.
+func (s *Service) Done(now time.Time, id string, result Result, took time.Duration, waited bool) {
+	l := s.loads[id]
+	if l == nil {
+		return
+	}
+	l.inFlight = max(l.inFlight-1, 0)
+	switch result {
+	case Answered:
+		l.outcome(now, 0)
+		l.answered(took, waited)
+		s.mean += (took.Seconds() - s.mean) * meanGain
+	case Failed:
+		l.outcome(now, 1)
+		l.full()
+	case Shed:
+		l.outcome(now, shedFailure)
+		l.full()
+	case Misplaced, Left:
+	}
+}
+
+// shedFailure is what a refusal for want of room counts as: it costs a try, not the work.
+const shedFailure = 0.5
+
+// block says why a request can't be placed now.
+type block struct {
+	kind   fault.Kind
+	detail string
+	// wait is the time until a place is expected, in seconds; negative means that it is
+	// not to be waited for.
+	wait float64
+	// patience bounds the wait; zero means by the request's own times.
+	patience time.Duration
+	// advice is what a refusal says at least.
+	advice time.Duration
+}
+
+// place finds the target for a request and counts the work, or says what is in the way.
+func (s *Service) place(now time.Time, r *Request) (Decision, *block) {
+	l, blocked := s.find(now, r)
+	if blocked != nil {
+		return Decision{}, blocked
+	}
+	if !l.hasRoom(now) {
+		return Decision{}, &block{
+			kind: fault.QueueFull, detail: "target " + l.ID, wait: l.wait(now, s.mean), advice: minRetryAfter,
+		}
+	}
+	d := Decision{Verdict: Send, Target: l.Target, Work: l.work(now), ReportAge: -1}
+	if !l.lastReport.IsZero() {
+		d.ReportAge = now.Sub(l.lastReport)
+	}
+	l.inFlight++
+	return d, nil
+}
+
+func (s *Service) find(now time.Time, r *Request) (*Load, *block) {
+	if s.byKey {
+		return s.holder(r)
+	}
+	if l := s.best(now, r); l != nil {
+		return l, nil
+	}
+	return nil, &block{kind: fault.NoOwner, detail: "no target takes work", wait: -1, advice: emptyRetryAfter}
+}
+
+// holder returns the target that holds the request's key.
+func (s *Service) holder(r *Request) (*Load, *block) {
+	if s.table == nil {
+		return nil, &block{kind: fault.NotReady, detail: "the division of the keys is not known yet", wait: -1, advice: emptyRetryAfter}
+	}
+	segment := s.table.Find(*r.Key)
+	if segment.Moving {
+		if segment.Lost {
+			return nil, &block{kind: fault.NoOwner, detail: "the grant of " + segment.Target + " has to lapse", wait: -1, advice: lapseRetryAfter}
+		}
+		return nil, &block{kind: fault.Moving, detail: "from " + segment.Target, patience: movePatience, advice: minRetryAfter}
+	}
+	l := s.loads[segment.Target]
+	if l == nil || l.Holder() != segment.Holder {
+		return nil, &block{kind: fault.NoOwner, detail: "target " + segment.Target + " is not there", wait: -1, advice: emptyRetryAfter}
+	}
+	return l, nil
+}
+
+// best returns the target from which the answer is expected first, or nil.
+//
+// It answers load that many routers put on few slots: the least expected time prefers
+// fast targets in proportion, passes by those that fail or have just started, and leaves
+// the own data centre where the way costs less than the wait.
+func (s *Service) best(now time.Time, r *Request) *Load {
+	var best *Load
+	var least float64
+	crossing := time.Duration(r.Bytes) * crossingPerByte
+	for _, l := range s.sample() {
+		if l.Draining || l.ID == r.Avoid && len(s.order) > 1 {
+			continue
+		}
+		cost := l.expected(now, s.mean) * (1 + tieBreak*s.random.Float64())
+		if l.DataCentre != s.dataCentre {
+			cost += crossing.Seconds()
+		}
+		if !l.hasRoom(now) {
+			cost += noRoomPenalty.Seconds()
+		}
+		if best == nil || cost < least {
+			best, least = l, cost
+		}
+	}
+	return best
+}
+
+const (
+	// tieBreak spreads routers over targets that look alike, in parts of the cost.
+	tieBreak = 0.2
+	// noRoomPenalty puts full targets behind all that have room.
+	noRoomPenalty = 10 * time.Second
+)
+
+// sample returns the targets to compare.
+func (s *Service) sample() []*Load {
+	if len(s.order) <= 2*candidates {
+		return s.order
+	}
+	chosen := make([]*Load, 0, 2*candidates)
+	chosen = s.draw(chosen, s.order[:s.near])
+	return s.draw(chosen, s.order[s.near:])
+}
+
+func (s *Service) draw(chosen, from []*Load) []*Load {
+	if len(from) <= candidates {
+		return append(chosen, from...)
+	}
+	for range candidates {
+		chosen = append(chosen, from[s.random.IntN(len(from))])
+	}
+	return chosen
+}
+
+// hopeless refuses a request whose answer can't be in time any more. Refused at once it
+// may be back while there is time left; kept, it would take the place of one that can.
+func (s *Service) hopeless(now time.Time, r *Request, b *block) (Decision, bool) {
+	hopeless := b.wait < 0
+	if !r.Deadline.IsZero() {
+		left := r.Deadline.Sub(now).Seconds()
+		hopeless = hopeless || b.wait+s.mean > left
+	}
+	if b.patience > 0 && now.Sub(r.since) > b.patience {
+		hopeless = true
+	}
+	if !hopeless {
+		return Decision{}, false
+	}
+	advice := max(time.Duration(max(b.wait, 0)*float64(time.Second)), b.advice)
+	return Decision{Verdict: Refuse, Fault: b.kind, RetryAfter: advice, Detail: b.detail}, true
+}
--- a/router/duty.go
+++ b/duty/duty.go
@@ -1,4 +1,6 @@
-package router
+// Package duty runs the duties of a process, each as an actor with a bounded mailbox, and
+// short jobs on goroutines that are kept.
+package duty
 
 import (
 	"log/slog"
@@ -7,20 +9,20 @@
 	"github.com/asynkron/protoactor-go/actor"
 )
 
-// newActorSystem returns an actor system that logs through our logger. Only the
+// NewSystem returns an actor system that logs through our logger. Only the
 // actor package is used; the library's clustering and discovery stay unused.
-func newActorSystem(log *slog.Logger) *actor.ActorSystem {
+func NewSystem(log *slog.Logger) *actor.ActorSystem {
 	return actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
 		return log.With("component", "actor")
 	}))
 }
 
-// duty is one actor with a bounded mailbox. A full mailbox makes the sender wait;
+// Duty is one actor with a bounded mailbox. A full mailbox makes the sender wait;
 // senders that must not wait use a dropping duty.
-type duty struct {
+type Duty struct {
 	system  *actor.ActorSystem
 	pid     *actor.PID
-	workers *workers
+	workers *Workers
 	// due is what the mailbox asked to be run and nobody has taken up yet.
 	due atomic.Pointer[func()]
 	// limit is how many messages may wait in a dropping duty; zero in any other.
@@ -28,14 +30,13 @@
 	waiting atomic.Int64
 }
 
-// startDuty runs handle for each message, one at a time.
+// Start runs handle for each message, one at a time.
 //
 // The library's own dropping mailbox isn't used: it goes on counting what it has
 // dropped, so that after one drop its actor looks for messages without a pause, which
 // takes a whole core for good.
-func (r *Router) startDuty(dropping bool, handle func(message any)) *duty {
-	size := r.opts.Settings.Limits.Mailbox
-	d := &duty{system: r.system, workers: r.workers}
+func Start(system *actor.ActorSystem, workers *Workers, size int, dropping bool, handle func(message any)) *Duty {
+	d := &Duty{system: system, workers: workers}
 	if dropping {
 		d.limit = int64(size)
 	}
@@ -47,7 +48,7 @@
 			handle(message)
 		}
 	}, actor.WithMailbox(actor.Bounded(size)), actor.WithDispatcher(d))
-	d.pid = r.system.Root.Spawn(props)
+	d.pid = system.Root.Spawn(props)
 	d.runElsewhere()
 	return d
 }
@@ -55,24 +56,24 @@
 // Schedule implements the actors' dispatcher: the mailbox has messages and nobody works
 // them off. The library calls it within whatever queued the message, which then says
 // where the mailbox runs.
-func (d *duty) Schedule(run func()) { d.due.Store(&run) }
+func (d *Duty) Schedule(run func()) { d.due.Store(&run) }
 
 // Throughput is the number of messages after which an actor lets others run; it is
 // the library's own default.
-func (d *duty) Throughput() int { return 300 }
+func (d *Duty) Throughput() int { return 300 }
 
-// tell queues a message, or drops it where a dropping duty has too many waiting. The
+// Tell queues a message, or drops it where a dropping duty has too many waiting. The
 // duty runs on another goroutine.
-func (d *duty) tell(message any) {
+func (d *Duty) Tell(message any) {
 	if d.queue(message) {
 		d.runElsewhere()
 	}
 }
 
-// tellHere is tell for who has nothing else to do: a duty at rest runs on the caller's
+// TellHere is Tell for who has nothing else to do: a duty at rest runs on the caller's
 // goroutine. At rest waking another one, and with it often another thread, costs more
-// than most messages. What must not wait for the duty uses tell.
-func (d *duty) tellHere(message any) {
+// than most messages. What must not wait for the duty uses Tell.
+func (d *Duty) TellHere(message any) {
 	if !d.queue(message) {
 		return
 	}
@@ -81,7 +82,7 @@
 	}
 }
 
-func (d *duty) queue(message any) bool {
+func (d *Duty) queue(message any) bool {
 	if waiting := d.waiting.Add(1); d.limit > 0 && waiting > d.limit {
 		d.waiting.Add(-1)
 		return false
@@ -90,18 +91,18 @@
 	return true
 }
 
-func (d *duty) runElsewhere() {
+func (d *Duty) runElsewhere() {
 	if run := d.due.Swap(nil); run != nil {
-		d.workers.run(*run)
+		d.workers.Run(*run)
 	}
 }
 
-// tellLater queues a message from within the duty itself, where waiting for room
+// TellLater queues a message from within the duty itself, where waiting for room
 // in the mailbox would wait for itself.
-func (d *duty) tellLater(message any) { go d.tell(message) }
+func (d *Duty) TellLater(message any) { go d.Tell(message) }
 
-// stop ends the duty after the messages that wait.
-func (d *duty) stop() {
+// Stop ends the duty after the messages that wait.
+func (d *Duty) Stop() {
 	stopped := d.system.Root.PoisonFuture(d.pid)
 	d.runElsewhere()
 	// The only error is a timeout of the stop itself; the process is ending anyway.
--- a/router/duty_test.go
+++ b/duty/duty_test.go
@@ -1,4 +1,4 @@
-package router
+package duty
 
 import (
 	"context"
@@ -7,7 +7,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"tarragongw/config"
 	"tarragongw/internal/waittest"
 )
 
@@ -17,27 +16,24 @@
 // Cause: a mailbox that counts what it has dropped.
 func TestDroppingDutyRestsAfterADrop(t *testing.T) {
 	const size, sent = 8, 100
-	settings := config.Defaults()
-	settings.Limits.Mailbox = size
 	lifetime, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := &Router{opts: Options{Settings: &settings}, log: slog.New(slog.DiscardHandler), workers: newWorkers(lifetime)}
-	r.system = newActorSystem(r.log)
+	workers, system := NewWorkers(lifetime), NewSystem(slog.New(slog.DiscardHandler))
 	begun, release := make(chan struct{}, sent+1), make(chan struct{})
-	d := r.startDuty(true, func(any) {
+	d := Start(system, workers, size, true, func(any) {
 		begun <- struct{}{}
 		<-release
 	})
-	d.tell(0)
+	d.Tell(0)
 	<-begun
 	for i := range sent {
-		d.tell(i) // never waits
+		d.Tell(i) // never waits
 	}
 	close(release)
-	waittest.Until(t, "the duty rests", func() bool { return r.workers.idle.Load() == 1 })
+	waittest.Until(t, "the duty rests", func() bool { return workers.idle.Load() == 1 })
 	assert.Equal(t, len(begun), size)
-	d.tell(0)
+	d.Tell(0)
 	<-begun
-	d.stop()
-	r.system.Shutdown()
+	d.Stop()
+	system.Shutdown()
 }
--- a/router/workers.go
+++ b/duty/workers.go
@@ -1,4 +1,4 @@
-package router
+package duty
 
 import (
 	"context"
@@ -9,21 +9,22 @@
 // some KiB.
 const maxIdleWorkers = 32
 
-// workers runs short jobs, each at once, on goroutines that it keeps: a new goroutine
+// Workers runs short jobs, each at once, on goroutines that it keeps: a new goroutine
 // has to grow its stack for every job, which at rest cost a seventh of all processor
 // time.
-type workers struct {
+type Workers struct {
 	lifetime context.Context
 	jobs     chan func()
 	idle     atomic.Int32
 }
 
-func newWorkers(lifetime context.Context) *workers {
-	return &workers{lifetime: lifetime, jobs: make(chan func())}
+// NewWorkers returns workers that end with lifetime.
+func NewWorkers(lifetime context.Context) *Workers {
+	return &Workers{lifetime: lifetime, jobs: make(chan func())}
 }
 
-// run begins the job and does not wait.
-func (w *workers) run(job func()) {
+// Run begins the job and does not wait.
+func (w *Workers) Run(job func()) {
 	select {
 	case w.jobs <- job:
 	default:
@@ -31,8 +32,8 @@
 	}
 }
 
-// work ends with the router, or where enough others wait.
-func (w *workers) work(job func()) {
+// work ends with the lifetime, or where enough others wait.
+func (w *Workers) work(job func()) {
 	for {
 		job()
 		if w.idle.Add(1) > maxIdleWorkers {
--- a/router/workers_test.go
+++ b/duty/workers_test.go
@@ -1,4 +1,4 @@
-package router
+package duty
 
 import (
 	"context"
@@ -29,7 +29,7 @@
 	count := 0
 	for _, stack := range stacks {
 		bubble := bubbleOf.FindStringSubmatch(stack)
-		if bubble != nil && bubble[1] == own[1] && strings.Contains(stack, "router.(*workers).work(") {
+		if bubble != nil && bubble[1] == own[1] && strings.Contains(stack, "duty.(*Workers).work(") {
 			count++
 		}
 	}
@@ -39,14 +39,14 @@
 func TestWorkersRunAllAtOnceAndKeepFew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		w := newWorkers(ctx)
+		w := NewWorkers(ctx)
 		for range 3 {
 			var all sync.WaitGroup
 			release := make(chan struct{})
 			// Were one to wait for another, this would deadlock.
 			for range 3 * maxIdleWorkers {
 				all.Add(1)
-				w.run(func() {
+				w.Run(func() {
 					all.Done()
 					<-release
 				})
@@ -62,7 +62,7 @@
 		assert.Equal(t, workersAt(t), 0)
 		// The duties' last messages come after the end of the router.
 		ran := false
-		w.run(func() { ran = true })
+		w.Run(func() { ran = true })
 		synctest.Wait()
 		assert.Assert(t, ran)
 	})
--- a/router/body.go
+++ b/replay/body.go
@@ -1,4 +1,6 @@
-package router
+// Package replay keeps what was read of a request's body, so that an attempt that did not
+// run can be made again.
+package replay
 
 import (
 	"errors"
@@ -7,13 +9,13 @@
 	"sync"
 )
 
-// maxReplayBytes bounds what is kept of a request body for a second attempt.
-const maxReplayBytes = 64 << 10
+// maxKeptBytes bounds what is kept of a request body for a second attempt.
+const maxKeptBytes = 64 << 10
 
 // errSuperseded ends the reads of an attempt that another one has followed.
-var errSuperseded = errors.New("router: a later attempt reads the request's body")
+var errSuperseded = errors.New("replay: a later attempt reads the request's body")
 
-// replayBody keeps the first bytes of a request body, so that an attempt that
+// Body keeps the first bytes of a request body, so that an attempt that
 // provably did not run can be made again although it took some of the body.
 //
 // What goes wrong without the bookkeeping by attempt: the writer of an attempt
@@ -21,7 +23,7 @@
 // belongs to the next attempt; were it to go to the old one, the target would be
 // sent a body with a piece missing. Here it is kept, and the next attempt waits
 // for that read before it reads the source itself.
-type replayBody struct {
+type Body struct {
 	source io.Reader
 	// reading is held during a read of the source.
 	reading sync.Mutex
@@ -34,38 +36,38 @@
 	base int64
 	// err is what ended the source.
 	err     error
-	current *attemptBody
+	current *Attempt
 }
 
-// attemptBody is the body as one attempt reads it.
-type attemptBody struct {
-	all *replayBody
+// Attempt is the body as one attempt reads it.
+type Attempt struct {
+	all *Body
 	// next is the offset of the next byte.
 	next int64
 }
 
-// newReplayBody returns nil where the request has no body.
-func newReplayBody(r *http.Request) *replayBody {
+// New returns nil where the request has no body.
+func New(r *http.Request) *Body {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
-	return &replayBody{source: r.Body}
+	return &Body{source: r.Body}
 }
 
-// rewind returns the body for the next attempt and ends the reads of the one
+// Rewind returns the body for the next attempt and ends the reads of the one
 // before. It reports false where too much was read for another attempt.
-func (b *replayBody) rewind() (*attemptBody, bool) {
+func (b *Body) Rewind() (*Attempt, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.base > 0 {
 		return nil, false
 	}
-	b.current = &attemptBody{all: b}
+	b.current = &Attempt{all: b}
 	return b.current, true
 }
 
 // Read implements io.Reader.
-func (a *attemptBody) Read(p []byte) (int, error) {
+func (a *Attempt) Read(p []byte) (int, error) {
 	for {
 		n, end, err := a.take(p)
 		if n > 0 || err != nil || len(p) == 0 {
@@ -78,11 +80,11 @@
 }
 
 // Close leaves the source open: the caller's server closes it after the last attempt.
-func (a *attemptBody) Close() error { return nil }
+func (a *Attempt) Close() error { return nil }
 
 // take copies kept bytes. Where there are none it returns the offset up to which
 // the source was read.
-func (a *attemptBody) take(p []byte) (n int, end int64, err error) {
+func (a *Attempt) take(p []byte) (n int, end int64, err error) {
 	b := a.all
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -95,7 +97,7 @@
 	if n == 0 && b.err != nil {
 		return 0, end, b.err
 	}
-	if a.next == end && end > maxReplayBytes {
+	if a.next == end && end > maxKeptBytes {
 		b.base, b.kept = end, b.kept[:0]
 	}
 	return n, end, nil
@@ -104,7 +106,7 @@
 // fill reads the source unless another read got beyond end meanwhile. It returns
 // what it put into p for this attempt; what an attempt reads that was followed by
 // another is kept for that one.
-func (a *attemptBody) fill(p []byte, end int64) int {
+func (a *Attempt) fill(p []byte, end int64) int {
 	b := a.all
 	b.reading.Lock()
 	defer b.reading.Unlock()
@@ -118,7 +120,7 @@
 		b.err = err
 	}
 	mine := b.current == a
-	if mine && end+int64(n) > maxReplayBytes {
+	if mine && end+int64(n) > maxKeptBytes {
 		b.base, b.kept = end+int64(n), nil
 		a.next = b.base
 		return n
@@ -132,7 +134,7 @@
 }
 
 // ahead reports whether the source was read beyond end or has ended.
-func (b *replayBody) ahead(end int64) bool {
+func (b *Body) ahead(end int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.err != nil || b.base+int64(len(b.kept)) > end
--- a/router/body_test.go
+++ b/replay/body_test.go
@@ -1,4 +1,4 @@
-package router
+package replay
 
 import (
 	"bytes"
@@ -9,17 +9,17 @@
 	"gotest.tools/v3/assert"
 )
 
-func newBody(t *testing.T, source io.Reader) *replayBody {
+func newBody(t *testing.T, source io.Reader) *Body {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPut, "http://router.example/", io.NopCloser(source))
 	assert.NilError(t, err)
 	r.ContentLength = -1
-	return newReplayBody(r)
+	return New(r)
 }
 
-func rewound(t *testing.T, b *replayBody) *attemptBody {
+func rewound(t *testing.T, b *Body) *Attempt {
 	t.Helper()
-	a, ok := b.rewind()
+	a, ok := b.Rewind()
 	assert.Assert(t, ok)
 	return a
 }
@@ -79,19 +79,19 @@
 }
 
 func TestLongBodyIsReadWholeAndOnlyOnce(t *testing.T) {
-	content := bytes.Repeat([]byte("0123456789"), maxReplayBytes/5)
+	content := bytes.Repeat([]byte("0123456789"), maxKeptBytes/5)
 	b := newBody(t, bytes.NewReader(content))
 	all, err := io.ReadAll(rewound(t, b))
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(all, content))
-	_, ok := b.rewind()
+	_, ok := b.Rewind()
 	assert.Assert(t, !ok)
 }
 
 func TestLongBodyAfterASecondAttempt(t *testing.T) {
-	content := bytes.Repeat([]byte("0123456789"), maxReplayBytes/5)
+	content := bytes.Repeat([]byte("0123456789"), maxKeptBytes/5)
 	b := newBody(t, bytes.NewReader(content))
-	_, err := io.ReadFull(rewound(t, b), make([]byte, maxReplayBytes/2))
+	_, err := io.ReadFull(rewound(t, b), make([]byte, maxKeptBytes/2))
 	assert.NilError(t, err)
 	all, err := io.ReadAll(rewound(t, b))
 	assert.NilError(t, err)
--- a/router/ask.go
+++ b/router/ask.go
@@ -33,7 +33,7 @@
 	delete(silent, d.r.self.Name)
 	found := make(map[string]spread.Row)
 	defer d.nameSilent(found)
-	d.duty.tell(spread.AskAll{Seq: seq})
+	d.duty.Tell(spread.AskAll{Seq: seq})
 	ctx, cancel := context.WithTimeout(ctx, askWindow)
 	defer cancel()
 	for len(silent) > 0 {
--- a/router/build.go
+++ b/router/build.go
@@ -7,6 +7,7 @@
 
 	"tarragongw/caller"
 	"tarragongw/confstore"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/kv"
 	"tarragongw/operator"
@@ -117,7 +118,7 @@
 }
 
 func (r *Router) buildDuties() {
-	r.system = newActorSystem(r.log)
+	r.system = duty.NewSystem(r.log)
 	r.config = newConfigDuty(r)
 	r.owner = newOwnerDuty(r)
 	r.members = newMemberDuty(r)
--- a/router/configduty.go
+++ b/router/configduty.go
@@ -6,6 +6,7 @@
 
 	"tarragongw/confstore"
 	"tarragongw/core/model"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/kv"
 )
@@ -18,7 +19,7 @@
 // than is in force already.
 type configDuty struct {
 	r    *Router
-	duty *duty
+	duty *duty.Duty
 	// read is the last record that came from the store or another router; the duty of
 	// records alone uses it.
 	read *confstore.State
@@ -102,7 +103,7 @@
 // is in force here.
 func (c *configDuty) learn(ctx context.Context, state *confstore.State) {
 	done := make(chan struct{})
-	c.duty.tell(&applyModel{model: state.Model, author: state.Author, done: done})
+	c.duty.Tell(&applyModel{model: state.Model, author: state.Author, done: done})
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -121,5 +122,5 @@
 		return
 	}
 	c.read = state
-	c.duty.tell(&applyModel{model: state.Model, author: state.Author})
+	c.duty.Tell(&applyModel{model: state.Model, author: state.Author})
 }
--- a/router/confirmdead.go
+++ b/router/confirmdead.go
@@ -36,7 +36,7 @@
 		Router: b.r.self.Name,
 		Fields: []eventlog.Field{eventlog.F("dead", strings.Join(names, ",")), eventlog.F("author", req.Author)},
 	})
-	b.r.owner.duty.tell(ownership.DeadConfirmed{Target: req.Target})
+	b.r.owner.duty.Tell(ownership.DeadConfirmed{Target: req.Target})
 	b.r.members.broadcast(kindDead, []byte(req.Target))
 	return &operator.ConfirmDeadReply{Target: req.Target, Dead: names}, nil
 }
--- a/router/confirmduty.go
+++ b/router/confirmduty.go
@@ -11,6 +11,7 @@
 
 	"tarragongw/core/confirm"
 	"tarragongw/core/ownership"
+	"tarragongw/duty"
 	"tarragongw/kv"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
@@ -22,7 +23,7 @@
 type confirmDuty struct {
 	r      *Router
 	core   *confirm.Core
-	duty   *duty
+	duty   *duty.Duty
 	waker  *waker
 	prefix string
 	counts *confirmCounts
@@ -46,7 +47,7 @@
 }
 
 func (d *confirmDuty) start() {
-	d.waker = d.r.newWaker(func() { d.duty.tellHere(confirm.Tick{}) })
+	d.waker = d.r.newWaker(func() { d.duty.TellHere(confirm.Tick{}) })
 	d.duty = d.r.startDuty(true, d.handle)
 }
 
@@ -71,7 +72,7 @@
 	for _, a := range reads {
 		asked.Reads = append(asked.Reads, confirm.Read{Target: strings.TrimPrefix(a.Key, d.prefix), SentAt: a.SentAt})
 	}
-	d.duty.tell(asked)
+	d.duty.Tell(asked)
 }
 
 // receive hands a message of another router to the core. Those of other data centres
@@ -85,7 +86,7 @@
 	if from.DataCentre != d.r.self.DataCentre {
 		return
 	}
-	d.duty.tellHere(confirm.Received{From: confirm.Router{Name: from.Name, Incarnation: from.Incarnation}, Message: message})
+	d.duty.TellHere(confirm.Received{From: confirm.Router{Name: from.Name, Incarnation: from.Incarnation}, Message: message})
 }
 
 // handle takes one event through the core.
@@ -117,10 +118,10 @@
 	case confirm.Send:
 		d.send(&a)
 	case confirm.List:
-		d.r.workers.run(func() { d.list(a.ID) })
+		d.r.workers.Run(func() { d.list(a.ID) })
 	case confirm.Confirmed:
 		// The duty of ownership never waits for this one.
-		d.r.owner.duty.tellHere(ownership.StoreRead{
+		d.r.owner.duty.TellHere(ownership.StoreRead{
 			Key:      d.prefix + a.Record.Target,
 			SentAt:   a.SentAt,
 			Earlier:  a.Earlier,
@@ -151,11 +152,11 @@
 	defer cancel()
 	records, _, err := d.r.platform.For(kv.Ownership).List(ctx, d.prefix)
 	if err != nil {
-		d.duty.tellHere(confirm.Listed{ID: id})
+		d.duty.TellHere(confirm.Listed{ID: id})
 		return
 	}
 	d.r.members.witness()
-	d.duty.tellHere(confirm.Listed{ID: id, OK: true, Records: d.records(records)})
+	d.duty.TellHere(confirm.Listed{ID: id, OK: true, Records: d.records(records)})
 }
 
 func (d *confirmDuty) records(records []kv.Record) []confirm.Record {
--- a/router/forward.go
+++ b/router/forward.go
@@ -15,6 +15,7 @@
 	"tarragongw/core/selector"
 	"tarragongw/core/shed"
 	"tarragongw/peer"
+	"tarragongw/replay"
 )
 
 // route is where one attempt goes.
@@ -30,7 +31,7 @@
 	w    http.ResponseWriter
 	r    *http.Request
 	meta *request.Meta
-	body *replayBody
+	body *replay.Body
 	// attempt counts from one; began is when the first one did.
 	attempt int
 	began   time.Time
@@ -51,7 +52,7 @@
 		inFlight.Add(1)
 		defer inFlight.Add(-1)
 	}
-	x := &exchange{w: w, r: req, meta: meta, body: newReplayBody(req)}
+	x := &exchange{w: w, r: req, meta: meta, body: replay.New(req)}
 	if f := x.awaitBody(); f != nil {
 		return f
 	}
@@ -91,7 +92,7 @@
 	if x.body == nil {
 		return true
 	}
-	body, ok := x.body.rewind()
+	body, ok := x.body.Rewind()
 	if ok {
 		x.r.Body = body
 	}
--- a/router/healthduty.go
+++ b/router/healthduty.go
@@ -6,6 +6,7 @@
 
 	"tarragongw/core/health"
 	"tarragongw/core/ownership"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 )
 
@@ -26,7 +27,7 @@
 // decides how work is spread.
 type healthDuty struct {
 	r       *Router
-	duty    *duty
+	duty    *duty.Duty
 	ticking atomic.Bool
 	now     atomic.Pointer[verdicts]
 
@@ -64,7 +65,7 @@
 // tick begins a round; verdicts go to the duty of ownership, which must run.
 func (h *healthDuty) tick() {
 	if h.ticking.CompareAndSwap(false, true) {
-		h.duty.tellHere(healthTicked{})
+		h.duty.TellHere(healthTicked{})
 	}
 }
 
@@ -91,7 +92,7 @@
 		return
 	}
 	// This duty may wait for room with the owner duty; nothing there waits for it.
-	go h.duty.tell(granted{target: u.spec.Name, ok: ok})
+	go h.duty.Tell(granted{target: u.spec.Name, ok: ok})
 }
 
 func (h *healthDuty) granted(now time.Time, m granted) {
@@ -159,10 +160,10 @@
 	switch {
 	case change.To == health.Lost:
 		// The core of ownership marks the target once it has declared the loss.
-		h.r.owner.duty.tell(ownership.TargetHealth{Target: change.Target, Lost: true})
+		h.r.owner.duty.Tell(ownership.TargetHealth{Target: change.Target, Lost: true})
 	case change.From == health.Lost:
 		h.setLost(change.Target, false)
-		h.r.owner.duty.tell(ownership.TargetHealth{Target: change.Target})
+		h.r.owner.duty.Tell(ownership.TargetHealth{Target: change.Target})
 	}
 }
 
--- a/router/healthprobe.go
+++ b/router/healthprobe.go
@@ -51,7 +51,7 @@
 		spread := time.Duration(probeJitter * float64(every))
 		state.running = true
 		state.due = now.Add(every - spread/2 + rand.N(spread+1))
-		h.r.workers.run(func() { h.runProbe(name) })
+		h.r.workers.Run(func() { h.runProbe(name) })
 	}
 }
 
@@ -68,7 +68,7 @@
 	if err != nil {
 		report = nil
 	}
-	h.duty.tellHere(probed{target: name, health: report})
+	h.duty.TellHere(probed{target: name, health: report})
 }
 
 func (h *healthDuty) probed(now time.Time, p probed) {
--- a/router/healthsets.go
+++ b/router/healthsets.go
@@ -45,7 +45,7 @@
 	}
 	delete(h.probes, name)
 	if set.State(name) == health.Lost {
-		h.r.owner.duty.tell(ownership.TargetHealth{Target: name})
+		h.r.owner.duty.Tell(ownership.TargetHealth{Target: name})
 	}
 	set.Remove(name)
 	h.setLost(name, false)
--- a/router/memberduty.go
+++ b/router/memberduty.go
@@ -10,6 +10,7 @@
 	"tarragongw/core/membership"
 	"tarragongw/core/ownership"
 	"tarragongw/core/routing"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
@@ -21,7 +22,7 @@
 type memberDuty struct {
 	r    *Router
 	core *membership.Core
-	duty *duty
+	duty *duty.Duty
 	view atomic.Pointer[membership.View]
 	// reports are the revisions in force that routers reported.
 	reports atomic.Pointer[[]membership.Reported]
@@ -51,7 +52,7 @@
 }
 
 func (m *memberDuty) start() {
-	m.waker = m.r.newWaker(func() { m.duty.tellHere(membership.Tick{}) })
+	m.waker = m.r.newWaker(func() { m.duty.TellHere(membership.Tick{}) })
 	m.duty = m.r.startDuty(true, m.handle)
 	m.waker.within(0)
 	m.r.run(m.followList)
@@ -70,7 +71,7 @@
 	if now-last < int64(witnessEvery) || !m.witnessed.CompareAndSwap(last, now) {
 		return
 	}
-	m.duty.tell(membership.Witness{})
+	m.duty.Tell(membership.Witness{})
 }
 
 // receive hands a message of another router to the core.
@@ -84,7 +85,7 @@
 		// Who pings did not hear the last heartbeat.
 		m.r.peers.DistrustDatagrams(from.Name)
 	}
-	m.duty.tellHere(membership.Received{From: memberOf(from), Message: message})
+	m.duty.TellHere(membership.Received{From: memberOf(from), Message: message})
 }
 
 func memberOf(id peer.Identity) membership.Member {
@@ -98,12 +99,12 @@
 
 // outlived tells the core that another router knows a newer life of this one's name.
 func (m *memberDuty) outlived(incarnation uint64) {
-	m.duty.tell(membership.Outlived{Incarnation: incarnation})
+	m.duty.Tell(membership.Outlived{Incarnation: incarnation})
 }
 
 // inForce tells the core which revision this router has in force.
 func (m *memberDuty) inForce(revision uint64) {
-	m.duty.tell(membership.InForce{Revision: revision})
+	m.duty.Tell(membership.InForce{Revision: revision})
 }
 
 // reported returns the revisions in force that routers reported.
@@ -182,7 +183,7 @@
 		send = m.r.peers.SendLossy
 	}
 	if !send(a.To, kindMembership, payload) {
-		go m.duty.tell(membership.SendFailed{To: a.To})
+		go m.duty.Tell(membership.SendFailed{To: a.To})
 	}
 }
 
@@ -236,7 +237,7 @@
 func (m *memberDuty) publishLive() {
 	owners := ownersOf(m.view.Load(), m.r.self.DataCentre)
 	owners.Elsewhere = elsewhereOf(m.view.Load(), m.r.self.DataCentre)
-	m.r.owner.duty.tell(owners)
+	m.r.owner.duty.Tell(owners)
 	m.r.confirms.membersChanged(owners)
 	m.r.records.membersChanged(m.view.Load())
 }
--- a/router/ownercalls.go
+++ b/router/ownercalls.go
@@ -38,10 +38,10 @@
 	}
 	for prefix, reads := range byPrefix {
 		if len(reads) == 1 {
-			o.r.workers.run(func() { o.read(reads[0]) })
+			o.r.workers.Run(func() { o.read(reads[0]) })
 			continue
 		}
-		o.r.workers.run(func() { o.readList(prefix, reads) })
+		o.r.workers.Run(func() { o.readList(prefix, reads) })
 	}
 }
 
@@ -74,7 +74,7 @@
 	if err == nil {
 		o.r.members.witness()
 	}
-	o.duty.tell(ownership.StoreRead{
+	o.duty.Tell(ownership.StoreRead{
 		Key:      a.Key,
 		SentAt:   a.SentAt,
 		Outcome:  storeOutcome(err),
@@ -89,7 +89,7 @@
 	ctx, cancel := o.r.alarms.limit(o.r.lifetime, o.r.opts.Settings.Store.Timeout)
 	defer cancel()
 	revision, err := o.r.platform.For(kv.Ownership).CompareAndSwap(ctx, a.Key, kv.Revision(a.Expect), a.Value)
-	o.duty.tellHere(ownership.CASResult{Key: a.Key, Op: a.Op, Outcome: storeOutcome(err), Revision: uint64(revision)})
+	o.duty.TellHere(ownership.CASResult{Key: a.Key, Op: a.Op, Outcome: storeOutcome(err), Revision: uint64(revision)})
 }
 
 // storeOutcome maps a store's error to what is known about the call.
@@ -110,7 +110,7 @@
 // dropped: sent later it could reach the target after this router's authority.
 func (o *ownerDuty) grant(a ownership.SendGrant, digest uint64) {
 	result := ownership.GrantResult{Target: a.Target, Sequence: a.Sequence, Silent: true}
-	defer func() { o.duty.tellHere(result) }()
+	defer func() { o.duty.TellHere(result) }()
 	u := o.r.upstreams.hold(a.Target)
 	if u == nil {
 		return
@@ -142,7 +142,7 @@
 	ctx, cancel := o.r.alarms.limit(o.r.lifetime, probeTimeout)
 	defer cancel()
 	_, err := u.control.Probe(ctx)
-	o.duty.tellHere(ownership.TargetProbed{Target: a.Target, For: a.For, Reached: err == nil})
+	o.duty.TellHere(ownership.TargetProbed{Target: a.Target, For: a.For, Reached: err == nil})
 }
 
 func grantBatch(u *upstream, a *ownership.SendGrant, digest uint64, self string) *target.GrantBatch {
@@ -226,7 +226,7 @@
 		o.r.log.Warn("unreadable grantor record", "error", err)
 		return
 	}
-	o.duty.tell(ownership.GrantorClaimed{Record: claim})
+	o.duty.Tell(ownership.GrantorClaimed{Record: claim})
 }
 
 func uintText(n uint64) string { return strconv.FormatUint(n, 10) }
--- a/router/ownerduty.go
+++ b/router/ownerduty.go
@@ -9,6 +9,7 @@
 	"tarragongw/core/model"
 	"tarragongw/core/ownership"
 	"tarragongw/core/ownership/ownershippb"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/peer"
 )
@@ -27,7 +28,7 @@
 type ownerDuty struct {
 	r      *Router
 	keeper *ownership.Keeper
-	duty   *duty
+	duty   *duty.Duty
 	waker  *waker
 	// digests are the targets' own checksums of the sets that they were last sent.
 	digests map[string]uint64
@@ -58,7 +59,7 @@
 func replyTimeout(timers *config.Timers) time.Duration { return timers.GrantRenew * 15 / 8 }
 
 func (o *ownerDuty) start() {
-	o.waker = o.r.newWaker(func() { o.duty.tellHere(ownership.Tick{}) })
+	o.waker = o.r.newWaker(func() { o.duty.TellHere(ownership.Tick{}) })
 	o.duty = o.r.startDuty(false, o.handle)
 	o.waker.within(0)
 }
@@ -68,7 +69,7 @@
 
 // configured tells the core about a new configuration.
 func (o *ownerDuty) configured(v *view) {
-	o.duty.tell(configuredEvent(v))
+	o.duty.Tell(configuredEvent(v))
 }
 
 func configuredEvent(v *view) ownership.Configured {
@@ -114,7 +115,7 @@
 		o.r.log.Warn("unreadable ownership message", "from", from.Name, "error", err)
 		return
 	}
-	o.duty.tell(ownership.PeerMessage{
+	o.duty.Tell(ownership.PeerMessage{
 		From:    ownership.Router{Name: from.Name, Incarnation: from.Incarnation},
 		Message: message,
 	})
@@ -149,14 +150,14 @@
 func (o *ownerDuty) do(action ownership.Action) {
 	switch a := action.(type) {
 	case ownership.CAS:
-		o.r.workers.run(func() { o.compareAndSwap(a) })
+		o.r.workers.Run(func() { o.compareAndSwap(a) })
 	case ownership.SendGrant:
 		digest := o.wireDigest(&a)
-		o.r.workers.run(func() { o.grant(a, digest) })
+		o.r.workers.Run(func() { o.grant(a, digest) })
 	case ownership.SendPeer:
 		o.sendPeer(a)
 	case ownership.ProbeTarget:
-		o.r.workers.run(func() { o.probe(a) })
+		o.r.workers.Run(func() { o.probe(a) })
 	case ownership.CloseSend:
 		o.closeSend(a)
 	case ownership.SetGate:
@@ -183,13 +184,13 @@
 	u := o.r.upstreams.settled(a.Target)
 	closed := ownership.SendClosed{Target: a.Target, Units: a.Units}
 	if u == nil {
-		go o.duty.tell(closed)
+		go o.duty.Tell(closed)
 		return
 	}
 	timer := time.AfterFunc(o.r.opts.Settings.Drain.Limit, func() { u.flights.cut(a.Units) })
 	u.flights.close(a.Units, a.Abort, func() {
 		timer.Stop()
-		go o.duty.tell(closed)
+		go o.duty.Tell(closed)
 	})
 }
 
--- a/router/prefetch.go
+++ b/router/prefetch.go
@@ -11,7 +11,6 @@
 	// slot, or all of a shorter one. A request in flight may keep more than that for a
 	// second attempt, so the bound on memory is the same.
 	prefetchBytes = 16 << 10
-	prefetchChunk = 4 << 10
 )
 
 // awaitBody waits until the beginning of the body has arrived.
@@ -29,7 +28,7 @@
 	}
 	arrived := make(chan error, 1)
 	want := min(x.r.ContentLength, prefetchBytes)
-	go func() { arrived <- x.body.prefetch(want) }()
+	go func() { arrived <- x.body.Prefetch(want) }()
 	select {
 	case err := <-arrived:
 		if err == nil || err == io.EOF {
@@ -47,24 +46,3 @@
 	f.Ran = fault.NotRun
 	return f
 }
-
-// prefetch reads the source up to an offset and keeps what it read.
-func (b *replayBody) prefetch(want int64) error {
-	// Nobody reads through this attempt, so all that it reads is kept for the others.
-	reader := &attemptBody{all: b}
-	chunk := make([]byte, min(want, prefetchChunk))
-	for {
-		end, err := b.extent()
-		if err != nil || end >= want {
-			return err
-		}
-		reader.fill(chunk[:min(want-end, int64(len(chunk)))], end)
-	}
-}
-
-// extent returns the offset up to which the source was read, and what ended it.
-func (b *replayBody) extent() (end int64, err error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.base + int64(len(b.kept)), b.err
-}
--- a/router/prefetch_test.go
+++ b/router/prefetch_test.go
@@ -11,6 +11,7 @@
 
 	"tarragongw/core/fault"
 	"tarragongw/internal/faulttest"
+	"tarragongw/replay"
 )
 
 func uploadOf(ctx context.Context, t *testing.T, body io.Reader, length int64) *exchange {
@@ -18,12 +19,12 @@
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h/x", body)
 	assert.NilError(t, err)
 	req.ContentLength = length
-	return &exchange{r: req, body: newReplayBody(req)}
+	return &exchange{r: req, body: replay.New(req)}
 }
 
 // Symptom: a body that was waited for reaches the target with its beginning missing.
 func TestPrefetchedBodyIsWholeForEachAttempt(t *testing.T) {
-	for _, length := range []int{1, prefetchChunk, prefetchBytes, prefetchBytes + 1, 3 * prefetchBytes} {
+	for _, length := range []int{1, replay.PrefetchChunk, prefetchBytes, prefetchBytes + 1, 3 * prefetchBytes} {
 		text := strings.Repeat("0123456789", length/10+1)[:length]
 		x := uploadOf(t.Context(), t, strings.NewReader(text), int64(length))
 		assert.Assert(t, x.awaitBody() == nil)
--- a/router/pulse.go
+++ b/router/pulse.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"tarragongw/duty"
+)
 
 // pulseEvery is the interval of verdicts on targets, and of looks at what is served.
 const pulseEvery = 100 * time.Millisecond
@@ -20,3 +24,8 @@
 		}
 	}
 }
+
+// startDuty runs handle for each message, one at a time.
+func (r *Router) startDuty(dropping bool, handle func(message any)) *duty.Duty {
+	return duty.Start(r.system, r.workers, r.opts.Settings.Limits.Mailbox, dropping, handle)
+}
--- a/router/rebalanceduty.go
+++ b/router/rebalanceduty.go
@@ -9,6 +9,7 @@
 	"tarragongw/core/ownership"
 	"tarragongw/core/rendezvous"
 	"tarragongw/core/routing"
+	"tarragongw/duty"
 	"tarragongw/peer"
 	"tarragongw/peer/peerpb"
 	"tarragongw/peer/wire"
@@ -19,7 +20,7 @@
 // owner carries a move out; it alone knows what is under way and writes the unit away.
 type rebalanceDuty struct {
 	r    *Router
-	duty *duty
+	duty *duty.Duty
 
 	// services is the planning state by service; only the duty itself uses it.
 	services map[string]*serviceLoad
@@ -55,7 +56,7 @@
 	for {
 		select {
 		case <-ticker.C:
-			b.duty.tell(rebalanceTicked{})
+			b.duty.Tell(rebalanceTicked{})
 		case <-b.r.lifetime.Done():
 			return
 		}
@@ -162,10 +163,10 @@
 // receive hands a message of another router to the duty.
 func (b *rebalanceDuty) receive(_ peer.Identity, kind string, payload []byte) {
 	if kind == wire.KindMoves {
-		b.duty.tell(movesReceived{payload})
+		b.duty.Tell(movesReceived{payload})
 		return
 	}
-	b.duty.tell(loadReceived{kind, payload})
+	b.duty.Tell(loadReceived{kind, payload})
 }
 
 // order sends the moves away from one target to its grantor.
@@ -205,7 +206,7 @@
 		return
 	}
 	b.r.moves(message.Service).Inc(int64(len(event.Moves)))
-	b.r.owner.duty.tell(event)
+	b.r.owner.duty.Tell(event)
 }
 
 // mayReceive checks the receiver against the configuration in force here, which may
--- a/router/recordduty.go
+++ b/router/recordduty.go
@@ -11,6 +11,7 @@
 	"tarragongw/core/membership"
 	"tarragongw/core/ownership"
 	"tarragongw/core/spread"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
@@ -23,7 +24,7 @@
 type recordDuty struct {
 	r      *Router
 	core   *spread.Core
-	duty   *duty
+	duty   *duty.Duty
 	waker  *waker
 	joined atomic.Bool
 	// watching says that this router watches the store for its data centre.
@@ -49,7 +50,7 @@
 }
 
 // announce passes something on to all routers of the data centre.
-func (d *recordDuty) announce(value []byte) { d.duty.tell(spread.Announce{Value: value}) }
+func (d *recordDuty) announce(value []byte) { d.duty.Tell(spread.Announce{Value: value}) }
 
 // maxWaitingRecords bounds the written records that wait for the next tick.
 const maxWaitingRecords = 1024
@@ -58,7 +59,7 @@
 const spreadSeed = 2
 
 func (d *recordDuty) start() {
-	d.waker = d.r.newWaker(func() { d.duty.tellHere(spread.Tick{}) })
+	d.waker = d.r.newWaker(func() { d.duty.TellHere(spread.Tick{}) })
 	d.duty = d.r.startDuty(false, d.handle)
 	d.waker.within(0)
 }
@@ -70,7 +71,7 @@
 		d.r.log.Warn("unreadable record message", "from", from.Name, "error", err)
 		return
 	}
-	d.duty.tell(spread.Received{From: from.Name, Message: message})
+	d.duty.Tell(spread.Received{From: from.Name, Message: message})
 }
 
 // wrote tells the others of a record that this router wrote to the store. It never
@@ -126,7 +127,7 @@
 		}
 		e.Remote = append(e.Remote, spread.DataCentre{Name: dc, Live: names})
 	}
-	d.duty.tell(e)
+	d.duty.Tell(e)
 }
 
 func liveNames(view *membership.View, dc string) []string {
@@ -177,7 +178,7 @@
 	case spread.Announced:
 		d.r.members.receiveNotice(a.From, a.Value)
 	case spread.Asked:
-		d.duty.tellLater(spread.Answer{To: a.To, ID: a.ID, Rows: d.rows()})
+		d.duty.TellLater(spread.Answer{To: a.To, ID: a.ID, Rows: d.rows()})
 	case spread.Answered:
 		d.answered(a)
 	case spread.Unpatched:
@@ -217,7 +218,7 @@
 	}
 	switch entry.Class {
 	case spread.Ownership:
-		d.r.owner.duty.tell(ownership.StoreChanged{Key: entry.Key, Revision: entry.Revision, Value: entry.Value})
+		d.r.owner.duty.Tell(ownership.StoreChanged{Key: entry.Key, Revision: entry.Revision, Value: entry.Value})
 	case spread.Configuration:
 		d.r.config.learnRecord(entry.Key, entry.Revision, entry.Value)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"tarragongw/clock"
 	"tarragongw/confstore"
 	"tarragongw/core/ownership"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/kv"
 	"tarragongw/peer"
@@ -93,7 +94,7 @@
 	ending   bool
 	lifetime context.Context
 	cancel   context.CancelFunc
-	workers  *workers
+	workers  *duty.Workers
 	// alarms are the times that duties and their calls wait for.
 	alarms   alarms
 	stopping atomic.Bool
@@ -115,7 +116,7 @@
 	}
 	r := &Router{opts: opts, clock: opts.Clock, log: opts.Logger}
 	r.lifetime, r.cancel = context.WithCancel(context.Background())
-	r.workers = newWorkers(r.lifetime)
+	r.workers = duty.NewWorkers(r.lifetime)
 	r.table.Store(ownership.NewTable())
 	r.upstreams = newUpstreams(r)
 	if r.security, err = openSecurity(&opts); err != nil {
@@ -206,7 +207,7 @@
 	case kindClaim:
 		r.owner.receiveClaim(payload)
 	case kindDead:
-		r.owner.duty.tell(ownership.DeadConfirmed{Target: string(payload)})
+		r.owner.duty.Tell(ownership.DeadConfirmed{Target: string(payload)})
 	case kindSpread:
 		r.records.receive(from, payload)
 	case kindMembership:
--- a/router/storewatch.go
+++ b/router/storewatch.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	w.reached(true)
-	w.d.duty.tell(spread.FromStore{Entries: entriesOf(records), Whole: true, Upto: uint64(revision)})
+	w.d.duty.Tell(spread.FromStore{Entries: entriesOf(records), Whole: true, Upto: uint64(revision)})
 	for silent := 0; silent < silentCalls; {
 		changed, next, err := w.next(revision)
 		if err != nil || w.ctx.Err() != nil {
@@ -74,7 +74,7 @@
 		}
 		silent = 0
 		w.d.r.members.witness()
-		w.d.duty.tell(spread.FromStore{Entries: entriesOf(changed), Upto: uint64(next)})
+		w.d.duty.Tell(spread.FromStore{Entries: entriesOf(changed), Upto: uint64(next)})
 		revision = next
 	}
 	return nil
@@ -108,7 +108,7 @@
 		return err
 	}
 	w.d.r.members.witness()
-	w.d.duty.tell(spread.FromStore{Entries: entriesOf(records)})
+	w.d.duty.Tell(spread.FromStore{Entries: entriesOf(records)})
 	return nil
 }
 
@@ -122,7 +122,7 @@
 	}
 	w.asked, w.up = true, up
 	w.d.r.storeUp.Store(up)
-	w.d.duty.tell(spread.StoreReached{Up: up})
+	w.d.duty.Tell(spread.StoreReached{Up: up})
 	kind := eventlog.StoreUnavailable
 	if up {
 		kind = eventlog.StoreAvailable
--- a/router/upstreams_test.go
+++ b/router/upstreams_test.go
@@ -14,6 +14,7 @@
 	"tarragongw/core/ownership"
 	"tarragongw/core/request"
 	"tarragongw/core/routing"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 )
 
@@ -42,7 +43,7 @@
 	settings := config.Defaults()
 	r := &Router{opts: Options{Settings: &settings}, clock: &handClock{}, journal: eventlog.New(eventlog.Config{})}
 	r.self.Name, r.self.DataCentre = "r1", "hall"
-	r.upstreams, r.workers, r.security = newUpstreams(r), newWorkers(t.Context()), &security{}
+	r.upstreams, r.workers, r.security = newUpstreams(r), duty.NewWorkers(t.Context()), &security{}
 	r.isolation, r.health = newIsolation(r), newHealthDuty(r)
 	table := ownership.NewTable()
 	for i := range 3 {
--- a/router/vmlist.go
+++ b/router/vmlist.go
@@ -81,8 +81,8 @@
 			if err == nil {
 				m.witness()
 				event := listed(vms)
-				m.duty.tell(event)
-				m.duty.tell(listRead{vms: event.VMs, at: at})
+				m.duty.Tell(event)
+				m.duty.Tell(listRead{vms: event.VMs, at: at})
 			}
 		}
 		if !sleep(m.r.lifetime, every) {
@@ -202,5 +202,5 @@
 			Name: u.Member.Name, DataCentre: u.Member.DataCentre, Address: u.Member.Address, Leaving: u.Leaving,
 		})
 	}
-	m.duty.tell(e)
+	m.duty.Tell(e)
 }
--- a/target/acquire.go
+++ b/target/acquire.go
@@ -85,7 +85,19 @@
 }
 
 func (p *Pool) expired(c *conn, now time.Time) bool {
-	return now.Sub(c.born) >= p.cfg.MaxAge || now.Sub(c.rested) >= p.cfg.MaxIdle || !p.trusts(c, now)
+	return now.Sub(c.born) >= p.cfg.MaxAge || now.Sub(c.rested) >= p.maxIdle() || !p.trusts(c, now)
+}
+
+// restMargin is the part, one in so many, by which a connection is closed before the
+// target would: a request on its way just then would be lost, and could not be repeated.
+const restMargin = 5
+
+// maxIdle is how long a connection may have rested.
+func (p *Pool) maxIdle() time.Duration {
+	if rest := time.Duration(p.rest.Load()); rest > 0 && rest < p.cfg.MaxIdle {
+		return rest
+	}
+	return p.cfg.MaxIdle
 }
 
 // await waits for a connection or for the permission to open one. With neither
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -37,6 +37,9 @@
 	sentBefore int64
 	malformed  bool
 	unframed   bool
+	// overdue says that an answer to an earlier request came first: the target's count of
+	// answers is off, so that the connection is not used again.
+	overdue bool
 	// keep says that the connection may be used again after the whole answer.
 	keep  bool
 	ended atomic.Bool
@@ -97,14 +100,35 @@
 	if err != nil {
 		return nil, x.fail(err)
 	}
-	if f := refusal(resp); f != nil {
+	p.heard(resp)
+	if f := p.cfg.Dialect.refusal(resp); f != nil {
 		x.refuse(resp)
 		return nil, f
 	}
+	if err := p.cfg.Dialect.check(resp); err != nil {
+		return nil, x.spoilt(err)
+	}
 	x.begin(r, resp)
 	return resp, nil
 }
 
+// heard tells what an answer's header says of its target.
+func (p *Pool) heard(resp *http.Response) {
+	if rest := restOf(resp.Header); rest > 0 {
+		p.rest.Store(int64(rest - rest/restMargin))
+	}
+	if p.cfg.Dialect.Heard != nil {
+		p.cfg.Dialect.Heard(resp.Header)
+	}
+}
+
+// spoilt ends an exchange whose answer can't be the target's.
+func (x *exchange) spoilt(err error) *fault.Fault {
+	f := x.fail(err)
+	f.Kind, f.Ran, f.Cause = fault.AnswerInvalid, fault.RanUnknown, err
+	return f
+}
+
 func (x *exchange) run(r *http.Request) (*http.Response, error) {
 	if hasBody(r) && !(x.pool.short && atHand(r)) {
 		x.upload = startUpload(x.conn, r)
@@ -131,6 +155,7 @@
 func (x *exchange) readHeader(r *http.Request) (*http.Response, error) {
 	x.conn.headerLeft = x.pool.cfg.MaxHeaderBytes
 	defer func() { x.conn.headerLeft = -1 }()
+	overdue := 0
 	for range maxInformational {
 		resp, err := http.ReadResponse(x.conn.br, r)
 		if err != nil {
@@ -140,6 +165,13 @@
 			return nil, errUnasked
 		}
 		switch {
+		case resp.StatusCode >= http.StatusOK && x.pool.cfg.Dialect.foreign(r, resp):
+			if overdue++; overdue > maxOverdue || !passOver(resp) {
+				return nil, errOverdue
+			}
+			x.overdue = true
+			x.conn.headerLeft = x.pool.cfg.MaxHeaderBytes
+			continue
 		case resp.StatusCode >= http.StatusOK:
 			x.upload.answered()
 			return resp, nil
@@ -155,6 +187,16 @@
 	return nil, errTooManyInformational
 }
 
+// passOver reads an answer that belongs to an earlier request to its end, after which the
+// one that is waited for comes; without a length it has no end that could be known.
+func passOver(resp *http.Response) bool {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return false
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err == nil
+}
+
 // inform hands an informational answer to who asked for it.
 func (x *exchange) inform(resp *http.Response) error {
 	trace := httptrace.ContextClientTrace(x.ctx)
@@ -181,7 +223,7 @@
 	p.mu.Lock()
 	p.counts.Refused++
 	p.mu.Unlock()
-	x.keep = reusable(resp) && resp.ContentLength >= 0 && int64(x.conn.br.Buffered()) >= resp.ContentLength
+	x.keep = reusable(resp) && !x.overdue && resp.ContentLength >= 0 && int64(x.conn.br.Buffered()) >= resp.ContentLength
 	if x.keep {
 		_, err := io.Copy(io.Discard, resp.Body)
 		x.keep = err == nil
@@ -191,7 +233,7 @@
 
 // begin makes the exchange the answer's body, or ends it where there is none.
 func (x *exchange) begin(r *http.Request, resp *http.Response) {
-	x.keep = reusable(resp) && !r.Close
+	x.keep = reusable(resp) && !r.Close && !x.overdue
 	if resp.Body == http.NoBody {
 		x.finish(fault.Internal)
 		return
--- a/target/config.go
+++ b/target/config.go
@@ -58,6 +58,9 @@
 	// accepted, by an error if not; nil accepts all. It is asked once for each connection
 	// after each Recheck, and once the certificate has ended.
 	Accepts func(state *tls.ConnectionState) error
+	// Dialect is how the target says what is not in HTTP itself; the zero value is the
+	// protocol of this package.
+	Dialect Dialect
 	// Dial opens raw connections; nil means a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Now tells the time; nil means time.Now. Only rest, age and the
--- a/target/pool.go
+++ b/target/pool.go
@@ -17,6 +17,10 @@
 	// short says that bodies at hand are written together with their header.
 	short bool
 
+	// rest is how long the target was last heard to keep a connection at rest, less a
+	// margin, in nanoseconds; zero where it doesn't say.
+	rest atomic.Int64
+
 	// round counts the calls of Recheck.
 	round atomic.Uint64
 
