--- a/caller/answer.go
+++ b/caller/answer.go
@@ -34,11 +34,11 @@
 // WriteFault answers with the row of the fault's kind. The answer is final; its
 // body is left out for HEAD.
 func WriteFault(w http.ResponseWriter, method, requestID string, f *fault.Fault) {
-	writeFaultAnswer(w, method, requestID, f, false)
+	writeFaultAnswer(w, method, requestID, f, &Config{})
 }
 
-// writeFaultAnswer is WriteFault, with Retry-After in fractions of a second where these are read.
-func writeFaultAnswer(w http.ResponseWriter, method, requestID string, f *fault.Fault, fractions bool) {
+// writeFaultAnswer is WriteFault under settings.
+func writeFaultAnswer(w http.ResponseWriter, method, requestID string, f *fault.Fault, cfg *Config) {
 	row := f.Kind.Row()
 	answer := Answer{Code: row.Code, Ran: f.Ran.String(), Detail: f.Detail, RequestID: requestID}
 	h := w.Header()
@@ -46,7 +46,7 @@
 		fraction := rand.Float64()
 		answer.RetryAfterMillis = spread(roundUp(wait, time.Millisecond), fraction)
 		h.Set("Retry-After", strconv.FormatInt(spread(roundUp(wait, time.Second), fraction), 10))
-		if fractions {
+		if cfg.FractionalWaits {
 			seconds := float64(answer.RetryAfterMillis) / millisPerSecond
 			h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
 		}
@@ -61,12 +61,26 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Cache-Control", "no-store")
-	w.WriteHeader(row.Status)
+	w.WriteHeader(cfg.statusOf(row.Status, f.Ran))
 	if method != http.MethodHead {
 		_, _ = w.Write(body)
 	}
 }
 
+// statusOf is the status of a fault. What goes wrong without the exception: a caller whose
+// upload stalled on the way is answered 408, takes it for "not run" and sends it again,
+// although the target got enough of it to run it.
+func (c *Config) statusOf(status int, ran fault.Ran) int {
+	if !c.Promises || ran == fault.NotRun {
+		return status
+	}
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 // spread lengthens an advised wait by up to as much again. Callers that were refused
 // at one moment, because a target stopped or a queue was full, would else come back at
 // one moment and be refused again; one notices by refusals that come in waves.
--- a/caller/config.go
+++ b/caller/config.go
@@ -56,6 +56,9 @@
 	// FractionalWaits gives the advised wait in Retry-After in fractions of a second, for
 	// callers that read them; whole seconds are too coarse where a wait of 100 ms does.
 	FractionalWaits bool
+	// Promises says that callers take the statuses 408, 421, 429 and 503 for the promise that
+	// a request did not run. One of which that isn't known is then answered 502 in place.
+	Promises bool
 	// ClosesAfter says whether the caller's connection is to end after the answer, which is
 	// then announced; nil keeps all.
 	ClosesAfter func() bool
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -260,7 +260,7 @@
 	if x.distrusts {
 		x.w.Header().Set("Connection", "close")
 	}
-	writeFaultAnswer(x, x.r.Method, x.meta.ID, f, x.handler.cfg.FractionalWaits)
+	writeFaultAnswer(x, x.r.Method, x.meta.ID, f, &x.handler.cfg)
 	return x.writeErr != nil
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -18,6 +18,7 @@
 // Server serves callers over HTTP/1.1 and HTTP/2, in clear text or over TLS.
 type Server struct {
 	*Handler
+	cfg    Config
 	http   *http.Server
 	limits *connLimits
 }
@@ -25,8 +26,17 @@
 // NewServer returns a server around the handler. tlsConfig is nil for clear
 // text; it is used as it is, so that its hooks can renew certificates.
 func NewServer(handler *Handler, tlsConfig *tls.Config) *Server {
-	cfg := handler.cfg
-	s := &Server{Handler: handler, limits: newConnLimits(cfg)}
+	return newServer(handler, handler.cfg, tlsConfig)
+}
+
+// NewServerWith is NewServer in clear text with connection limits of its own: a handler
+// may be there before what bounds its callers is known.
+func NewServerWith(handler *Handler, cfg Config) *Server {
+	return newServer(handler, cfg.withDefaults(), nil)
+}
+
+func newServer(handler *Handler, cfg Config, tlsConfig *tls.Config) *Server {
+	s := &Server{Handler: handler, cfg: cfg, limits: newConnLimits(cfg)}
 	s.limits.round.Store(1)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
--- a/cmd/tarragongw/main.go
+++ b/cmd/tarragongw/main.go
@@ -30,7 +30,7 @@
 		Name:     "tarragongw",
 		Usage:    "route requests to the servers that own their keys",
 		Version:  version(),
-		Commands: []*cli.Command{runCommand(), devCommand(), settingsCommand()},
+		Commands: []*cli.Command{runCommand(), serveCommand(), devCommand(), settingsCommand()},
 		// Errors are printed once, by main.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -163,8 +163,12 @@
 	// fence is the token of the release.
 	fence    uint64
 	handover string
-	// lapse is when the last grant that may have reached the holder has lapsed.
+	// lapse is when the last grant that may have reached the holder has lapsed. A target
+	// keeps to the longest of the times that it was granted, whatever came after it.
 	lapse time.Time
+	// inherited says that the holder may have been granted the keys by another leader, and
+	// has not accepted a grant of this one.
+	inherited bool
 	// busy says that an order is under way, due when the next may go out.
 	busy bool
 	due  time.Time
@@ -225,7 +229,7 @@
 		s.Moving, s.Lost = false, false
 		n := span{Segment: s, generation: a.generation}
 		if s.Target != "" {
-			n.Token, n.lapse = token, inherited
+			n.Token, n.lapse, n.inherited = token, inherited, true
 		}
 		a.spans = append(a.spans, n)
 	}
@@ -339,6 +343,7 @@
 func (a *Assigner) rebirth(s *span, seat *seat) {
 	s.Holder = seat.target.Holder()
 	s.Moving, s.Lost, s.next, s.handover = false, false, "", ""
+	s.inherited, s.lapse = false, time.Time{}
 	a.regrant(s)
 }
 
@@ -377,6 +382,7 @@
 func (a *Assigner) free(s *span, handover string) {
 	s.Holder, s.Token = keyspace.Holder{}, 0
 	s.Moving, s.Lost, s.acked, s.handover = false, false, false, handover
+	s.inherited, s.lapse = false, time.Time{}
 }
 
 // placeFree gives the keys that nobody holds to targets.
@@ -566,8 +572,12 @@
 	}
 	switch outcome {
 	case Accepted:
-		// A first answer under this token ends what an older leader may still renew.
-		s.lapse = now.Add(lapseAfter(p.hold))
+		if s.inherited {
+			// From now on the target refuses what an older leader sends; the last that it
+			// took before may have been a long one.
+			s.inherited, s.lapse = false, now.Add(lapseAfter(a.cfg.LongHold))
+		}
+		s.lapse = laterOf(s.lapse, now.Add(lapseAfter(p.hold)))
 		s.acked, s.handover, s.due = true, "", now.Add(a.cfg.Renew)
 	case Superseded:
 		a.regrant(s)
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -341,3 +341,12 @@
 	advice := max(time.Duration(max(b.wait, 0)*float64(time.Second)), b.advice)
 	return Decision{Verdict: Refuse, Fault: b.kind, RetryAfter: advice, Detail: b.detail}, true
 }
+
+// ServiceTime is how long the target takes for a request, in seconds; zero where no answer
+// came yet.
+func (s *Service) ServiceTime(id string) float64 {
+	if l := s.loads[id]; l != nil {
+		return l.service
+	}
+	return 0
+}
--- /dev/null
+++ b/gateway/beliefs.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"tarragongw/core/directory"
+	"tarragongw/core/keyspace"
+	"tarragongw/core/retry"
+	"tarragongw/core/routes"
+	"tarragongw/duty"
+	"tarragongw/kv"
+)
+
+// Pauses between a change and the next watch, see watcher.pause. Leaving targets must
+// get no new work within two seconds, and a configuration be in force within two.
+const (
+	targetsPause = 500 * time.Millisecond
+	configPause  = 100 * time.Millisecond
+	ownPause     = 15 * time.Millisecond
+)
+
+// Keys that the routers write themselves.
+const (
+	ownPrefix    = "tarragongw/"
+	tablePrefix  = ownPrefix + "keys/"
+	leaderKey    = ownPrefix + "leader"
+	routerPrefix = ownPrefix + "routers/"
+)
+
+// beliefs is the duty that turns what the store says into what the request path reads.
+type beliefs struct {
+	g    *Gateway
+	duty *duty.Duty
+
+	directory *directory.Directory
+	config    *routes.Config
+	// tables are the divisions of keys by service, with the revisions of their records.
+	tables map[string]tableRecord
+	// routers are the live routers' records, and leader the revision of the leader's.
+	routers map[string]bool
+	// known says which prefixes have been listed.
+	known map[string]bool
+	timer *time.Timer
+}
+
+type tableRecord struct {
+	table    *keyspace.Table
+	revision kv.Revision
+}
+
+// tick asks the duty to look at what has become due.
+type tick struct{}
+
+// fromPrefix is what the watcher of one prefix tells.
+type fromPrefix struct {
+	prefix  string
+	message any
+}
+
+func newBeliefs(g *Gateway) *beliefs {
+	b := &beliefs{
+		g: g, directory: directory.New(), tables: map[string]tableRecord{}, routers: map[string]bool{}, known: map[string]bool{},
+	}
+	b.duty = g.startDuty(b.handle)
+	return b
+}
+
+// watchers returns the watchers that feed the duty.
+func (b *beliefs) watchers() []*watcher {
+	a := &b.g.opts.Adapter
+	var all []*watcher
+	for _, w := range []struct {
+		prefix string
+		pause  time.Duration
+	}{{a.ConfigPrefix, configPause}, {a.TargetPrefix, targetsPause}, {ownPrefix, ownPause}} {
+		prefix := w.prefix
+		all = append(all, &watcher{
+			store: b.g.opts.Store, log: b.g.log, prefix: prefix, pause: w.pause,
+			tell: func(message any) { b.duty.Tell(&fromPrefix{prefix, message}) },
+		})
+	}
+	return all
+}
+
+func (b *beliefs) handle(message any) {
+	switch m := message.(type) {
+	case *fromPrefix:
+		b.hear(m)
+	case tick:
+		b.settle(b.directory.Tick(time.Now()))
+	}
+}
+
+func (b *beliefs) hear(m *fromPrefix) {
+	if lost, ok := m.message.(*absence); ok {
+		if m.prefix == b.g.opts.Adapter.TargetPrefix {
+			b.directory.StoreAway()
+		}
+		b.g.leader.duty.Tell(lost)
+		return
+	}
+	c, ok := m.message.(*change)
+	if !ok {
+		return
+	}
+	b.known[m.prefix] = true
+	switch m.prefix {
+	case b.g.opts.Adapter.ConfigPrefix:
+		b.hearConfig(c)
+	case b.g.opts.Adapter.TargetPrefix:
+		b.hearTargets(c)
+	case ownPrefix:
+		b.hearOwn(c)
+	}
+	b.g.setKnown(len(b.known) == 3 && b.config != nil)
+}
+
+// hearConfig puts a configuration in force unless a newer one is. One that can't be read
+// leaves the one in force.
+func (b *beliefs) hearConfig(c *change) {
+	for _, r := range c.records {
+		if r.Key != b.g.opts.Adapter.ConfigKey || r.Deleted {
+			continue
+		}
+		config, err := b.g.opts.Adapter.DecodeConfig(r.Value)
+		if err != nil {
+			b.g.log.Error("configuration not readable", "revision", r.Revision, "err", err)
+			continue
+		}
+		if b.config != nil && config.Version <= b.config.Version {
+			b.g.log.Info("older configuration passed over", "version", config.Version, "in_force", b.config.Version)
+			continue
+		}
+		b.config = config
+		b.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
+			"routes", len(config.Routes), "services", len(config.Services))
+		b.putInForce(config)
+	}
+}
+
+func (b *beliefs) putInForce(config *routes.Config) {
+	g := b.g
+	g.setServices(config)
+	g.view.Store(newView(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	g.handler.SetModel(callerModel(config, g.opts.Adapter.Headers))
+	for _, t := range b.tables {
+		b.useTable(t.table)
+	}
+	b.settle(true)
+}
+
+// hearTargets notes what targets say of themselves.
+func (b *beliefs) hearTargets(c *change) {
+	a := &b.g.opts.Adapter
+	if c.absent >= outage {
+		b.directory.StoreAway()
+	}
+	b.directory.StoreBack(c.at)
+	if c.listed {
+		b.settle(b.directory.Replace(c.at, b.readTargets(c.records)))
+		return
+	}
+	changed := false
+	for _, r := range c.records {
+		if r.Deleted {
+			changed = b.directory.Remove(c.at, a.TargetID(r.Key)) || changed
+			continue
+		}
+		t, err := a.DecodeTarget(r.Key, r.Value)
+		if err != nil {
+			b.g.log.Warn("entry of a target passed over", "key", r.Key, "err", err)
+			continue
+		}
+		changed = b.directory.Put(c.at, t) || changed
+	}
+	b.settle(changed)
+}
+
+func (b *beliefs) readTargets(records []kv.Record) []directory.Target {
+	var all []directory.Target
+	for _, r := range records {
+		t, err := b.g.opts.Adapter.DecodeTarget(r.Key, r.Value)
+		if err != nil {
+			b.g.log.Warn("entry of a target passed over", "key", r.Key, "err", err)
+			continue
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
+// settle hands the targets out where they have changed, and sees to it that what becomes
+// due later is looked at.
+func (b *beliefs) settle(changed bool) {
+	if changed {
+		targets := b.directory.Targets()
+		b.g.setTargets(targets)
+		b.g.leader.duty.Tell(targets)
+		b.g.log.Info("targets changed", "known", len(targets))
+	}
+	next := b.directory.Next()
+	if next.IsZero() {
+		return
+	}
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	b.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() { b.duty.Tell(tick{}) })
+}
+
+// hearOwn notes what the routers wrote: the division of keys, who leads and who is there.
+func (b *beliefs) hearOwn(c *change) {
+	seen := make(map[string]bool, len(c.records))
+	for _, r := range c.records {
+		seen[r.Key] = !r.Deleted
+		b.hearRecord(r)
+	}
+	if !c.listed {
+		return
+	}
+	for name := range b.routers {
+		if !seen[routerPrefix+name] {
+			b.hearRecord(kv.Record{Key: routerPrefix + name, Deleted: true})
+		}
+	}
+	if !seen[leaderKey] {
+		b.g.leader.duty.Tell(&leaderSeen{})
+	}
+}
+
+func (b *beliefs) hearRecord(r kv.Record) {
+	switch {
+	case r.Key == leaderKey:
+		b.g.leader.duty.Tell(&leaderSeen{name: string(r.Value), revision: r.Revision, present: !r.Deleted})
+	case strings.HasPrefix(r.Key, routerPrefix):
+		b.hearRouter(strings.TrimPrefix(r.Key, routerPrefix), !r.Deleted)
+	case strings.HasPrefix(r.Key, tablePrefix) && !r.Deleted:
+		b.hearTable(r)
+	}
+}
+
+func (b *beliefs) hearRouter(name string, there bool) {
+	if there == b.routers[name] {
+		return
+	}
+	if there {
+		b.routers[name] = true
+	} else {
+		delete(b.routers, name)
+	}
+	b.g.log.Info("routers changed", "router", name, "there", there, "known", len(b.routers))
+	b.g.setRouters(max(len(b.routers), 1))
+	if !there && name == b.g.opts.Name {
+		b.g.members.wake()
+	}
+}
+
+func (b *beliefs) hearTable(r kv.Record) {
+	t, err := decodeTable(r.Value)
+	if err != nil {
+		b.g.log.Error("division of keys not readable", "key", r.Key, "revision", r.Revision, "err", err)
+		return
+	}
+	if old, known := b.tables[t.Service]; known && old.revision >= r.Revision {
+		return
+	}
+	b.tables[t.Service] = tableRecord{t, r.Revision}
+	b.g.log.Debug("division of keys in force", "service", t.Service, "revision", r.Revision, "segments", len(t.Segments))
+	b.useTable(t)
+}
+
+func (b *beliefs) useTable(t *keyspace.Table) {
+	if s := b.g.service(t.Service); s != nil && s.byKey {
+		s.setTable(t)
+	}
+}
+
+// newBudget returns the budget of retries of one service.
+//
+// The platform counts attempts beyond the first over all routers in any window, as a share
+// of the requests and a number that is free. Half of what is free may be saved up and half
+// comes back within a window, so that no window sees more; a tenth is left for routers
+// whose count of routers is behind.
+func (g *Gateway) newBudget() *retry.Budget {
+	free := float64(g.opts.RetryMin) * budgetCaution / 2
+	return retry.NewBudget(retry.BudgetConfig{
+		Share: g.opts.RetryShare * budgetCaution, Burst: max(free, 1), MinPerSecond: free / g.opts.RetryWindow.Seconds(),
+	}, g.routerCount())
+}
+
+const budgetCaution = 0.9
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,299 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"tarragongw/caller"
+	"tarragongw/core/dispatch"
+	"tarragongw/core/fault"
+	"tarragongw/core/keyspace"
+	"tarragongw/core/request"
+	"tarragongw/core/retry"
+	"tarragongw/core/routes"
+	"tarragongw/replay"
+	"tarragongw/target"
+)
+
+const (
+	// maxSends bounds the sends of one request, those to a target that refused it included.
+	maxSends = 4
+	// tablePatience is how long a request that its key's holder refused waits for a newer
+	// division of the keys, which travels to all routers in some milliseconds.
+	tablePatience = 150 * time.Millisecond
+	// maxKeptBytes bounds what is kept of a body for another send: the size of a large photo.
+	maxKeptBytes = 512 << 10
+	// headerOverhead is about the size of both headers, in bytes.
+	headerOverhead = 600
+)
+
+// exchange is one caller's request while it is being served.
+type exchange struct {
+	g     *Gateway
+	w     http.ResponseWriter
+	r     *http.Request
+	meta  *request.Meta
+	route *route
+	s     *service
+	key   *keyspace.Key
+	body  *replay.Body
+	began time.Time
+	// sends counts the times that the request was sent, and targets those to which it was.
+	sends   int
+	targets map[string]bool
+	avoid   string
+	// table is the division of keys under which the request was sent last.
+	table *keyspace.Table
+}
+
+// Forward implements caller.Forwarder. It is the only place where a request is ever sent
+// again.
+func (g *Gateway) Forward(w http.ResponseWriter, r *http.Request, meta *request.Meta) *fault.Fault {
+	x, f := g.open(w, r, meta)
+	if f != nil {
+		return f
+	}
+	x.s.counted()
+	x.rewind()
+	for {
+		f := x.attempt()
+		if f == nil {
+			return nil
+		}
+		if !x.rewind() || !x.again(f) {
+			return final(f)
+		}
+	}
+}
+
+// rewind gives the next send the whole body and reports whether it can.
+func (x *exchange) rewind() bool {
+	if x.body == nil {
+		return true
+	}
+	body, ok := x.body.Rewind()
+	if ok {
+		x.r.Body = body
+	}
+	return ok
+}
+
+// open finds out where the request goes.
+func (g *Gateway) open(w http.ResponseWriter, r *http.Request, meta *request.Meta) (*exchange, *fault.Fault) {
+	v := g.view.Load()
+	if v == nil {
+		return nil, fault.New(fault.NotReady, "no configuration yet")
+	}
+	to := v.routes[meta.Service]
+	if to == nil {
+		return nil, fault.New(fault.NoRoute, "")
+	}
+	if limit := v.config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+		return nil, fault.New(fault.TooLarge, "the body is longer than the configuration allows")
+	}
+	name, ok := to.next()
+	if !ok {
+		return nil, fault.New(fault.NoOwner, "the route has no service with a weight")
+	}
+	s := g.service(name)
+	if s == nil {
+		return nil, fault.New(fault.NoOwner, "service "+name+" is not configured")
+	}
+	x := &exchange{
+		g: g, w: w, r: r, meta: meta, route: to, s: s, body: replay.New(r, maxKeptBytes), began: time.Now(), targets: map[string]bool{},
+	}
+	if s.byKey {
+		key, f := keyOf(r.Header, g.opts.Adapter.Headers.Key)
+		if f != nil {
+			return nil, f
+		}
+		x.key = key
+		s.heat.add(*key)
+	}
+	keepTarget(r)
+	return x, nil
+}
+
+// keepTarget has the request's path and query written as the caller wrote them: taken
+// apart and put together again, an unusual escape would come out as another path.
+func keepTarget(r *http.Request) {
+	if len(r.RequestURI) > 1 && r.RequestURI[0] == '/' && r.RequestURI[1] != '/' {
+		u := *r.URL
+		u.Opaque, u.RawQuery, u.ForceQuery = r.RequestURI, "", false
+		r.URL = &u
+	}
+	if _, named := r.Header["User-Agent"]; !named {
+		r.Header["User-Agent"] = nil // net/http would name itself
+	}
+}
+
+// attempt places the request and sends it once.
+func (x *exchange) attempt() *fault.Fault {
+	x.table, _ = x.s.currentTable()
+	asked := time.Now()
+	d, f := x.s.acquire(x.r.Context(), x.ask())
+	if f != nil {
+		x.g.log.Info("refused", "id", x.meta.ID, "service", x.s.name, "config", x.route.version, "waited", time.Since(asked),
+			"kind", f.Kind, "detail", f.Detail, "retry_after", f.Wait())
+		return f
+	}
+	x.g.logPlaced(x, &d, time.Since(asked))
+	return x.send(&d)
+}
+
+// ask describes the request to who places it.
+func (x *exchange) ask() dispatch.Request {
+	q := dispatch.Request{
+		Key: x.key, Rank: x.route.Rank, Deadline: x.meta.Deadline, Avoid: x.avoid,
+		Bytes: max(x.r.ContentLength, 0) + headerOverhead,
+	}
+	if x.route.Objective > 0 {
+		q.Due = x.began.Add(x.route.Objective)
+	}
+	return q
+}
+
+// send sends the request to the target it was placed at and passes the answer on.
+func (x *exchange) send(d *dispatch.Decision) *fault.Fault {
+	began := time.Now()
+	result, waited := dispatch.Failed, d.Work >= float64(d.Target.Slots)
+	defer func() { x.s.done(d.Target.ID, result, time.Since(began), waited) }()
+	pool, err := x.g.pools.get(&d.Target, x.g.connsOf(x.s.name))
+	if err != nil {
+		return fault.Wrap(fault.TargetUnreachable, err, "")
+	}
+	x.sends++
+	x.targets[d.Target.ID] = true
+	x.avoid = d.Target.ID
+	resp, f := pool.AttemptOn(x.r.Context(), x.r, target.Terms{Allowed: func() *fault.Fault { return x.setHeaders(d) }})
+	if f != nil {
+		result = resultOf(f)
+		x.failed(began, d, f)
+		return f
+	}
+	if failed := resp.StatusCode >= http.StatusInternalServerError; failed && x.mayReplace() {
+		resp.Body.Close()
+		f := fault.New(fault.TargetLost, "the target answered "+strconv.Itoa(resp.StatusCode))
+		x.failed(began, d, f)
+		return f
+	} else if !failed {
+		result = dispatch.Answered
+	}
+	f = caller.CopyAnswer(x.w, resp)
+	if f != nil {
+		result = resultOf(f)
+		x.failed(began, d, f)
+	}
+	return f
+}
+
+// mayReplace reports whether an answer that says that the target failed may be replaced by
+// another target's, and takes what that costs. The request's next send follows for certain.
+func (x *exchange) mayReplace() bool {
+	return x.route.Repeat == routes.Idempotent && x.mayGoOn() && x.s.mayRetry()
+}
+
+// mayGoOn reports whether the request's own bounds allow another send.
+func (x *exchange) mayGoOn() bool {
+	return x.sends < maxSends && (len(x.targets) < x.route.MaxTargets || x.s.byKey) && x.r.Context().Err() == nil
+}
+
+// setHeaders names the target and the time that is left, right before the request is
+// written: waiting for a connection takes some of it.
+func (x *exchange) setHeaders(d *dispatch.Decision) *fault.Fault {
+	names := &x.g.opts.Adapter.Headers
+	h := x.r.Header
+	h[names.Expect] = []string{d.Target.ID}
+	if x.meta.Deadline.IsZero() {
+		return nil
+	}
+	left := time.Until(x.meta.Deadline).Milliseconds()
+	if left <= 0 {
+		f := fault.New(fault.DeadlineUnmeetable, "the time was over before the request was sent")
+		return f
+	}
+	h[names.Deadline] = []string{strconv.FormatInt(left, 10)}
+	return nil
+}
+
+func resultOf(f *fault.Fault) dispatch.Result {
+	switch {
+	case f.Kind == fault.CallerGone, f.Kind == fault.DeadlineUnmeetable:
+		return dispatch.Left
+	case f.Kind == fault.StaleRoute:
+		return dispatch.Misplaced
+	case f.Kind == fault.TargetRefused:
+		return dispatch.Shed
+	default:
+		return dispatch.Failed
+	}
+}
+
+// failed keeps and logs an attempt that failed.
+func (x *exchange) failed(began time.Time, d *dispatch.Decision, f *fault.Fault) {
+	a := request.Attempt{
+		Number: x.sends, After: began.Sub(x.began), Took: time.Since(began), Target: d.Target.ID, Fault: f,
+	}
+	x.meta.AddAttempt(a)
+	x.g.log.Info("attempt failed", "id", x.meta.ID, "number", a.Number, "target", a.Target, "took", a.Took,
+		"kind", f.Kind, "ran", f.Ran, "err", f)
+}
+
+// again decides whether the request is sent once more after f.
+func (x *exchange) again(f *fault.Fault) bool {
+	if x.sends == 0 || f.Kind == fault.DeadlineUnmeetable {
+		return false // it was refused a place, after all the waiting that is worth it
+	}
+	if f.Kind == fault.TargetLost && f.Ran == fault.RanUnknown && f.Cause == nil {
+		return true // mayReplace has paid for it
+	}
+	repeatable := x.route.Repeat == routes.Idempotent
+	if retry.Permitted(f, repeatable) != retry.Allowed && !(repeatable && f.Kind == fault.AnswerInvalid) || !x.mayGoOn() {
+		return false
+	}
+	if f.Kind == fault.StaleRoute && x.s.byKey && !x.newerTable() {
+		return false
+	}
+	if f.Kind == fault.TargetUnreachable {
+		return true // nothing arrived anywhere
+	}
+	return x.s.mayRetry()
+}
+
+// newerTable waits for a division of the keys after the one that sent the request to a
+// target which doesn't hold its key.
+func (x *exchange) newerTable() bool {
+	table, changed := x.s.currentTable()
+	if table != x.table {
+		return true
+	}
+	timer := time.NewTimer(tablePatience)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+		return false
+	case <-x.r.Context().Done():
+		return false
+	}
+}
+
+// final turns the last fault into what the caller is told. A request that certainly did
+// not run is refused with an advice to come back, whatever kept it from running: callers
+// may then repeat also what must not run twice.
+func final(f *fault.Fault) *fault.Fault {
+	if f.Ran != fault.NotRun {
+		return f
+	}
+	switch f.Kind {
+	case fault.TargetUnreachable, fault.DeadlineExceeded:
+		told := *f
+		told.Kind = fault.TargetRefused
+		if told.Kind.Row().Status == http.StatusServiceUnavailable {
+			return &told
+		}
+	}
+	return f
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,2 +1,257 @@
-// Package gateway is a router on a store with leases and transactions.
+// Package gateway is a router on a store that has leases and transactions, in front of
+// targets that check who holds which keys. Routers need nothing of each other there: each
+// sends requests straight to the holder of their key, one of them at a time assigns keys,
+// and what must last lies in the store.
 package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/pkg/errors"
+
+	"tarragongw/caller"
+	"tarragongw/core/directory"
+	"tarragongw/core/routes"
+	"tarragongw/duty"
+)
+
+// Gateway is one router process.
+type Gateway struct {
+	opts    Options
+	log     *slog.Logger
+	system  *actor.ActorSystem
+	workers *duty.Workers
+
+	view    atomic.Pointer[view]
+	handler *caller.Handler
+	callers *caller.Server
+	pools   *pools
+	beliefs *beliefs
+	leader  *leader
+	members *members
+	// watchers follow the store; the slice is complete before the first one runs.
+	watchers []*watcher
+
+	mu       sync.RWMutex
+	services map[string]*service
+	targets  []directory.Target
+	routers  atomic.Int64
+
+	// known says that everything has been read from the store once; leaving that the
+	// process is to stop.
+	known, leaving atomic.Bool
+	firstKnown     chan struct{}
+	once           sync.Once
+
+	callerListener, readyListener, metricsListener net.Listener
+	readyServer, metricsServer                     *http.Server
+
+	lifetime context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// New listens and prepares a router; it answers nothing before Start.
+func New(opts Options) (*Gateway, error) {
+	opts, err := opts.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{opts: opts, log: opts.Logger, services: map[string]*service{}, firstKnown: make(chan struct{})}
+	g.routers.Store(1)
+	g.lifetime, g.cancel = context.WithCancel(context.Background())
+	g.workers = duty.NewWorkers(g.lifetime)
+	g.system = duty.NewSystem(g.log)
+	g.pools = newPools(opts.Adapter.Dialect, g.hear)
+	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
+	if err := g.listen(); err != nil {
+		g.cancel()
+		return nil, err
+	}
+	return g, nil
+}
+
+// callerConfig is the setting of the side towards callers, with the operators' limits
+// where they are known.
+func (g *Gateway) callerConfig(limits *routes.CallerLimits) caller.Config {
+	c := caller.Config{
+		RequestIDHeader: http.CanonicalHeaderKey(g.opts.Adapter.Headers.RequestID),
+		Untraced:        true, FractionalWaits: true, Promises: true, ClosesAfter: g.leaving.Load, Logger: g.log,
+	}
+	if limits != nil {
+		c.ReadHeaderTimeout, c.IdleTimeout, c.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
+	}
+	return c
+}
+
+func (g *Gateway) listen() error {
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{g.opts.CallerAddress, &g.callerListener}, {g.opts.ReadyAddress, &g.readyListener}, {g.opts.MetricsAddress, &g.metricsListener},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", l.address)
+		}
+		*l.to = listener
+	}
+	return nil
+}
+
+// Start begins to follow the store and to serve.
+func (g *Gateway) Start() {
+	g.leader = newLeader(g)
+	g.members = newMembers(g)
+	g.beliefs = newBeliefs(g)
+	g.watchers = g.beliefs.watchers()
+	for _, w := range g.watchers {
+		g.goRun(func() { w.run(g.lifetime) })
+	}
+	g.goRun(func() { g.members.run(g.lifetime) })
+	g.serveReady()
+	g.serveMetrics()
+	g.goRun(g.serveCallers)
+	g.log.Info("started", "router", g.opts.Name, "data_centre", g.opts.DataCentre, "callers", g.opts.CallerAddress)
+}
+
+// rewatch has all watches asked anew.
+func (g *Gateway) rewatch() {
+	for _, w := range g.watchers {
+		w.again()
+	}
+}
+
+func (g *Gateway) goRun(f func()) {
+	g.running.Add(1)
+	go func() {
+		defer g.running.Done()
+		f()
+	}()
+}
+
+func (g *Gateway) startDuty(handle func(message any)) *duty.Duty {
+	return duty.Start(g.system, g.workers, g.opts.Mailbox, false, handle)
+}
+
+// configPatience is how long callers' connections wait for the first configuration, whose
+// limits the server then has from its start. After it they are answered "not ready".
+const configPatience = 1500 * time.Millisecond
+
+func (g *Gateway) serveCallers() {
+	timer := time.NewTimer(configPatience)
+	defer timer.Stop()
+	select {
+	case <-g.firstKnown:
+	case <-timer.C:
+	case <-g.lifetime.Done():
+		return
+	}
+	var limits *routes.CallerLimits
+	if v := g.view.Load(); v != nil {
+		limits = &v.config.Limits
+	}
+	g.mu.Lock()
+	g.callers = caller.NewServerWith(g.handler, g.callerConfig(limits))
+	g.mu.Unlock()
+	if err := g.callers.Serve(g.callerListener); err != nil {
+		g.log.Error("callers are served no more", "err", err)
+	}
+}
+
+// setKnown notes whether everything has been read from the store.
+func (g *Gateway) setKnown(known bool) {
+	if !known || g.known.Swap(true) {
+		return
+	}
+	g.once.Do(func() { close(g.firstKnown) })
+	g.log.Info("ready")
+}
+
+func (g *Gateway) routerCount() int { return int(g.routers.Load()) }
+
+func (g *Gateway) setRouters(n int) {
+	g.routers.Store(int64(n))
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, s := range g.services {
+		s.setRouters(n)
+	}
+}
+
+// service returns the service of the name, or nil.
+func (g *Gateway) service(name string) *service {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.services[name]
+}
+
+// setServices puts the services of a configuration in force; those that stay keep what is
+// known of them.
+func (g *Gateway) setServices(c *routes.Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	services := make(map[string]*service, len(c.Services))
+	for _, spec := range c.Services {
+		s := g.services[spec.Name]
+		if s == nil || s.byKey != spec.ByKey {
+			s = newService(spec, g.opts.DataCentre, g.newBudget())
+		}
+		services[spec.Name] = s
+	}
+	g.services = services
+}
+
+// setTargets hands the targets out to their services.
+func (g *Gateway) setTargets(targets []directory.Target) {
+	g.mu.Lock()
+	g.targets = targets
+	services := g.services
+	g.mu.Unlock()
+	byService := map[string][]directory.Target{}
+	for _, t := range targets {
+		byService[t.Service] = append(byService[t.Service], t)
+	}
+	for name, s := range services {
+		s.setTargets(byService[name])
+	}
+	g.pools.keep(targets)
+}
+
+// connsOf is how many connections this router may have to one target of the service.
+func (g *Gateway) connsOf(name string) int {
+	v := g.view.Load()
+	if v == nil {
+		return minConns
+	}
+	spec := v.config.Service(name)
+	if spec == nil || spec.MaxConns <= 0 {
+		return defaultConns
+	}
+	return connsFor(spec.MaxConns, g.routerCount())
+}
+
+// defaultConns is used where the configuration sets no bound on connections.
+const defaultConns = 8
+
+// hear notes what an answer's header tells of its target.
+func (g *Gateway) hear(t *directory.Target, h http.Header) {
+	report, ok := g.opts.Adapter.DecodeLoad(h)
+	if !ok {
+		return
+	}
+	if s := g.service(t.Service); s != nil {
+		s.report(t.ID, report)
+	}
+}
--- /dev/null
+++ b/gateway/heat.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"strconv"
+	"sync"
+
+	"tarragongw/core/keyspace"
+)
+
+// heatMost bounds the keys that are kept for the leader between two looks.
+const heatMost = 4096
+
+// heatBuffer gathers the keys that were asked for.
+type heatBuffer struct {
+	mu   sync.Mutex
+	keys []keyspace.Key
+}
+
+func (b *heatBuffer) add(k keyspace.Key) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.keys) < heatMost {
+		b.keys = append(b.keys, k)
+	}
+}
+
+// take returns the keys since the last call.
+func (b *heatBuffer) take() []keyspace.Key {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	keys := b.keys
+	b.keys = nil
+	return keys
+}
+
+func parseKey(text string) (keyspace.Key, bool) {
+	n, err := strconv.ParseUint(text, 10, 16)
+	return keyspace.Key(n), err == nil
+}
--- /dev/null
+++ b/gateway/leader.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"tarragongw/core/assign"
+	"tarragongw/core/directory"
+	"tarragongw/core/routes"
+	"tarragongw/duty"
+	"tarragongw/kv"
+)
+
+const (
+	// leaderTTL is how long the keys go without a leader that was lost without a word. With
+	// the keep interval it is short enough that another renews all grants before they lapse.
+	leaderTTL  = 1200 * time.Millisecond
+	leaderKeep = 400 * time.Millisecond
+	// oldLeaderBound is how long a leader that doesn't reach the store goes on renewing.
+	// It bears outages of the store of that length, and is what a new leader waits out
+	// where a target answers the old one alone.
+	oldLeaderBound = 8 * time.Second
+	// longHold is how long grants last while the store isn't reached, when no other router
+	// could take over. Longer would bear longer outages that meet the loss of the leader,
+	// but a target that is lost soon after keeps its keys for as long.
+	longHold = 4 * time.Second
+	// storeDoubt is how long after the last good renewal of the lease the store counts as
+	// away: two renewals were lost.
+	storeDoubt = 1100 * time.Millisecond
+	// campaignSpread is the longest pause before a router asks for the lead, drawn at
+	// random: all routers see at once that there is none.
+	campaignSpread = 60 * time.Millisecond
+	// campaignAgain is how often a router without a leader looks again.
+	campaignAgain = 700 * time.Millisecond
+	// rebalanceEvery is how often the leader looks for keys to move; within it some dozen
+	// requests have come.
+	rebalanceEvery = 400 * time.Millisecond
+	// minStep keeps the leader from stepping again and again at one moment.
+	minStep = 5 * time.Millisecond
+	// writeAgain is the pause after a write that failed.
+	writeAgain = 50 * time.Millisecond
+	// heatSpan is for how long a request counts for its key's load, see assign.Heat.
+	heatSpan = 3 * time.Second
+)
+
+// leaderSeen is what the store says of the leader.
+type leaderSeen struct {
+	name     string
+	revision kv.Revision
+	present  bool
+}
+
+// Messages of the leader's own calls.
+type (
+	campaigned struct {
+		term *term
+		err  error
+	}
+	leaseKept struct {
+		term *term
+		// sent is when the renewal left, by the clock that counts suspension.
+		sent time.Duration
+		err  error
+	}
+	tableRead struct {
+		term    *term
+		service string
+		record  tableRecord
+		err     error
+	}
+	written struct {
+		term       *term
+		service    string
+		generation uint64
+		revision   kv.Revision
+		conflict   []kv.Record
+		err        error
+	}
+	ordered struct {
+		term     *term
+		service  string
+		order    assign.Order
+		outcome  assign.Outcome
+		handover string
+		err      error
+		took     time.Duration
+	}
+	rebalance struct{}
+)
+
+// term is the time for which this router leads.
+type term struct {
+	revision kv.Revision
+	lease    kv.LeaseID
+	// kept is when the last good renewal left, in nanoseconds of the clock that counts
+	// suspension; orders read it from their own goroutines.
+	kept atomic.Int64
+	// ctx ends with the term.
+	ctx  context.Context
+	end  context.CancelFunc
+	post map[string]*post
+}
+
+// age is how long ago the last good renewal of the lease left.
+func (t *term) age(now time.Duration) time.Duration { return now - time.Duration(t.kept.Load()) }
+
+// post is the assignment of one service's keys during a term.
+type post struct {
+	assigner *assign.Assigner
+	revision kv.Revision
+	// notBefore is when the next write may go out, after one that failed.
+	notBefore time.Time
+}
+
+// leader is the duty that assigns keys while this router leads, and sees to it that some
+// router does.
+type leader struct {
+	g    *Gateway
+	duty *duty.Duty
+
+	seen        leaderSeen
+	heard       bool
+	campaigning bool
+	term        *term
+	targets     []directory.Target
+	stopping    bool
+	away        bool
+	timer       *time.Timer
+	due         time.Time
+}
+
+func newLeader(g *Gateway) *leader {
+	l := &leader{g: g}
+	l.duty = g.startDuty(l.handle)
+	return l
+}
+
+func (l *leader) handle(message any) {
+	switch m := message.(type) {
+	case *leaderSeen:
+		l.see(m)
+	case []directory.Target:
+		l.setTargets(m)
+	case *absence, tick:
+	case *campaigned:
+		l.begin(m)
+	case *leaseKept:
+		l.kept(m)
+	case *tableRead:
+		l.read(m)
+	case *written:
+		l.wrote(m)
+	case *ordered:
+		l.answered(m)
+	case rebalance:
+		l.rebalance()
+	case *stepDown:
+		l.stop(m)
+	}
+	l.next()
+}
+
+// see notes who leads.
+func (l *leader) see(m *leaderSeen) {
+	l.heard = true
+	if m.present || m.revision >= l.seen.revision || m.revision == 0 {
+		l.seen = *m
+	}
+	if l.term != nil && m.revision > l.term.revision {
+		l.endTerm("another leader or none was seen")
+	}
+}
+
+func (l *leader) setTargets(targets []directory.Target) {
+	l.targets = targets
+	if l.term == nil {
+		return
+	}
+	for _, p := range l.term.post {
+		p.assigner.SetTargets(targets)
+	}
+}
+
+// next does what is due: asks for the lead where nobody has it, or steps.
+func (l *leader) next() {
+	now := time.Now()
+	due := now.Add(campaignAgain)
+	switch {
+	case l.stopping:
+		return
+	case l.term != nil:
+		due = l.step(now)
+	case l.heard && !l.seen.present && !l.campaigning && len(l.divided()) > 0 && len(l.targets) > 0:
+		l.campaign()
+	}
+	l.arm(now, due)
+}
+
+func (l *leader) arm(now, due time.Time) {
+	if l.timer != nil && !l.due.After(due) && l.due.After(now) {
+		return
+	}
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.due = due
+	l.timer = time.AfterFunc(max(due.Sub(now), minStep), func() { l.duty.Tell(tick{}) })
+}
+
+// divided returns the services whose keys are to be assigned.
+func (l *leader) divided() []routes.Service {
+	v := l.g.view.Load()
+	if v == nil {
+		return nil
+	}
+	var all []routes.Service
+	for _, s := range v.config.Services {
+		if s.ByKey {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// campaign asks the store for the lead.
+func (l *leader) campaign() {
+	l.campaigning = true
+	l.g.workers.Run(func() {
+		sleep(l.g.lifetime, time.Duration(rand.Int64N(int64(campaignSpread))))
+		t, err := l.acquire()
+		l.duty.Tell(&campaigned{t, err})
+	})
+}
+
+func (l *leader) acquire() (*term, error) {
+	ctx, store := l.g.lifetime, l.g.opts.Store
+	sent := l.g.opts.Clock.Now()
+	lease, _, err := store.NewLease(ctx, max(leaderTTL, l.g.opts.LeaseMin))
+	if err != nil {
+		return nil, err
+	}
+	revision, _, err := store.Commit(ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: leaderKey}},
+		Puts:       []kv.Put{{Key: leaderKey, Value: []byte(l.g.opts.Name), Lease: lease}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	t := &term{revision: revision, lease: lease, post: map[string]*post{}}
+	t.kept.Store(int64(sent))
+	t.ctx, t.end = context.WithCancel(ctx)
+	return t, nil
+}
+
+func (l *leader) begin(m *campaigned) {
+	l.campaigning = false
+	if m.err != nil {
+		l.g.log.Info("lead not taken", "err", m.err)
+		return
+	}
+	if l.stopping || l.seen.revision > m.term.revision {
+		m.term.end()
+		return
+	}
+	l.term = m.term
+	l.seen = leaderSeen{name: l.g.opts.Name, revision: m.term.revision, present: true}
+	l.g.log.Info("leads", "revision", m.term.revision)
+	l.g.workers.Run(func() { l.keep(m.term) })
+	l.g.workers.Run(func() { l.beat(m.term) })
+}
+
+// keep renews the lease until the term ends.
+func (l *leader) keep(t *term) {
+	for sleep(t.ctx, leaderKeep) {
+		sent := l.g.opts.Clock.Now()
+		err := l.g.opts.Store.KeepLease(t.ctx, t.lease)
+		l.duty.Tell(&leaseKept{t, sent, err})
+	}
+}
+
+// beat has the keys looked at for moves until the term ends.
+func (l *leader) beat(t *term) {
+	for sleep(t.ctx, rebalanceEvery) {
+		l.duty.Tell(rebalance{})
+	}
+}
+
+func (l *leader) endTerm(why string) {
+	l.g.log.Info("leads no more", "why", why, "revision", l.term.revision)
+	l.term.end()
+	l.term = nil
+}
--- /dev/null
+++ b/gateway/leaderstep.go
@@ -0,0 +1,243 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragongw/core/assign"
+	"tarragongw/core/keyspace"
+	"tarragongw/kv"
+)
+
+func (l *leader) kept(m *leaseKept) {
+	if m.term != l.term {
+		return
+	}
+	switch {
+	case m.err == nil:
+		l.term.kept.Store(int64(m.sent))
+	case errors.Is(m.err, kv.ErrLeaseLost):
+		l.endTerm("the lease has ended")
+		l.seen.present = false
+	default:
+		l.g.log.Warn("lease not renewed", "err", m.err, "age", l.term.age(l.g.opts.Clock.Now()))
+	}
+}
+
+// step carries out what the assignments decide, and returns when it is due again.
+func (l *leader) step(now time.Time) time.Time {
+	t := l.term
+	l.adopt(t)
+	away := t.age(l.g.opts.Clock.Now()) > storeDoubt
+	if away != l.away {
+		l.away = away
+		l.g.log.Info("store counts as away for grants", "away", away, "lease_age", t.age(l.g.opts.Clock.Now()))
+	}
+	due := now.Add(campaignAgain)
+	for name, p := range t.post {
+		if p.assigner == nil {
+			continue
+		}
+		p.assigner.SetStoreAway(away)
+		actions := p.assigner.Step(now)
+		l.carryOut(t, name, p, actions, now)
+		if actions.Next.Before(due) {
+			due = actions.Next
+		}
+	}
+	return due
+}
+
+// adopt reads the divisions of services that have none in this term yet.
+func (l *leader) adopt(t *term) {
+	for _, s := range l.divided() {
+		if t.post[s.Name] != nil {
+			continue
+		}
+		t.post[s.Name] = &post{}
+		l.g.workers.Run(func() { l.duty.Tell(l.readTable(t, s.Name)) })
+	}
+}
+
+func (l *leader) readTable(t *term, service string) *tableRead {
+	m := &tableRead{term: t, service: service}
+	r, err := l.g.opts.Store.Get(t.ctx, tablePrefix+service)
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+	case err != nil:
+		m.err = err
+	default:
+		m.record.revision = r.Revision
+		m.record.table, m.err = decodeTable(r.Value)
+	}
+	return m
+}
+
+func (l *leader) read(m *tableRead) {
+	if m.term != l.term {
+		return
+	}
+	if m.err != nil {
+		l.g.log.Error("division of keys not read", "service", m.service, "err", m.err)
+		delete(m.term.post, m.service)
+		return
+	}
+	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound}
+	a := assign.TakeOver(time.Now(), cfg, m.service, m.record.table)
+	a.SetTargets(l.targets)
+	m.term.post[m.service] = &post{assigner: a, revision: m.record.revision}
+	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.record.revision)
+}
+
+func (l *leader) carryOut(t *term, service string, p *post, actions assign.Actions, now time.Time) {
+	for _, o := range actions.Orders {
+		l.g.workers.Run(func() { l.duty.Tell(l.order(t, service, o)) })
+	}
+	if w := actions.Write; w != nil {
+		pause, revision := p.notBefore.Sub(now), p.revision
+		l.g.workers.Run(func() {
+			sleep(t.ctx, pause)
+			l.duty.Tell(l.write(t, service, revision, w))
+		})
+	}
+}
+
+// order sends an order, unless this router may not lead any more by now.
+//
+// A router that was suspended may have lost the lead without knowing it. Its renewals would
+// be refused by all targets that the new leader reaches; for the others their time bounds
+// how long the new leader has to wait.
+func (l *leader) order(t *term, service string, o assign.Order) *ordered {
+	m := &ordered{term: t, service: service, order: o, outcome: assign.Unanswered}
+	if age := t.age(l.g.opts.Clock.Now()); age > oldLeaderBound {
+		m.err = errors.Errorf("the lease was renewed %v ago", age)
+		sleep(t.ctx, leaderKeep)
+		return m
+	}
+	began := time.Now()
+	m.outcome, m.handover, m.err = l.g.opts.Adapter.SendOrder(t.ctx, &o)
+	m.took = time.Since(began)
+	return m
+}
+
+func (l *leader) answered(m *ordered) {
+	o := &m.order
+	if m.outcome != assign.Accepted || o.Kind == assign.Release || o.First {
+		l.g.log.Info("order", "kind", o.Kind, "service", m.service, "target", o.Holder.Target, "from", o.From, "to", o.To,
+			"token", o.Token, "hold", o.Hold, "outcome", m.outcome, "handover", m.handover != "", "took", m.took, "err", errText(m.err))
+	}
+	if m.term != l.term {
+		return
+	}
+	if p := m.term.post[m.service]; p != nil && p.assigner != nil {
+		p.assigner.Done(time.Now(), o.ID, m.outcome, m.handover)
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// write puts a division into the store, if this router still leads and the division that
+// it knows is the one that the store has. The second condition keeps a write that the
+// store carries out seconds after it was given up from undoing a later one.
+func (l *leader) write(t *term, service string, revision kv.Revision, w *assign.Write) *written {
+	m := &written{term: t, service: service, generation: w.Generation}
+	data, err := encodeTable(w.Table)
+	if err != nil {
+		m.err = err
+		return m
+	}
+	m.revision, m.conflict, m.err = l.g.opts.Store.Commit(t.ctx, kv.Txn{
+		Conditions: []kv.Condition{{Key: leaderKey, Revision: t.revision}, {Key: tablePrefix + service, Revision: revision}},
+		Puts:       []kv.Put{{Key: tablePrefix + service, Value: data}},
+	})
+	return m
+}
+
+func (l *leader) wrote(m *written) {
+	if m.term != l.term {
+		return
+	}
+	p := m.term.post[m.service]
+	if p == nil || p.assigner == nil {
+		return
+	}
+	p.assigner.Written(m.generation, m.err == nil)
+	if m.err == nil {
+		p.revision, p.notBefore = m.revision, time.Time{}
+		return
+	}
+	p.notBefore = time.Now().Add(writeAgain)
+	l.g.log.Warn("division of keys not written", "service", m.service, "err", m.err)
+	for _, r := range m.conflict {
+		switch {
+		case r.Key == leaderKey && r.Revision != m.term.revision:
+			l.endTerm("another leader wrote")
+			l.seen.present = r.Revision != 0
+			return
+		case r.Key == tablePrefix+m.service:
+			p.revision = r.Revision
+		}
+	}
+}
+
+// rebalance moves keys from busy targets to others.
+func (l *leader) rebalance() {
+	if l.term == nil {
+		return
+	}
+	now := time.Now()
+	for name, p := range l.term.post {
+		s := l.g.service(name)
+		if p.assigner == nil || s == nil {
+			continue
+		}
+		for _, k := range s.heat.take() {
+			p.assigner.Heat().Add(now, k, 1)
+		}
+		rate := float64(l.g.routerCount()) / heatSpan.Seconds()
+		for _, m := range p.assigner.Rebalance(now, s.speed, rate) {
+			if p.assigner.Begin(now, m) {
+				l.logMove(name, m)
+			}
+		}
+	}
+}
+
+func (l *leader) logMove(service string, m assign.Move) {
+	keys := int(m.To) - int(m.From) + 1
+	l.g.log.Info("keys to be moved", "service", service, "from", m.From, "to", m.To, "target", m.Target,
+		"share", float64(keys)/float64(int(keyspace.LastKey)+1))
+}
+
+// stepDown asks the leader to give the lead up; done is closed once it has.
+type stepDown struct {
+	done chan struct{}
+}
+
+func (l *leader) stop(m *stepDown) {
+	l.stopping = true
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	if l.term == nil {
+		close(m.done)
+		return
+	}
+	lease := l.term.lease
+	l.endTerm("the router stops")
+	l.g.workers.Run(func() {
+		defer close(m.done)
+		ctx, cancel := context.WithTimeout(context.Background(), leaderTTL)
+		defer cancel()
+		if err := l.g.opts.Store.EndLease(ctx, lease); err != nil {
+			l.g.log.Warn("lease not ended; it lapses", "err", err)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/members.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragongw/kv"
+)
+
+const (
+	// memberTTL is how long a router that ended without a word is still counted. The
+	// count only divides what all routers share, so it may lag.
+	memberTTL = 10 * time.Second
+	// The renewal is also what shows that the store answers this router: watches that it
+	// never answered would else be waited for to their end.
+	memberKeep = time.Second
+)
+
+// members keeps this router's own record in the store, by which the others count it.
+type members struct {
+	g     *Gateway
+	woken chan struct{}
+	lease kv.LeaseID
+	// failing says that the last call failed.
+	failing bool
+}
+
+func newMembers(g *Gateway) *members { return &members{g: g, woken: make(chan struct{}, 1)} }
+
+// wake has the record looked after now, because it is gone.
+func (m *members) wake() {
+	select {
+	case m.woken <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps the record until ctx ends, and then removes it.
+func (m *members) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := memberKeep
+		err := m.keep(ctx)
+		if err != nil && !m.failing {
+			m.g.log.Warn("own record not kept", "err", err)
+		}
+		if err == nil && m.failing {
+			m.g.rewatch()
+		}
+		if m.failing = err != nil; m.failing {
+			pause = maxBackoff
+		}
+		select {
+		case <-time.After(pause):
+		case <-m.woken:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (m *members) keep(ctx context.Context) error {
+	if m.lease != 0 {
+		err := m.g.opts.Store.KeepLease(ctx, m.lease)
+		if !errors.Is(err, kv.ErrLeaseLost) {
+			return err
+		}
+		m.lease = 0
+	}
+	lease, _, err := m.g.opts.Store.NewLease(ctx, max(memberTTL, m.g.opts.LeaseMin))
+	if err != nil {
+		return err
+	}
+	_, _, err = m.g.opts.Store.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: routerPrefix + m.g.opts.Name, Value: []byte(m.g.opts.DataCentre), Lease: lease}}})
+	if err != nil {
+		return err
+	}
+	m.lease = lease
+	return nil
+}
+
+// leave removes the record.
+func (m *members) leave(ctx context.Context) {
+	if m.lease == 0 {
+		return
+	}
+	if err := m.g.opts.Store.EndLease(ctx, m.lease); err != nil {
+		m.g.log.Warn("own record not removed; it lapses", "err", err)
+	}
+}
--- /dev/null
+++ b/gateway/observe.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"tarragongw/caller"
+	"tarragongw/core/dispatch"
+	"tarragongw/core/fault"
+)
+
+// observer logs and counts each request once it has ended.
+type observer struct{ g *Gateway }
+
+// Observe implements caller.Observer.
+func (o observer) Observe(out *caller.Outcome) {
+	code, ran := "ok", fault.RanFully
+	if out.Fault != nil {
+		code, ran = out.Fault.Kind.String(), out.Fault.Ran
+	}
+	if tel := o.g.opts.Telemetry; tel != nil {
+		tel.Request(out.Meta.Service, out.Meta.Caller, out.Meta.Class, code, ran, out.Duration)
+	}
+	o.g.log.Info("request", "id", out.Meta.ID, "route", out.Meta.Service, "method", out.Method, "status", out.Status,
+		"code", code, "ran", ran, "failed_attempts", len(out.Meta.Attempts), "took", out.Duration,
+		"first_byte", out.FirstByte, "bytes_in", out.BytesIn, "bytes_out", out.BytesOut, "aborted", out.Aborted)
+}
+
+// logPlaced logs where a request is sent and what that rests on.
+func (g *Gateway) logPlaced(x *exchange, d *dispatch.Decision, waited time.Duration) {
+	key := -1
+	if x.key != nil {
+		key = int(*x.key)
+	}
+	g.log.Info("placed", "id", x.meta.ID, "service", x.s.name, "key", key, "config", x.route.version,
+		"target", d.Target.ID, "born", d.Target.Born, "work", d.Work, "report_age", d.ReportAge, "waited", waited, "send", x.sends+1)
+}
+
+// serveReady answers the platform's question whether this router takes new connections.
+func (g *Gateway) serveReady() {
+	mux := http.NewServeMux()
+	mux.HandleFunc(g.opts.Adapter.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if g.leaving.Load() || !g.known.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	g.readyServer = &http.Server{Handler: mux, ReadHeaderTimeout: askTimeout}
+	g.goRun(func() { g.serveOwn(g.readyServer, g.readyListener) })
+}
+
+// askTimeout bounds a question of the platform's or of who collects metrics.
+const askTimeout = 5 * time.Second
--- /dev/null
+++ b/gateway/pools.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragongw/core/directory"
+	"tarragongw/target"
+)
+
+const (
+	// dialTimeout bounds opening a connection to a target within a data centre or a region,
+	// with room for one lost packet.
+	dialTimeout = 350 * time.Millisecond
+	// progressTimeout is the longest silence of a target at work; the times of the requests
+	// are shorter. It only ends what has none.
+	progressTimeout = 60 * time.Second
+	// maxIdle closes connections that rested, before most targets would.
+	maxIdle = 8 * time.Second
+	// connShare is the part of a target's connections that the routers share out; the rest
+	// is for grants, checks, and routers that come and go.
+	connShare = 0.8
+	// minConns lets a router work at a target at all where many share few connections.
+	minConns = 2
+)
+
+// pools keeps the connections to each life of each target.
+type pools struct {
+	dialect target.Dialect
+	// heard is told the header of each answer of a target.
+	heard func(t *directory.Target, h http.Header)
+
+	mu  sync.Mutex
+	all map[directory.Target]*target.Pool
+}
+
+func newPools(dialect target.Dialect, heard func(*directory.Target, http.Header)) *pools {
+	return &pools{dialect: dialect, heard: heard, all: map[directory.Target]*target.Pool{}}
+}
+
+// identity is what a pool belongs to: one life of a target at one address.
+func identity(t *directory.Target) directory.Target {
+	return directory.Target{ID: t.ID, Born: t.Born, Address: t.Address, Service: t.Service}
+}
+
+// get returns the target's pool; maxConns bounds the connections of this router to it.
+func (p *pools) get(t *directory.Target, maxConns int) (*target.Pool, error) {
+	key := identity(t)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pool := p.all[key]; pool != nil {
+		return pool, nil
+	}
+	dialect := p.dialect
+	dialect.Heard = func(h http.Header) { p.heard(&key, h) }
+	pool, err := target.New(target.PoolConfig{
+		Address: t.Address, MaxConns: max(maxConns, minConns), ControlConns: -1, MaxIdle: maxIdle,
+		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Wait: -1,
+	})
+	if err != nil {
+		return nil, errors.Wrapf(err, "connections to target %s", t.ID)
+	}
+	p.all[key] = pool
+	return pool, nil
+}
+
+// keep closes the pools of targets that are not there any more; work in flight goes on.
+func (p *pools) keep(targets []directory.Target) {
+	there := make(map[directory.Target]bool, len(targets))
+	for i := range targets {
+		there[identity(&targets[i])] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, pool := range p.all {
+		if !there[key] {
+			pool.Close()
+			delete(p.all, key)
+		}
+	}
+}
+
+func (p *pools) closeAll() { p.keep(nil) }
+
+// connsFor is this router's part of the connections that a target takes from all.
+func connsFor(all, routers int) int {
+	return max(int(float64(all)*connShare)/max(routers, 1), minConns)
+}
--- /dev/null
+++ b/gateway/stop.go
@@ -0,0 +1,45 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// leaveShare is the part of the grace after which no connection is accepted any more:
+	// by then the platform has asked twice whether this router is ready, and sends no more.
+	leaveShare = 0.5
+	// cutShare is the part of the grace that requests in flight have to end.
+	cutShare = 0.93
+)
+
+// Stop ends the router gracefully: it is not ready from now on, gives the lead up, answers
+// all that still comes, and closes once what is in flight has ended. It returns how many
+// requests were cut off.
+func (g *Gateway) Stop() (cut int) {
+	began := time.Now()
+	g.leaving.Store(true)
+	g.log.Info("stopping", "grace", g.opts.Grace)
+	down := &stepDown{done: make(chan struct{})}
+	g.leader.duty.Tell(down)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(part(g.opts.Grace, cutShare)))
+	defer cancel()
+	select {
+	case <-down.done:
+	case <-ctx.Done():
+	}
+	g.members.leave(ctx)
+	sleep(ctx, time.Until(began.Add(part(g.opts.Grace, leaveShare))))
+	g.mu.RLock()
+	callers := g.callers
+	g.mu.RUnlock()
+	if callers != nil {
+		cut = callers.Shutdown(ctx)
+	}
+	g.cancel()
+	g.pools.closeAll()
+	g.log.Info("stopped", "cut", cut, "took", time.Since(began))
+	return cut
+}
+
+func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
--- /dev/null
+++ b/gateway/view.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"tarragongw/core/model"
+	"tarragongw/core/routes"
+)
+
+// view is what the request path reads; it is never changed.
+type view struct {
+	config *routes.Config
+	routes map[string]*route
+}
+
+// route is a route with the state of its split.
+type route struct {
+	routes.Route
+	version uint64
+
+	mu       sync.Mutex
+	splitter *routes.Splitter
+}
+
+// next returns the service of the next request.
+func (r *route) next() (string, bool) {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service, true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.splitter.Next()
+}
+
+func newView(c *routes.Config, random *rand.Rand) *view {
+	v := &view{config: c, routes: make(map[string]*route, len(c.Routes))}
+	for _, r := range c.Routes {
+		v.routes[r.Name] = &route{Route: r, version: c.Version, splitter: routes.NewSplitter(r.Shares, random)}
+	}
+	return v
+}
+
+// callerModel is the part of the configuration that finds a request's route: to the side
+// of the callers each route is a service.
+func callerModel(c *routes.Config, h Headers) *model.Model {
+	m := &model.Model{Revision: c.Version}
+	for _, r := range c.Routes {
+		m.Services = append(m.Services, model.Service{
+			Name: r.Name, Division: model.Any, Hosts: []string{r.Host}, PathPrefix: r.Prefix,
+			Deadline: model.Extract{From: model.FromHeader, Name: h.Deadline}, Timeout: r.Timeout,
+			Repeatable: model.Extract{Default: repeatWord(r.Repeat)},
+		})
+	}
+	return m
+}
+
+func repeatWord(r routes.Repeat) string {
+	if r == routes.Idempotent {
+		return "repeatable"
+	}
+	return "at-most-once"
+}
--- /dev/null
+++ b/gateway/watch.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragongw/kv"
+)
+
+const (
+	// watchWait is how long a watch waits for a change; each costs a call. A store that
+	// stopped answering is noticed sooner, by the renewals of this router's own record.
+	watchWait = 8 * time.Second
+	// minBackoff and maxBackoff bound the pause after a failed call. Many routers ask a
+	// store that returns, so each draws its pauses at random.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 600 * time.Millisecond
+	// outage is the shortest absence of the store in which entries can lapse: targets are
+	// silent for three heartbeats of about a second first. A watch that was merely cut is
+	// none.
+	outage = 1500 * time.Millisecond
+)
+
+// change is what a watcher tells.
+type change struct {
+	// listed says that records are all there are, not just those that changed.
+	listed  bool
+	records []kv.Record
+	// absent is how long the store was not reached before.
+	absent time.Duration
+	at     time.Time
+}
+
+// absence tells that the store has not been reached since.
+type absence struct{ since time.Time }
+
+// watcher follows the records under one prefix.
+type watcher struct {
+	store  kv.Ledger
+	log    *slog.Logger
+	prefix string
+	// pause is kept between a change and the next watch. Targets write their entries every
+	// second or so, and each write ends the waiting watches of all routers: without a pause
+	// the calls grow with the product of both.
+	pause time.Duration
+	// tell is given *change and *absence.
+	tell func(message any)
+
+	since kv.Revision
+	known bool
+	// failing is when the first call of a row of failures began; zero if the last was good.
+	failing time.Time
+	backoff time.Duration
+
+	// mu guards cut, which ends the watch that waits.
+	mu  sync.Mutex
+	cut context.CancelFunc
+}
+
+// again has the watch that waits asked anew, because the store may never answer it.
+func (w *watcher) again() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut != nil {
+		w.cut()
+	}
+}
+
+// watch waits for changes.
+func (w *watcher) watch(ctx context.Context) ([]kv.Record, kv.Revision, error) {
+	asked, cut := context.WithCancel(ctx)
+	defer cut()
+	w.mu.Lock()
+	w.cut = cut
+	w.mu.Unlock()
+	records, at, err := w.store.Watch(asked, w.prefix, w.since, watchWait)
+	if err != nil && asked.Err() != nil && ctx.Err() == nil {
+		return nil, w.since, nil
+	}
+	return records, at, err
+}
+
+// run follows the prefix until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		message, err := w.step(ctx)
+		if err != nil {
+			w.failed(ctx, began, err)
+			continue
+		}
+		w.succeeded(began, message)
+		if len(message.records) > 0 {
+			sleep(ctx, w.pause)
+		}
+	}
+}
+
+// step makes one call: a listing where nothing is known yet, else a watch.
+func (w *watcher) step(ctx context.Context) (*change, error) {
+	if !w.known {
+		records, at, err := w.store.List(ctx, w.prefix)
+		if err != nil {
+			return nil, err
+		}
+		w.since, w.known = at, true
+		return &change{listed: true, records: records}, nil
+	}
+	records, at, err := w.watch(ctx)
+	if errors.Is(err, kv.ErrCompacted) {
+		w.known = false
+		w.log.Warn("store history lost", "prefix", w.prefix, "since", w.since)
+		return w.step(ctx)
+	}
+	if err != nil {
+		return nil, err
+	}
+	w.since = at
+	return &change{records: records}, nil
+}
+
+func (w *watcher) succeeded(began time.Time, message *change) {
+	message.at = time.Now()
+	if !w.failing.IsZero() {
+		message.absent = message.at.Sub(w.failing)
+		w.log.Info("store regained", "prefix", w.prefix, "absent", message.absent)
+	}
+	w.failing, w.backoff = time.Time{}, 0
+	if message.listed || message.absent > 0 || len(message.records) > 0 {
+		w.tell(message)
+	}
+}
+
+func (w *watcher) failed(ctx context.Context, began time.Time, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if w.failing.IsZero() {
+		w.failing = began
+		w.log.Warn("store lost", "prefix", w.prefix, "err", err)
+	}
+	if time.Since(w.failing) >= outage {
+		w.tell(&absence{since: w.failing})
+	}
+	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
+	sleep(ctx, time.Duration(float64(w.backoff)*(0.5+rand.Float64())))
+}
+
+// sleep waits and reports whether the context still lives.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/replay/body.go
+++ b/replay/body.go
@@ -9,9 +9,6 @@
 	"sync"
 )
 
-// maxKeptBytes bounds what is kept of a request body for a second attempt.
-const maxKeptBytes = 64 << 10
-
 // errSuperseded ends the reads of an attempt that another one has followed.
 var errSuperseded = errors.New("replay: a later attempt reads the request's body")
 
@@ -25,6 +22,8 @@
 // for that read before it reads the source itself.
 type Body struct {
 	source io.Reader
+	// most bounds what is kept, in bytes.
+	most int
 	// reading is held during a read of the source.
 	reading sync.Mutex
 
@@ -46,12 +45,12 @@
 	next int64
 }
 
-// New returns nil where the request has no body.
-func New(r *http.Request) *Body {
+// New returns the body, of which up to most bytes are kept; nil where the request has none.
+func New(r *http.Request, most int) *Body {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
-	return &Body{source: r.Body}
+	return &Body{source: r.Body, most: most}
 }
 
 // Rewind returns the body for the next attempt and ends the reads of the one
@@ -97,7 +96,7 @@
 	if n == 0 && b.err != nil {
 		return 0, end, b.err
 	}
-	if a.next == end && end > maxKeptBytes {
+	if a.next == end && end > int64(b.most) {
 		b.base, b.kept = end, b.kept[:0]
 	}
 	return n, end, nil
@@ -120,7 +119,7 @@
 		b.err = err
 	}
 	mine := b.current == a
-	if mine && end+int64(n) > maxKeptBytes {
+	if mine && end+int64(n) > int64(b.most) {
 		b.base, b.kept = end+int64(n), nil
 		a.next = b.base
 		return n
--- a/replay/body_test.go
+++ b/replay/body_test.go
@@ -9,12 +9,14 @@
 	"gotest.tools/v3/assert"
 )
 
+const maxKeptBytes = 64 << 10
+
 func newBody(t *testing.T, source io.Reader) *Body {
 	t.Helper()
 	r, err := http.NewRequest(http.MethodPut, "http://router.example/", io.NopCloser(source))
 	assert.NilError(t, err)
 	r.ContentLength = -1
-	return New(r)
+	return New(r, maxKeptBytes)
 }
 
 func rewound(t *testing.T, b *Body) *Attempt {
--- a/router/forward.go
+++ b/router/forward.go
@@ -18,6 +18,9 @@
 	"tarragongw/replay"
 )
 
+// maxReplayBytes bounds what is kept of a request body for a second attempt.
+const maxReplayBytes = 64 << 10
+
 // route is where one attempt goes.
 type route struct {
 	service string
@@ -52,7 +55,7 @@
 		inFlight.Add(1)
 		defer inFlight.Add(-1)
 	}
-	x := &exchange{w: w, r: req, meta: meta, body: replay.New(req)}
+	x := &exchange{w: w, r: req, meta: meta, body: replay.New(req, maxReplayBytes)}
 	if f := x.awaitBody(); f != nil {
 		return f
 	}
--- a/router/prefetch_test.go
+++ b/router/prefetch_test.go
@@ -19,7 +19,7 @@
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h/x", body)
 	assert.NilError(t, err)
 	req.ContentLength = length
-	return &exchange{r: req, body: replay.New(req)}
+	return &exchange{r: req, body: replay.New(req, maxReplayBytes)}
 }
 
 // Symptom: a body that was waited for reaches the target with its beginning missing.
