--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -77,7 +77,7 @@
 	}{{a.ConfigPrefix, configPause}, {a.TargetPrefix, targetsPause}, {ownPrefix, ownPause}} {
 		prefix := w.prefix
 		all = append(all, &watcher{
-			store: b.g.opts.Store, log: b.g.log, prefix: prefix, pause: w.pause,
+			store: b.g.opts.Store, log: b.g.log, prefix: prefix, pause: w.pause, lost: b.g.rewatch,
 			tell: func(message any) { b.duty.Tell(&fromPrefix{prefix, message}) },
 		})
 	}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -50,6 +50,8 @@
 	pause time.Duration
 	// tell is given *change and *absence.
 	tell func(message any)
+	// lost is called when the store has dropped history.
+	lost func()
 
 	since kv.Revision
 	known bool
@@ -115,6 +117,9 @@
 	if errors.Is(err, kv.ErrCompacted) {
 		w.known = false
 		w.log.Warn("store history lost", "prefix", w.prefix, "since", w.since)
+		// Watches of the other prefixes may have been passed over by the same changes and
+		// still wait for the next.
+		w.lost()
 		return w.step(ctx)
 	}
 	if err != nil {
