Have the leader feed the other routers

Change: peer/feed: the leader tells targets and tables over one connection to each router and hears which keys were asked for; routers watch targets and keys in the store only while they are not fed.

--- a/cmd/tarragongw/serve.go
+++ b/cmd/tarragongw/serve.go
@@ -102,7 +102,7 @@
 	orders := platform.NewOrders()
 	return gateway.Options{
 		Name: s.Name, DataCentre: s.DataCentre,
-		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress,
+		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress, PeerAddress: s.PeerAddress,
 		Store:    platform.NewStore(s.StoreAddress),
 		LeaseMin: s.LeaseMin, HoldMax: s.HoldMax, Grace: s.Grace,
 		RetryShare: s.RetryShare, RetryMin: s.RetryMin, RetryWindow: s.RetryWindow,
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -114,6 +114,31 @@
 	return changed
 }
 
+// Adopt takes over what another router believes: all of it, or what has changed.
+func (d *Directory) Adopt(now time.Time, whole bool, targets []Target, gone []string) (changed bool) {
+	if whole {
+		there := make(map[string]bool, len(targets))
+		for _, t := range targets {
+			there[t.ID] = true
+		}
+		for id := range d.entries {
+			if !there[id] {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, t := range targets {
+		changed = d.Put(now, t) || changed
+	}
+	for _, id := range gone {
+		if _, known := d.entries[id]; known {
+			delete(d.entries, id)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // StoreAway notes that the store is not reached.
 func (d *Directory) StoreAway() { d.away = true }
 
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -11,22 +11,15 @@
 	"tarragongw/core/routes"
 	"tarragongw/duty"
 	"tarragongw/kv"
-)
-
-// Pauses between a change and the next watch, see watcher.pause. Leaving targets must
-// get no new work within two seconds, and a configuration be in force within two.
-const (
-	targetsPause = 500 * time.Millisecond
-	configPause  = 100 * time.Millisecond
-	ownPause     = 15 * time.Millisecond
+	"tarragongw/peer/feed"
 )
 
 // Keys that the routers write themselves.
 const (
-	ownPrefix    = "tarragongw/"
-	tablePrefix  = ownPrefix + "keys/"
-	leaderKey    = ownPrefix + "leader"
-	routerPrefix = ownPrefix + "routers/"
+	tablePrefix  = "tarragongw/keys/"
+	fleetPrefix  = "tarragongw/fleet/"
+	leaderKey    = fleetPrefix + "leader"
+	routerPrefix = fleetPrefix + "routers/"
 )
 
 // beliefs is the duty that turns what the store says into what the request path reads.
@@ -67,32 +60,36 @@
 	return b
 }
 
-// watchers returns the watchers that feed the duty.
-func (b *beliefs) watchers() []*watcher {
-	a := &b.g.opts.Adapter
-	var all []*watcher
-	for _, w := range []struct {
-		prefix string
-		pause  time.Duration
-	}{{a.ConfigPrefix, configPause}, {a.TargetPrefix, targetsPause}, {ownPrefix, ownPause}} {
-		prefix := w.prefix
-		all = append(all, &watcher{
-			store: b.g.opts.Store, log: b.g.log, prefix: prefix, pause: w.pause, lost: b.g.rewatch,
-			tell: func(message any) { b.duty.Tell(&fromPrefix{prefix, message}) },
-		})
-	}
-	return all
-}
-
 func (b *beliefs) handle(message any) {
 	switch m := message.(type) {
 	case *fromPrefix:
 		b.hear(m)
+	case *feed.Update:
+		b.adopt(m)
+	case *feed.Table:
+		b.takeTable(m.Table, kv.Revision(m.Revision))
 	case tick:
 		b.settle(b.directory.Tick(time.Now()))
 	}
 }
 
+// adopt takes over what the leader tells.
+func (b *beliefs) adopt(u *feed.Update) {
+	changed := b.directory.Adopt(time.Now(), u.Whole, u.Targets, u.Gone)
+	b.settle(changed)
+	for _, t := range u.Tables {
+		b.takeTable(t.Table, kv.Revision(t.Revision))
+	}
+	b.hearFrom(b.g.opts.Adapter.TargetPrefix)
+}
+
+// hearFrom notes that what stands under the prefix is known.
+func (b *beliefs) hearFrom(prefix string) {
+	b.known[prefix] = true
+	a := &b.g.opts.Adapter
+	b.g.setKnown(b.config != nil && b.known[a.TargetPrefix] && b.known[fleetPrefix])
+}
+
 func (b *beliefs) hear(m *fromPrefix) {
 	if lost, ok := m.message.(*absence); ok {
 		if m.prefix == b.g.opts.Adapter.TargetPrefix {
@@ -105,16 +102,17 @@
 	if !ok {
 		return
 	}
-	b.known[m.prefix] = true
 	switch m.prefix {
 	case b.g.opts.Adapter.ConfigPrefix:
 		b.hearConfig(c)
 	case b.g.opts.Adapter.TargetPrefix:
 		b.hearTargets(c)
-	case ownPrefix:
-		b.hearOwn(c)
+	case fleetPrefix:
+		b.hearFleet(c)
+	case tablePrefix:
+		b.hearTables(c)
 	}
-	b.g.setKnown(len(b.known) == 3 && b.config != nil)
+	b.hearFrom(m.prefix)
 }
 
 // hearConfig puts a configuration in force unless a newer one is. One that can't be read
@@ -143,6 +141,7 @@
 func (b *beliefs) putInForce(config *routes.Config) {
 	g := b.g
 	g.setServices(config)
+	g.follow.source.SetConfig(config.Version)
 	g.view.Store(newView(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	g.handler.SetModel(callerModel(config, g.opts.Adapter.Headers))
 	for _, t := range b.tables {
@@ -197,6 +196,7 @@
 	if changed {
 		targets := b.directory.Targets()
 		b.g.setTargets(targets)
+		b.g.follow.source.SetTargets(targets)
 		b.g.leader.duty.Tell(targets)
 		b.g.log.Info("targets changed", "known", len(targets))
 	}
@@ -210,8 +210,8 @@
 	b.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() { b.duty.Tell(tick{}) })
 }
 
-// hearOwn notes what the routers wrote: the division of keys, who leads and who is there.
-func (b *beliefs) hearOwn(c *change) {
+// hearFleet notes who leads and who is there.
+func (b *beliefs) hearFleet(c *change) {
 	seen := make(map[string]bool, len(c.records))
 	for _, r := range c.records {
 		seen[r.Key] = !r.Deleted
@@ -226,18 +226,19 @@
 		}
 	}
 	if !seen[leaderKey] {
-		b.g.leader.duty.Tell(&leaderSeen{})
+		b.hearRecord(kv.Record{Key: leaderKey, Deleted: true})
 	}
 }
 
 func (b *beliefs) hearRecord(r kv.Record) {
 	switch {
 	case r.Key == leaderKey:
-		b.g.leader.duty.Tell(&leaderSeen{name: string(r.Value), revision: r.Revision, present: !r.Deleted})
+		seen := &leaderSeen{revision: r.Revision, present: !r.Deleted}
+		seen.name, seen.address, _ = strings.Cut(string(r.Value), leaderSeparator)
+		b.g.leader.duty.Tell(seen)
+		b.g.follow.set(*seen)
 	case strings.HasPrefix(r.Key, routerPrefix):
 		b.hearRouter(strings.TrimPrefix(r.Key, routerPrefix), !r.Deleted)
-	case strings.HasPrefix(r.Key, tablePrefix) && !r.Deleted:
-		b.hearTable(r)
 	}
 }
 
@@ -257,17 +258,29 @@
 	}
 }
 
-func (b *beliefs) hearTable(r kv.Record) {
-	t, err := decodeTable(r.Value)
-	if err != nil {
-		b.g.log.Error("division of keys not readable", "key", r.Key, "revision", r.Revision, "err", err)
-		return
+// hearTables notes divisions of keys as they stand in the store.
+func (b *beliefs) hearTables(c *change) {
+	for _, r := range c.records {
+		if r.Deleted {
+			continue
+		}
+		t, err := decodeTable(r.Value)
+		if err != nil {
+			b.g.log.Error("division of keys not readable", "key", r.Key, "revision", r.Revision, "err", err)
+			continue
+		}
+		b.takeTable(t, r.Revision)
 	}
-	if old, known := b.tables[t.Service]; known && old.revision >= r.Revision {
+}
+
+// takeTable puts a division in force unless a newer one is.
+func (b *beliefs) takeTable(t *keyspace.Table, revision kv.Revision) {
+	if old, known := b.tables[t.Service]; known && old.revision >= revision {
 		return
 	}
-	b.tables[t.Service] = tableRecord{t, r.Revision}
-	b.g.log.Debug("division of keys in force", "service", t.Service, "revision", r.Revision, "segments", len(t.Segments))
+	b.tables[t.Service] = tableRecord{t, revision}
+	b.g.follow.source.SetTable(feed.Table{Revision: uint64(revision), Table: t})
+	b.g.log.Info("division of keys in force", "service", t.Service, "revision", revision, "segments", len(t.Segments))
 	b.useTable(t)
 }
 
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,282 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tarragongw/core/keyspace"
+	"tarragongw/peer/feed"
+)
+
+const (
+	// configPause and fleetPause are kept between a change and the next watch, see
+	// watcher.pause; configurations and routers change seldom, at times in a storm.
+	configPause = 100 * time.Millisecond
+	fleetPause  = 20 * time.Millisecond
+	// targetsPause is that of the targets, which write every second or so. A leaving target
+	// must get no new work within two seconds, of which the way to the followers and the
+	// search for a lost leader take one.
+	targetsPause = 500 * time.Millisecond
+	// tablesPause is short, because keys that move wait for it.
+	tablesPause = 15 * time.Millisecond
+	// restingWait is how long a watch waits for what changes seldom. A store that stopped
+	// answering is noticed sooner, by the renewals of this router's own record.
+	restingWait = 8 * time.Second
+	// targetsWait is shorter: the leader must know whether it still hears from the store.
+	targetsWait = 400 * time.Millisecond
+	// freshFor is how long ago the store may have answered for the leader to tell others
+	// what it knows: a pause and a watch, and the time that a call takes when it is slow.
+	freshFor = targetsPause + targetsWait + 150*time.Millisecond
+	// feedPatience is how long a router waits for its first feed before it asks the store.
+	feedPatience = 1500 * time.Millisecond
+	// followAgain is the pause before a lost leader is tried again.
+	followAgain = 300 * time.Millisecond
+)
+
+// follow sees to it that this router knows the targets and the division of keys: from the
+// leader where it is fed, else from the store.
+type follow struct {
+	g *Gateway
+	// source is what this router tells others while it leads.
+	source *feed.Source
+	// followers counts the routers that report to this one.
+	followers atomic.Int64
+
+	mu     sync.Mutex
+	leader leaderSeen
+	// moved is closed when the leader changes.
+	moved chan struct{}
+	// term is this router's own, nil while it doesn't lead.
+	term     *term
+	standing []*watcher
+	direct   []*watcher
+	// stopDirect ends the watches that only a router without a feed needs.
+	stopDirect context.CancelFunc
+}
+
+func newFollow(g *Gateway) *follow {
+	f := &follow{g: g, source: feed.NewSource(), moved: make(chan struct{})}
+	a := &g.opts.Adapter
+	f.standing = []*watcher{
+		f.watcher(a.ConfigPrefix, configPause, restingWait), f.watcher(fleetPrefix, fleetPause, restingWait),
+	}
+	for _, w := range f.standing {
+		g.goRun(func() { w.run(g.lifetime) })
+	}
+	return f
+}
+
+func (f *follow) watcher(prefix string, pause, wait time.Duration) *watcher {
+	return &watcher{
+		store: f.g.opts.Store, log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
+		tell: func(message any) { f.g.beliefs.duty.Tell(&fromPrefix{prefix, message}) },
+	}
+}
+
+// rewatch has all watches asked anew.
+func (f *follow) rewatch() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range append(f.standing, f.direct...) {
+		w.again()
+	}
+}
+
+// set tells who leads.
+func (f *follow) set(leader leaderSeen) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !leader.present && leader.revision != 0 && leader.revision < f.leader.revision {
+		return
+	}
+	f.leader = leader
+	f.wake()
+}
+
+// lead tells that this router leads, or that it doesn't any more.
+func (f *follow) lead(t *term) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.term = t
+	f.wake()
+}
+
+// wake has the loop look again; the lock is held.
+func (f *follow) wake() {
+	close(f.moved)
+	f.moved = make(chan struct{})
+}
+
+// run follows one leader after the other until the router ends.
+func (f *follow) run() {
+	began := time.Now()
+	for f.g.lifetime.Err() == nil {
+		f.mu.Lock()
+		leader, leads, moved := f.leader, f.term != nil, f.moved
+		f.mu.Unlock()
+		switch {
+		case leads:
+			f.askStore(false)
+		case leader.present && leader.name != f.g.opts.Name && leader.address != "":
+			err := f.followOnce(leader, moved)
+			f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
+			f.askStore(true)
+		case time.Since(began) > feedPatience:
+			f.askStore(true)
+		}
+		f.pause(moved, leads)
+	}
+}
+
+// pause waits for a change of the leader, or for the time to try again.
+func (f *follow) pause(moved <-chan struct{}, leads bool) {
+	again := followAgain
+	if leads {
+		again = time.Hour
+	}
+	timer := time.NewTimer(again)
+	defer timer.Stop()
+	select {
+	case <-moved:
+	case <-timer.C:
+	case <-f.g.lifetime.Done():
+	}
+}
+
+// followOnce follows the leader until it is lost or another one leads.
+func (f *follow) followOnce(leader leaderSeen, moved <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(f.g.lifetime)
+	defer cancel()
+	go func() {
+		select {
+		case <-moved:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	fed := false
+	follower := &feed.Follower{
+		Router: f.g.opts.Name, Address: leader.address, Term: uint64(leader.revision), Reports: f.reports,
+		Update: func(u *feed.Update) {
+			if !fed {
+				fed = true
+				f.g.log.Info("fed", "leader", leader.name, "term", leader.revision)
+				f.leaveStore()
+			}
+			f.compare(u.Config)
+			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables) > 0 {
+				f.g.beliefs.duty.Tell(u)
+			}
+		},
+	}
+	return follower.Run(ctx)
+}
+
+// compare asks the store again where the leader has a newer configuration than this
+// router: a watch that the store passed over while it dropped history hears of nothing.
+func (f *follow) compare(version uint64) {
+	v := f.g.view.Load()
+	if v == nil || v.config.Version >= version {
+		return
+	}
+	f.g.log.Info("leader has a newer configuration", "version", version, "in_force", v.config.Version)
+	f.rewatch()
+}
+
+// reports returns the keys that were asked for since the last call.
+func (f *follow) reports() []feed.Report {
+	var all []feed.Report
+	f.g.mu.RLock()
+	defer f.g.mu.RUnlock()
+	for name, s := range f.g.services {
+		if !s.byKey {
+			continue
+		}
+		if keys := s.heat.take(); len(keys) > 0 {
+			all = append(all, feed.Report{Service: name, Keys: keys})
+		}
+	}
+	return all
+}
+
+// askStore begins to watch the store for the targets, and for the division of keys unless
+// this router is the one that writes it.
+func (f *follow) askStore(tables bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopDirect != nil && (len(f.direct) > 1 || !tables) {
+		return
+	}
+	if f.stopDirect != nil {
+		f.stopDirect()
+	}
+	ctx, cancel := context.WithCancel(f.g.lifetime)
+	f.stopDirect = cancel
+	f.direct = []*watcher{f.watcher(f.g.opts.Adapter.TargetPrefix, targetsPause, targetsWait)}
+	if tables {
+		f.direct = append(f.direct, f.watcher(tablePrefix, tablesPause, restingWait))
+	}
+	for _, w := range f.direct {
+		f.g.goRun(func() { w.run(ctx) })
+	}
+}
+
+// leaveStore ends what askStore began.
+func (f *follow) leaveStore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopDirect != nil {
+		f.stopDirect()
+		f.stopDirect, f.direct = nil, nil
+	}
+}
+
+// fresh reports whether this router has heard of the targets from the store of late.
+func (f *follow) fresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.direct) == 0 {
+		return false
+	}
+	return time.Since(time.Unix(0, f.direct[0].heard.Load())) < freshFor
+}
+
+// unseen is by how much the routers' requests exceed those that this router hears of.
+func (f *follow) unseen() float64 {
+	return float64(f.g.routerCount()) / float64(min(f.followers.Load()+1, f.g.routers.Load()))
+}
+
+// serveFollowers feeds the routers that follow this one.
+func (g *Gateway) serveFollowers() {
+	server := &feed.Server{
+		Log: g.log, Fresh: g.follow.fresh, Lead: g.follow.leads,
+		Heat: func(r feed.Report) { g.addHeat(r.Service, r.Keys) },
+	}
+	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
+		g.log.Error("followers are fed no more", "err", err)
+	}
+}
+
+// leads returns what followers of the term are told.
+func (f *follow) leads(term uint64) (context.Context, *feed.Source) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.term == nil || uint64(f.term.revision) != term {
+		return nil, nil
+	}
+	f.followers.Add(1)
+	context.AfterFunc(f.term.ctx, func() { f.followers.Store(0) })
+	return f.term.ctx, f.source
+}
+
+func (g *Gateway) addHeat(service string, keys []keyspace.Key) {
+	s := g.service(service)
+	if s == nil {
+		return
+	}
+	for _, k := range keys {
+		s.heat.add(k)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,8 +36,7 @@
 	beliefs *beliefs
 	leader  *leader
 	members *members
-	// watchers follow the store; the slice is complete before the first one runs.
-	watchers []*watcher
+	follow  *follow
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -50,8 +49,8 @@
 	firstKnown     chan struct{}
 	once           sync.Once
 
-	callerListener, readyListener, metricsListener net.Listener
-	readyServer, metricsServer                     *http.Server
+	callerListener, readyListener, metricsListener, peerListener net.Listener
+	readyServer, metricsServer                                   *http.Server
 
 	lifetime context.Context
 	cancel   context.CancelFunc
@@ -97,6 +96,7 @@
 		to      *net.Listener
 	}{
 		{g.opts.CallerAddress, &g.callerListener}, {g.opts.ReadyAddress, &g.readyListener}, {g.opts.MetricsAddress, &g.metricsListener},
+		{g.opts.PeerAddress, &g.peerListener},
 	} {
 		if l.address == "" {
 			continue
@@ -115,9 +115,10 @@
 	g.leader = newLeader(g)
 	g.members = newMembers(g)
 	g.beliefs = newBeliefs(g)
-	g.watchers = g.beliefs.watchers()
-	for _, w := range g.watchers {
-		g.goRun(func() { w.run(g.lifetime) })
+	g.follow = newFollow(g)
+	g.goRun(g.follow.run)
+	if g.peerListener != nil {
+		g.goRun(g.serveFollowers)
 	}
 	g.goRun(func() { g.members.run(g.lifetime) })
 	g.serveReady()
@@ -126,13 +127,6 @@
 	g.log.Info("started", "router", g.opts.Name, "data_centre", g.opts.DataCentre, "callers", g.opts.CallerAddress)
 }
 
-// rewatch has all watches asked anew.
-func (g *Gateway) rewatch() {
-	for _, w := range g.watchers {
-		w.again()
-	}
-}
-
 func (g *Gateway) goRun(f func()) {
 	g.running.Add(1)
 	go func() {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -8,6 +8,7 @@
 
 	"tarragongw/core/assign"
 	"tarragongw/core/directory"
+	"tarragongw/core/keyspace"
 	"tarragongw/core/routes"
 	"tarragongw/duty"
 	"tarragongw/kv"
@@ -47,11 +48,15 @@
 
 // leaderSeen is what the store says of the leader.
 type leaderSeen struct {
-	name     string
-	revision kv.Revision
-	present  bool
+	// name and address are the leader's; address is where it feeds the other routers.
+	name, address string
+	revision      kv.Revision
+	present       bool
 }
 
+// leaderSeparator stands between the leader's name and its address in its record.
+const leaderSeparator = " "
+
 // Messages of the leader's own calls.
 type (
 	campaigned struct {
@@ -74,6 +79,7 @@
 		term       *term
 		service    string
 		generation uint64
+		table      *keyspace.Table
 		revision   kv.Revision
 		conflict   []kv.Record
 		err        error
@@ -192,7 +198,7 @@
 		return
 	case l.term != nil:
 		due = l.step(now)
-	case l.heard && !l.seen.present && !l.campaigning && len(l.divided()) > 0 && len(l.targets) > 0:
+	case l.heard && !l.seen.present && !l.campaigning && l.g.view.Load() != nil:
 		l.campaign()
 	}
 	l.arm(now, due)
@@ -243,7 +249,7 @@
 	}
 	revision, _, err := store.Commit(ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: leaderKey}},
-		Puts:       []kv.Put{{Key: leaderKey, Value: []byte(l.g.opts.Name), Lease: lease}},
+		Puts:       []kv.Put{{Key: leaderKey, Value: []byte(l.g.opts.Name + leaderSeparator + l.g.opts.PeerAddress), Lease: lease}},
 	})
 	if err != nil {
 		return nil, err
@@ -265,8 +271,9 @@
 		return
 	}
 	l.term = m.term
-	l.seen = leaderSeen{name: l.g.opts.Name, revision: m.term.revision, present: true}
+	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision, present: true}
 	l.g.log.Info("leads", "revision", m.term.revision)
+	l.g.follow.lead(m.term)
 	l.g.workers.Run(func() { l.keep(m.term) })
 	l.g.workers.Run(func() { l.beat(m.term) })
 }
@@ -291,4 +298,5 @@
 	l.g.log.Info("leads no more", "why", why, "revision", l.term.revision)
 	l.term.end()
 	l.term = nil
+	l.g.follow.lead(nil)
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -9,6 +9,7 @@
 	"tarragongw/core/assign"
 	"tarragongw/core/keyspace"
 	"tarragongw/kv"
+	"tarragongw/peer/feed"
 )
 
 func (l *leader) kept(m *leaseKept) {
@@ -147,7 +148,7 @@
 // it knows is the one that the store has. The second condition keeps a write that the
 // store carries out seconds after it was given up from undoing a later one.
 func (l *leader) write(t *term, service string, revision kv.Revision, w *assign.Write) *written {
-	m := &written{term: t, service: service, generation: w.Generation}
+	m := &written{term: t, service: service, generation: w.Generation, table: w.Table}
 	data, err := encodeTable(w.Table)
 	if err != nil {
 		m.err = err
@@ -171,6 +172,7 @@
 	p.assigner.Written(m.generation, m.err == nil)
 	if m.err == nil {
 		p.revision, p.notBefore = m.revision, time.Time{}
+		l.g.beliefs.duty.Tell(&feed.Table{Revision: uint64(m.revision), Table: m.table})
 		return
 	}
 	p.notBefore = time.Now().Add(writeAgain)
@@ -201,7 +203,7 @@
 		for _, k := range s.heat.take() {
 			p.assigner.Heat().Add(now, k, 1)
 		}
-		rate := float64(l.g.routerCount()) / heatSpan.Seconds()
+		rate := l.g.follow.unseen() / heatSpan.Seconds()
 		for _, m := range p.assigner.Rebalance(now, s.speed, rate) {
 			if p.assigner.Begin(now, m) {
 				l.logMove(name, m)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -46,7 +46,7 @@
 			m.g.log.Warn("own record not kept", "err", err)
 		}
 		if err == nil && m.failing {
-			m.g.rewatch()
+			m.g.follow.rewatch()
 		}
 		if m.failing = err != nil; m.failing {
 			pause = maxBackoff
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -48,10 +48,10 @@
 	// Name is this router's among all routers, DataCentre where it stands.
 	Name, DataCentre string
 	// CallerAddress, ReadyAddress and MetricsAddress are host:port; without a
-	// MetricsAddress none are served.
-	CallerAddress, ReadyAddress, MetricsAddress string
-	Store                                       kv.Ledger
-	Adapter                                     Adapter
+	// MetricsAddress none are served. PeerAddress is where the other routers reach this one.
+	CallerAddress, ReadyAddress, MetricsAddress, PeerAddress string
+	Store                                                    kv.Ledger
+	Adapter                                                  Adapter
 	// LeaseMin is the shortest lease that the store gives.
 	LeaseMin time.Duration
 	// HoldMax is the longest grant that targets take.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,9 +14,6 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change; each costs a call. A store that
-	// stopped answering is noticed sooner, by the renewals of this router's own record.
-	watchWait = 8 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call. Many routers ask a
 	// store that returns, so each draws its pauses at random.
 	minBackoff = 50 * time.Millisecond
@@ -50,6 +48,8 @@
 	pause time.Duration
 	// tell is given *change and *absence.
 	tell func(message any)
+	// wait is how long a watch waits for a change; each costs a call.
+	wait time.Duration
 	// lost is called when the store has dropped history.
 	lost func()
 
@@ -59,6 +59,9 @@
 	failing time.Time
 	backoff time.Duration
 
+	// heard is when the store answered last, in Unix nanoseconds.
+	heard atomic.Int64
+
 	// mu guards cut, which ends the watch that waits.
 	mu  sync.Mutex
 	cut context.CancelFunc
@@ -80,7 +83,7 @@
 	w.mu.Lock()
 	w.cut = cut
 	w.mu.Unlock()
-	records, at, err := w.store.Watch(asked, w.prefix, w.since, watchWait)
+	records, at, err := w.store.Watch(asked, w.prefix, w.since, w.wait)
 	if err != nil && asked.Err() != nil && ctx.Err() == nil {
 		return nil, w.since, nil
 	}
@@ -136,6 +139,7 @@
 		w.log.Info("store regained", "prefix", w.prefix, "absent", message.absent)
 	}
 	w.failing, w.backoff = time.Time{}, 0
+	w.heard.Store(message.at.UnixNano())
 	if message.listed || message.absent > 0 || len(message.records) > 0 {
 		w.tell(message)
 	}
--- /dev/null
+++ b/peer/feed/source.go
@@ -0,0 +1,112 @@
+package feed
+
+import (
+	"sync"
+	"time"
+
+	"tarragongw/core/directory"
+	"tarragongw/peer/feedpb"
+)
+
+// Source is what a leader tells, with what changed when, so that each follower gets just
+// what it doesn't have. It is safe for concurrent use.
+type Source struct {
+	mu      sync.Mutex
+	version uint64
+	targets map[string]versionedTarget
+	gone    map[string]uint64
+	tables  map[string]versionedTable
+	config  uint64
+	changed chan struct{}
+}
+
+type versionedTarget struct {
+	target  directory.Target
+	version uint64
+}
+
+type versionedTable struct {
+	table   Table
+	version uint64
+}
+
+// NewSource returns a source that has nothing to tell yet.
+func NewSource() *Source {
+	return &Source{
+		targets: map[string]versionedTarget{}, gone: map[string]uint64{}, tables: map[string]versionedTable{},
+		changed: make(chan struct{}),
+	}
+}
+
+// bump begins a new version and wakes the followers' feeds; the lock is held.
+func (s *Source) bump() {
+	s.version++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetTargets tells all targets that there are.
+func (s *Source) SetTargets(targets []directory.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bump()
+	there := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		there[t.ID] = true
+		t.Seq = 0
+		if old, known := s.targets[t.ID]; !known || old.target != t {
+			s.targets[t.ID] = versionedTarget{t, s.version}
+		}
+		delete(s.gone, t.ID)
+	}
+	for id := range s.targets {
+		if !there[id] {
+			delete(s.targets, id)
+			s.gone[id] = s.version
+		}
+	}
+}
+
+// SetConfig tells the version of the configuration that is in force.
+func (s *Source) SetConfig(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bump()
+	s.config = version
+}
+
+// SetTable tells a division that the store has.
+func (s *Source) SetTable(t Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, known := s.tables[t.Table.Service]; known && old.table.Revision >= t.Revision {
+		return
+	}
+	s.bump()
+	s.tables[t.Table.Service] = versionedTable{t, s.version}
+}
+
+// since returns what has changed after a version, the present version, and what is closed
+// at the next change.
+func (s *Source) since(version uint64) (*feedpb.Update, uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	u := &feedpb.Update{Whole: version == 0, Config: s.config}
+	for _, t := range s.targets {
+		if t.version > version {
+			u.Targets = append(u.Targets, encodeTarget(&t.target, now))
+		}
+	}
+	for id, gone := range s.gone {
+		if version > 0 && gone > version {
+			u.Gone = append(u.Gone, id)
+		}
+	}
+	for _, t := range s.tables {
+		if t.version > version {
+			u.Tables = append(u.Tables, encodeTable(t.table))
+		}
+	}
+	return u, s.version, s.changed
+}
