Release keys as soon as the store has the move, and tell of a new holder once it has accepted

Change: a new service's keys wait for its targets; a release follows its write; what the leader tells marks segments as moving until their new holder has accepted.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -42,6 +42,10 @@
 	failuresToLose = 3
 	// retryOrder is the pause after an order that failed.
 	retryOrder = 50 * time.Millisecond
+	// gatherPause is how long after the last new target a new service's keys are given out,
+	// and gatherMost how long after the first at the latest.
+	gatherPause = 1200 * time.Millisecond
+	gatherMost  = 4 * time.Second
 	// releaseAgain is the pause between releases to a holder that doesn't answer; each
 	// may find it back and save waiting for the lapse.
 	releaseAgain = 250 * time.Millisecond
@@ -172,6 +176,9 @@
 	// busy says that an order is under way, due when the next may go out.
 	busy bool
 	due  time.Time
+	// fresh says that the holder has not had the keys before, so that it refuses requests
+	// for them until it has accepted the grant.
+	fresh bool
 	// firstSent says that the grant went out under the present token, and releaseSent that
 	// the holder was told to give the keys up.
 	firstSent, releaseSent bool
@@ -209,6 +216,11 @@
 
 	orders  map[uint64]pending
 	orderID uint64
+
+	// unborn says that no key has ever had a holder; since is when the first target was
+	// seen, and grown when the last was.
+	unborn       bool
+	since, grown time.Time
 }
 
 // TakeOver returns the assignment for a new leader, from the table that the store has;
@@ -220,6 +232,7 @@
 	}
 	if table == nil {
 		table = keyspace.New(service)
+		a.unborn = true
 	}
 	a.nextToken = table.NextToken
 	a.generation = 1
@@ -264,7 +277,7 @@
 func (a *Assigner) SetStoreAway(away bool) { a.storeAway = away }
 
 // SetTargets tells the targets that there are.
-func (a *Assigner) SetTargets(targets []directory.Target) {
+func (a *Assigner) SetTargets(now time.Time, targets []directory.Target) {
 	seats := make(map[string]*seat, len(targets))
 	for _, t := range targets {
 		if t.Service != a.service {
@@ -273,6 +286,7 @@
 		s, known := a.seats[t.ID]
 		if !known || s.target.Born != t.Born || s.target.Address != t.Address {
 			s = &seat{}
+			a.grown = now
 		}
 		s.target = t
 		seats[t.ID] = s
@@ -288,7 +302,7 @@
 	a.review(now)
 	a.freeLapsed(now)
 	a.placeFree(now)
-	actions := Actions{Next: now.Add(a.cfg.Renew)}
+	actions := Actions{Next: now.Add(a.cfg.Renew / 2)}
 	a.send(now, &actions)
 	if !a.writing && a.generation > a.sent {
 		a.writing, a.sent = true, a.generation
@@ -307,6 +321,21 @@
 	return t
 }
 
+// Overlay returns a table as the store has it with those segments marked as moving whose
+// new holder has not accepted them yet: what is sent there before is refused, and each
+// such request is spent from the budget of retries.
+func (a *Assigner) Overlay(stored *keyspace.Table) *keyspace.Table {
+	t := stored.Clone()
+	for i := range t.Segments {
+		segment := &t.Segments[i]
+		s := &a.spans[a.find(segment.From)]
+		if s.fresh && s.Token == segment.Token {
+			segment.Moving = true
+		}
+	}
+	return t
+}
+
 // Written tells how a write ended. One that failed is made again.
 func (a *Assigner) Written(generation uint64, ok bool) {
 	a.writing = false
@@ -341,7 +370,7 @@
 // rebirth grants the keys anew to the same target's next life, which holds nothing; the
 // life before is over with its process.
 func (a *Assigner) rebirth(s *span, seat *seat) {
-	s.Holder = seat.target.Holder()
+	s.Holder, s.fresh = seat.target.Holder(), true
 	s.Moving, s.Lost, s.next, s.handover = false, false, "", ""
 	s.inherited, s.lapse = false, time.Time{}
 	a.regrant(s)
@@ -363,7 +392,7 @@
 		}
 		return
 	}
-	s.Moving, s.Lost, s.next, s.due, s.releaseSent = true, lost, next, time.Time{}, false
+	s.Moving, s.Lost, s.next, s.releaseSent = true, lost, next, false
 	s.fence = a.takeToken()
 	a.changed(s)
 }
@@ -387,7 +416,7 @@
 
 // placeFree gives the keys that nobody holds to targets.
 func (a *Assigner) placeFree(now time.Time) {
-	if !a.anyFree() {
+	if !a.anyFree() || a.gathering(now) {
 		return
 	}
 	plan := a.newPlan(now)
@@ -405,11 +434,27 @@
 			seat = plan.least()
 		}
 		plan.add(seat, s.From, s.To)
-		s.Holder, s.next = seat.target.Holder(), ""
+		s.Holder, s.next, s.fresh = seat.target.Holder(), "", true
 		a.regrant(s)
 	}
 }
 
+// gathering reports whether a new service's targets are still coming in. Given out at
+// once, all keys would go to the target that happens to be the first.
+func (a *Assigner) gathering(now time.Time) bool {
+	if !a.unborn {
+		return false
+	}
+	if len(a.seats) == 0 {
+		return true
+	}
+	if a.since.IsZero() {
+		a.since = now
+	}
+	a.unborn = now.Sub(a.grown) < gatherPause && now.Sub(a.since) < gatherMost
+	return a.unborn
+}
+
 func (a *Assigner) anyFree() bool {
 	for i := range a.spans {
 		if a.spans[i].Target == "" {
@@ -426,7 +471,7 @@
 		if s.Target == "" || s.busy || !a.mayOrder(s) {
 			continue
 		}
-		if s.due.After(now) {
+		if s.due.After(now) && !a.releasable(s) {
 			if s.due.Before(actions.Next) {
 				actions.Next = s.due
 			}
@@ -457,6 +502,12 @@
 	return s.Moving && !s.Lost && s.acked && !s.releaseSent
 }
 
+// releasable reports whether the holder is to be told now to give the keys up, whenever
+// the next renewal would have been due.
+func (a *Assigner) releasable(s *span) bool {
+	return s.Moving && !s.releaseSent && s.generation <= a.written
+}
+
 func (a *Assigner) sendRelease(s *span, actions *Actions) {
 	seat := a.seats[s.Target]
 	if seat == nil {
@@ -578,7 +629,7 @@
 			s.inherited, s.lapse = false, now.Add(lapseAfter(a.cfg.LongHold))
 		}
 		s.lapse = laterOf(s.lapse, now.Add(lapseAfter(p.hold)))
-		s.acked, s.handover, s.due = true, "", now.Add(a.cfg.Renew)
+		s.acked, s.fresh, s.handover, s.due = true, false, "", now.Add(a.cfg.Renew)
 	case Superseded:
 		a.regrant(s)
 	default:
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -20,7 +20,7 @@
 	// tooMuch is how much more than that a range may have and still be moved.
 	tooMuch = 1.6
 	// maxMoving bounds the ranges that are on their way at once.
-	maxMoving = 4
+	maxMoving = 8
 	// defaultServiceTime is used for targets whose own is not known, in seconds.
 	defaultServiceTime = 0.15
 )
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -30,7 +30,7 @@
 	directory *directory.Directory
 	config    *routes.Config
 	// tables are the divisions of keys by service, with the revisions of their records.
-	tables map[string]tableRecord
+	tables map[string]feed.Table
 	// routers are the live routers' records, and leader the revision of the leader's.
 	routers map[string]bool
 	// known says which prefixes have been listed.
@@ -38,11 +38,6 @@
 	timer *time.Timer
 }
 
-type tableRecord struct {
-	table    *keyspace.Table
-	revision kv.Revision
-}
-
 // tick asks the duty to look at what has become due.
 type tick struct{}
 
@@ -54,7 +49,7 @@
 
 func newBeliefs(g *Gateway) *beliefs {
 	b := &beliefs{
-		g: g, directory: directory.New(), tables: map[string]tableRecord{}, routers: map[string]bool{}, known: map[string]bool{},
+		g: g, directory: directory.New(), tables: map[string]feed.Table{}, routers: map[string]bool{}, known: map[string]bool{},
 	}
 	b.duty = g.startDuty(b.handle)
 	return b
@@ -67,7 +62,7 @@
 	case *feed.Update:
 		b.adopt(m)
 	case *feed.Table:
-		b.takeTable(m.Table, kv.Revision(m.Revision))
+		b.takeTable(m)
 	case tick:
 		b.settle(b.directory.Tick(time.Now()))
 	}
@@ -78,7 +73,7 @@
 	changed := b.directory.Adopt(time.Now(), u.Whole, u.Targets, u.Gone)
 	b.settle(changed)
 	for _, t := range u.Tables {
-		b.takeTable(t.Table, kv.Revision(t.Revision))
+		b.takeTable(&t)
 	}
 	b.hearFrom(b.g.opts.Adapter.TargetPrefix)
 }
@@ -145,7 +140,7 @@
 	g.view.Store(newView(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	g.handler.SetModel(callerModel(config, g.opts.Adapter.Headers))
 	for _, t := range b.tables {
-		b.useTable(t.table)
+		b.useTable(t.Table)
 	}
 	b.settle(true)
 }
@@ -269,19 +264,21 @@
 			b.g.log.Error("division of keys not readable", "key", r.Key, "revision", r.Revision, "err", err)
 			continue
 		}
-		b.takeTable(t, r.Revision)
+		b.takeTable(&feed.Table{Revision: uint64(r.Revision), Table: t})
 	}
 }
 
 // takeTable puts a division in force unless a newer one is.
-func (b *beliefs) takeTable(t *keyspace.Table, revision kv.Revision) {
-	if old, known := b.tables[t.Service]; known && old.revision >= revision {
+func (b *beliefs) takeTable(t *feed.Table) {
+	name := t.Table.Service
+	if old, known := b.tables[name]; known && !t.Newer(&old) {
 		return
 	}
-	b.tables[t.Service] = tableRecord{t, revision}
-	b.g.follow.source.SetTable(feed.Table{Revision: uint64(revision), Table: t})
-	b.g.log.Info("division of keys in force", "service", t.Service, "revision", revision, "segments", len(t.Segments))
-	b.useTable(t)
+	b.tables[name] = *t
+	b.g.follow.source.SetTable(*t)
+	b.g.log.Info("division of keys in force", "service", name, "revision", t.Revision, "sequence", t.Sequence,
+		"segments", len(t.Table.Segments))
+	b.useTable(t.Table)
 }
 
 func (b *beliefs) useTable(t *keyspace.Table) {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -37,7 +37,7 @@
 	campaignAgain = 700 * time.Millisecond
 	// rebalanceEvery is how often the leader looks for keys to move; within it some dozen
 	// requests have come.
-	rebalanceEvery = 400 * time.Millisecond
+	rebalanceEvery = 250 * time.Millisecond
 	// minStep keeps the leader from stepping again and again at one moment.
 	minStep = 5 * time.Millisecond
 	// writeAgain is the pause after a write that failed.
@@ -72,8 +72,10 @@
 	tableRead struct {
 		term    *term
 		service string
-		record  tableRecord
-		err     error
+		// table is nil where the store has none; revision is then zero.
+		table    *keyspace.Table
+		revision kv.Revision
+		err      error
 	}
 	written struct {
 		term       *term
@@ -118,6 +120,9 @@
 	revision kv.Revision
 	// notBefore is when the next write may go out, after one that failed.
 	notBefore time.Time
+	// stored is the division as it was written last; told counts what was told of it.
+	stored *keyspace.Table
+	told   uint64
 }
 
 // leader is the duty that assigns keys while this router leads, and sees to it that some
@@ -185,7 +190,7 @@
 		return
 	}
 	for _, p := range l.term.post {
-		p.assigner.SetTargets(targets)
+		p.assigner.SetTargets(time.Now(), targets)
 	}
 }
 
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -70,8 +70,8 @@
 	case err != nil:
 		m.err = err
 	default:
-		m.record.revision = r.Revision
-		m.record.table, m.err = decodeTable(r.Value)
+		m.revision = r.Revision
+		m.table, m.err = decodeTable(r.Value)
 	}
 	return m
 }
@@ -86,10 +86,10 @@
 		return
 	}
 	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound}
-	a := assign.TakeOver(time.Now(), cfg, m.service, m.record.table)
-	a.SetTargets(l.targets)
-	m.term.post[m.service] = &post{assigner: a, revision: m.record.revision}
-	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.record.revision)
+	a := assign.TakeOver(time.Now(), cfg, m.service, m.table)
+	a.SetTargets(time.Now(), l.targets)
+	m.term.post[m.service] = &post{assigner: a, revision: m.revision}
+	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.revision)
 }
 
 func (l *leader) carryOut(t *term, service string, p *post, actions assign.Actions, now time.Time) {
@@ -134,9 +134,19 @@
 	}
 	if p := m.term.post[m.service]; p != nil && p.assigner != nil {
 		p.assigner.Done(time.Now(), o.ID, m.outcome, m.handover)
+		if o.First && m.outcome == assign.Accepted && p.stored != nil {
+			l.tell(p)
+		}
 	}
 }
 
+// tell puts the division as it is stored, less what its new holders have not accepted yet,
+// in force on all routers.
+func (l *leader) tell(p *post) {
+	p.told++
+	l.g.beliefs.duty.Tell(&feed.Table{Revision: uint64(p.revision), Sequence: p.told, Table: p.assigner.Overlay(p.stored)})
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
@@ -172,7 +182,8 @@
 	p.assigner.Written(m.generation, m.err == nil)
 	if m.err == nil {
 		p.revision, p.notBefore = m.revision, time.Time{}
-		l.g.beliefs.duty.Tell(&feed.Table{Revision: uint64(m.revision), Table: m.table})
+		p.stored = m.table
+		l.tell(p)
 		return
 	}
 	p.notBefore = time.Now().Add(writeAgain)
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -33,10 +33,19 @@
 	maxFrame = 4 << 20
 )
 
-// Table is the division of a service's keys with the store's revision of it.
+// Table is the division of a service's keys with the store's revision of it, and the count
+// of what the leader told of that revision; zero is the store's own word.
 type Table struct {
-	Revision uint64
-	Table    *keyspace.Table
+	Revision, Sequence uint64
+	Table              *keyspace.Table
+}
+
+// Newer reports whether the table says more than the old one.
+func (t *Table) Newer(old *Table) bool {
+	if t.Revision != old.Revision {
+		return t.Revision > old.Revision
+	}
+	return t.Sequence > old.Sequence
 }
 
 // Update is what has changed since the update before.
@@ -72,7 +81,7 @@
 }
 
 func encodeTable(t Table) *feedpb.Table {
-	p := &feedpb.Table{Service: t.Table.Service, Revision: t.Revision, NextToken: t.Table.NextToken}
+	p := &feedpb.Table{Service: t.Table.Service, Revision: t.Revision, Sequence: t.Sequence, NextToken: t.Table.NextToken}
 	for i := range t.Table.Segments {
 		s := &t.Table.Segments[i]
 		p.Segments = append(p.Segments, &feedpb.Segment{
@@ -93,7 +102,7 @@
 		})
 		from = s.GetLast() + 1
 	}
-	return Table{p.GetRevision(), t}, t.Check()
+	return Table{p.GetRevision(), p.GetSequence(), t}, t.Check()
 }
 
 func decodeUpdate(p *feedpb.Update) (*Update, error) {
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -79,7 +79,7 @@
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, known := s.tables[t.Table.Service]; known && old.table.Revision >= t.Revision {
+	if old, known := s.tables[t.Table.Service]; known && !t.Newer(&old.table) {
 		return
 	}
 	s.bump()
