--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -18,6 +18,10 @@
 	// Burst bounds what a router can save up, in retries. It is also what all routers
 	// together may have at once without any success, but for one a router.
 	Burst float64
+	// Shared divides also what successes pay for among the routers: what they save up
+	// together is then bounded by Burst, whatever their number. Without it each may save a
+	// Burst of its own, which they spend at one moment when a target fails.
+	Shared bool
 	// MinPerSecond is given to all routers together without any success, so that a
 	// service with little load can retry too.
 	MinPerSecond float64
@@ -82,7 +86,11 @@
 
 // Success pays in for one request that was answered.
 func (b *Budget) Success() {
-	b.earned = max(min(b.earned+b.cfg.Share, b.cfg.Burst-b.given), b.earned)
+	most := b.cfg.Burst
+	if b.cfg.Shared {
+		most = b.maxGiven()
+	}
+	b.earned = max(min(b.earned+b.cfg.Share, most-b.given), b.earned)
 }
 
 // Take takes one retry and reports whether there was one.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -187,3 +187,34 @@
 		assert.Assert(t, !b.Take(epoch.Add(time.Duration(i)*time.Second)))
 	}
 }
+
+// Symptom: retries of all routers together exceed their bound in one window of ten seconds.
+// Sequence: requests succeed for minutes; then a target fails all, and each router spends
+// what it has saved up.
+// Cause: each router may save up as much as all together may spend.
+func TestSharedSavingsKeepEachWindowWithinItsBound(t *testing.T) {
+	const routers, perSecond, window = 10, 200, 10
+	const share, free = 0.2, 60.0
+	cfg := BudgetConfig{Share: 0.9 * share, Burst: 0.45 * free, MinPerSecond: 0.45 * free / window, Shared: true}
+	budgets := make([]*Budget, routers)
+	for i := range budgets {
+		budgets[i] = NewBudget(cfg, routers)
+	}
+	now := epoch
+	for i := range 60 * perSecond {
+		now = now.Add(time.Second / perSecond)
+		budgets[i%routers].Success()
+	}
+	retries := 0
+	for i := range window * perSecond {
+		now = now.Add(time.Second / perSecond)
+		b := budgets[i%routers]
+		b.Success()
+		for b.Take(now) {
+			retries++
+		}
+	}
+	most := int(share*window*perSecond + free)
+	assert.Assert(t, retries <= most, "%d retries, at most %d", retries, most)
+	assert.Assert(t, retries >= most*3/4, "%d retries of %d are made use of", retries, most)
+}
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -296,7 +296,7 @@
 func (g *Gateway) newBudget() *retry.Budget {
 	free := float64(g.opts.RetryMin) * budgetCaution / 2
 	return retry.NewBudget(retry.BudgetConfig{
-		Share: g.opts.RetryShare * budgetCaution, Burst: max(free, 1), MinPerSecond: free / g.opts.RetryWindow.Seconds(),
+		Share: g.opts.RetryShare * budgetCaution, Burst: max(free, 1), Shared: true, MinPerSecond: free / g.opts.RetryWindow.Seconds(),
 	}, g.routerCount())
 }
 
