--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -38,10 +38,17 @@
 	// lapseMargin covers the way of an order that was cut off.
 	lapseMargin = 100 * time.Millisecond
 	// failuresToLose is how many orders in a row have to fail before a holder counts as
-	// lost: one of them may have met a broken connection or been left unanswered.
+	// lost, and loseAfter how long ago it must have answered: single orders meet broken
+	// connections or are left unanswered, and with many ranges three of them soon do at
+	// one moment.
 	failuresToLose = 3
+	loseAfter      = 700 * time.Millisecond
 	// retryOrder is the pause after an order that failed.
 	retryOrder = 50 * time.Millisecond
+	// rangesPerSeat is the number of ranges for each target above which neighbours are
+	// merged, and mergeEvery how often.
+	rangesPerSeat = 3
+	mergeEvery    = 2 * time.Second
 	// gatherPause is how long after the last new target a new service's keys are given out,
 	// and gatherMost how long after the first at the latest.
 	gatherPause = 1200 * time.Millisecond
@@ -187,8 +194,10 @@
 // seat is what the leader knows of one target.
 type seat struct {
 	target directory.Target
-	// failures counts orders without an answer since the last one with.
+	// failures counts orders without an answer since the last one with, which came at
+	// answered; for a new seat that is when it was seen first.
 	failures int
+	answered time.Time
 	lost     bool
 }
 
@@ -216,6 +225,8 @@
 
 	orders  map[uint64]pending
 	orderID uint64
+	// mergeDue is when ranges may be merged next.
+	mergeDue time.Time
 
 	// unborn says that no key has ever had a holder; since is when the first target was
 	// seen, and grown when the last was.
@@ -285,7 +296,7 @@
 		}
 		s, known := a.seats[t.ID]
 		if !known || s.target.Born != t.Born || s.target.Address != t.Address {
-			s = &seat{}
+			s = &seat{answered: now}
 			a.grown = now
 		}
 		s.target = t
@@ -302,6 +313,7 @@
 	a.review(now)
 	a.freeLapsed(now)
 	a.placeFree(now)
+	a.merge(now)
 	actions := Actions{Next: now.Add(a.cfg.Renew / 2)}
 	a.send(now, &actions)
 	if !a.writing && a.generation > a.sent {
@@ -491,6 +503,37 @@
 	}
 }
 
+// merge makes one range of neighbours that are held by one target, once there are many:
+// each range costs a renewal twice a second. The range is granted under a new token.
+func (a *Assigner) merge(now time.Time) {
+	if a.storeAway || a.writing || now.Before(a.mergeDue) || len(a.spans) <= rangesPerSeat*len(a.seats) {
+		return
+	}
+	a.mergeDue = now.Add(mergeEvery)
+	kept := a.spans[:1]
+	var joined []int
+	for _, s := range a.spans[1:] {
+		last := &kept[len(kept)-1]
+		if last.Holder != s.Holder || !last.atRest() || !s.atRest() {
+			kept = append(kept, s)
+			continue
+		}
+		last.To, last.lapse = s.To, laterOf(last.lapse, s.lapse)
+		if n := len(joined); n == 0 || joined[n-1] != len(kept)-1 {
+			joined = append(joined, len(kept)-1)
+		}
+	}
+	a.spans = kept
+	for _, i := range joined {
+		a.regrant(&a.spans[i])
+	}
+}
+
+// atRest reports whether nothing is under way with the range.
+func (s *span) atRest() bool {
+	return s.Target != "" && s.acked && !s.busy && !s.Moving && !s.inherited
+}
+
 // mayOrder reports whether the store has what the order for the segment rests on. A move
 // that it doesn't have has not begun: the holder keeps its keys, as long as it was not
 // told to give them up. What goes wrong without that: a store that fails between a
@@ -566,7 +609,7 @@
 	i := a.find(p.from)
 	s := &a.spans[i]
 	s.busy = false
-	a.noteSeat(s.Target, outcome)
+	a.noteSeat(now, s.Target, outcome)
 	if p.kind == Release {
 		a.released(now, s, outcome, handover)
 		return
@@ -584,17 +627,17 @@
 	return len(a.spans) - 1
 }
 
-func (a *Assigner) noteSeat(id string, outcome Outcome) {
+func (a *Assigner) noteSeat(now time.Time, id string, outcome Outcome) {
 	seat := a.seats[id]
 	if seat == nil {
 		return
 	}
 	if outcome != Unanswered {
-		seat.failures, seat.lost = 0, false
+		seat.failures, seat.lost, seat.answered = 0, false, now
 		return
 	}
 	seat.failures++
-	seat.lost = seat.lost || seat.failures >= failuresToLose
+	seat.lost = seat.lost || seat.failures >= failuresToLose && now.Sub(seat.answered) >= loseAfter
 }
 
 func (a *Assigner) released(now time.Time, s *span, outcome Outcome, handover string) {
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// piecesPerSeat is into how many parts the keys that a target leaves behind are cut at
+	// maxPieces is into how many parts the keys that a target leaves behind are cut at
 	// most, so that not one other target gets all of them.
 	maxPieces = 8
 	// moveGap is the difference of two targets' utilisation above which keys are moved;
@@ -17,8 +17,10 @@
 	// moveShare is the part of half the difference that one move takes, less than all of
 	// it so that what was chance is not moved back.
 	moveShare = 0.8
-	// tooMuch is how much more than that a range may have and still be moved.
-	tooMuch = 1.6
+	// tooLittle and tooMuch bound the load of a range that is moved, in parts of what is
+	// wanted.
+	tooLittle = 0.5
+	tooMuch   = 1.5
 	// maxMoving bounds the ranges that are on their way at once.
 	maxMoving = 8
 	// defaultServiceTime is used for targets whose own is not known, in seconds.
@@ -176,18 +178,15 @@
 	return Move{From: from, To: to, Target: cool.target.ID}, true
 }
 
-// bestRange returns the range of the holder's keys, at an end of one of its segments,
-// whose load is nearest to the wanted one.
+// bestRange returns the smallest range of the holder's keys, at an end of one of its
+// segments, whose load is near the wanted one. Of ranges of one load the one with fewer
+// keys has the hot ones; the others would be moved for nothing.
 func (a *Assigner) bestRange(p *plan, holder string, want float64) (from, to keyspace.Key, load float64, found bool) {
-	least := want * (tooMuch - 1)
+	least := int(keyspace.LastKey) + 2
 	consider := func(f, t keyspace.Key) {
-		l := p.heat.of(f, t)
-		off := l - want
-		if off < 0 {
-			off = -off
-		}
-		if off < least {
-			from, to, load, found, least = f, t, l, true, off
+		l, keys := p.heat.of(f, t), int(t)-int(f)+1
+		if l >= want*tooLittle && l <= want*tooMuch && keys < least {
+			from, to, load, found, least = f, t, l, true, keys
 		}
 	}
 	for i := range a.spans {
@@ -195,7 +194,7 @@
 		if s.Target != holder || s.Moving || s.busy || !s.acked {
 			continue
 		}
-		if p.heat.of(s.From, s.To) <= want {
+		if p.heat.of(s.From, s.To) <= want*tooMuch {
 			consider(s.From, s.To)
 			continue
 		}
@@ -204,18 +203,20 @@
 		if last > s.From {
 			consider(s.From, last-1)
 		}
-		if first, ok := p.heat.cutBack(s.From, s.To, want); ok {
-			consider(first, s.To)
+		first := p.heat.cutBack(s.From, s.To, want)
+		consider(first, s.To)
+		if first < s.To {
+			consider(first+1, s.To)
 		}
 	}
 	return from, to, load, found
 }
 
-// cutBack returns the first key of the shortest range up to the last key that has the load.
-func (h *Heat) cutBack(from, to keyspace.Key, load float64) (keyspace.Key, bool) {
+// cutBack returns the first key of the shortest range up to the last key that has the
+// load, or the first key of the whole range.
+func (h *Heat) cutBack(from, to keyspace.Key, load float64) keyspace.Key {
 	n := sort.Search(int(to)-int(from), func(i int) bool {
 		return h.of(to-keyspace.Key(i), to) >= load
 	})
-	first := to - keyspace.Key(n)
-	return first, first > from
+	return to - keyspace.Key(n)
 }
