Test the adapter and the gateway against a store and targets of our own

Change: platform/platformtest speaks the platform's protocol (leases, watches, 410, lost answers, refusals; grants, tokens, releases with handover); tests of requests, keys, leaders, configuration, stops and store calls run on it. Checked by: go test -race ./gateway ./platform ./core/assign ./internal/...

--- /dev/null
+++ b/core/assign/assign_test.go
@@ -0,0 +1,207 @@
+package assign
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/core/directory"
+	"tarragongw/core/keyspace"
+)
+
+var begin = time.Unix(5000, 0)
+
+func after(d time.Duration) time.Time { return begin.Add(d) }
+
+func targetsOf(ids ...string) []directory.Target {
+	var all []directory.Target
+	for _, id := range ids {
+		all = append(all, directory.Target{ID: id, Born: 1, Service: "s", Address: id, Slots: 4})
+	}
+	return all
+}
+
+// settle carries out all that the assignment asks for, until it asks for nothing at once.
+func settle(a *Assigner, now time.Time) {
+	for range 20 {
+		actions := a.Step(now)
+		if actions.Write != nil {
+			a.Written(actions.Write.Generation, true)
+		}
+		for _, o := range actions.Orders {
+			a.Done(now, o.ID, Accepted, "h")
+		}
+		if actions.Write == nil && len(actions.Orders) == 0 {
+			return
+		}
+	}
+}
+
+// settled is an assignment whose keys the targets hold.
+func settled(t *testing.T, ids ...string) *Assigner {
+	t.Helper()
+	a := TakeOver(begin, Config{}, "s", nil)
+	a.SetTargets(begin, targetsOf(ids...))
+	settle(a, begin)
+	settle(a, after(gatherPause))
+	for _, s := range a.spans {
+		assert.Assert(t, s.acked, "%d to %d", s.From, s.To)
+	}
+	return a
+}
+
+func sharesOf(a *Assigner) map[string]int {
+	keys := map[string]int{}
+	for i := range a.spans {
+		keys[a.spans[i].Target] += a.spans[i].Len()
+	}
+	return keys
+}
+
+// Symptom: one target has all keys of a new service, the others none.
+// Cause: the keys are given out to the first target that is seen.
+func TestNewServiceWaitsForItsTargetsAndDealsEvenly(t *testing.T) {
+	a := TakeOver(begin, Config{}, "s", nil)
+	a.SetTargets(begin, targetsOf("a"))
+	settle(a, begin)
+	assert.DeepEqual(t, sharesOf(a), map[string]int{"": 1 << 16})
+	a.SetTargets(after(time.Second), targetsOf("a", "b", "c"))
+	settle(a, after(time.Second+gatherPause))
+	for id, keys := range sharesOf(a) {
+		assert.Assert(t, keys > 1<<14 && keys < 1<<15, "%s has %d keys", id, keys)
+	}
+	assert.Equal(t, len(sharesOf(a)), 3)
+}
+
+// Nothing is ordered that the store doesn't have.
+func TestOrdersWaitForTheirWrite(t *testing.T) {
+	a := TakeOver(begin, Config{}, "s", nil)
+	a.SetTargets(begin, targetsOf("a"))
+	settle(a, begin)
+	actions := a.Step(after(gatherMost))
+	assert.Assert(t, actions.Write != nil)
+	assert.Equal(t, len(actions.Orders), 0)
+	a.Written(actions.Write.Generation, false)
+	actions = a.Step(after(gatherMost))
+	assert.Assert(t, actions.Write != nil, "a write that failed is made again")
+	assert.Equal(t, len(actions.Orders), 0)
+	a.Written(actions.Write.Generation, true)
+	assert.Assert(t, len(a.Step(after(gatherMost)).Orders) > 0)
+}
+
+// Symptom: keys are not served for half a second with each move.
+// Sequence: a move is decided on; the store has it; the release waits for the next renewal.
+func TestReleaseFollowsItsWriteAtOnce(t *testing.T) {
+	a := settled(t, "a", "b")
+	now := after(2 * time.Second)
+	settle(a, now)
+	span := a.spans[0]
+	to := "a"
+	if span.Target == "a" {
+		to = "b"
+	}
+	assert.Assert(t, a.Begin(now, Move{From: span.From, To: span.From + 10, Target: to}))
+	actions := a.Step(now)
+	assert.Assert(t, actions.Write != nil)
+	a.Written(actions.Write.Generation, true)
+	orders := a.Step(now).Orders
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Kind, Release)
+	assert.Assert(t, orders[0].Token > span.Token, "an older renewal must fail after the release")
+	a.Done(now, orders[0].ID, Accepted, "handover")
+	write := a.Step(now).Write
+	assert.Assert(t, a.Overlay(write.Table).Find(span.From).Moving, "the new holder has not accepted yet")
+	a.Written(write.Generation, true)
+	orders = a.Step(now).Orders
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Holder.Target, to)
+	assert.Equal(t, orders[0].Handover, "handover")
+	a.Done(now, orders[0].ID, Accepted, "")
+	assert.Assert(t, !a.Overlay(write.Table).Find(span.From).Moving)
+}
+
+// A target that doesn't answer is asked for no longer than its grant lasts already.
+func TestTriesDoNotPutOffTheLapse(t *testing.T) {
+	a := settled(t, "a", "b")
+	lapse := a.spans[0].lapse
+	lost := a.spans[0].Target
+	now := after(gatherPause)
+	for now.Before(lapse) {
+		now = now.Add(50 * time.Millisecond)
+		actions := a.Step(now)
+		if actions.Write != nil {
+			a.Written(actions.Write.Generation, true)
+		}
+		for _, o := range actions.Orders {
+			outcome := Accepted
+			if o.Holder.Target == lost {
+				outcome = Unanswered
+			}
+			a.Done(now.Add(time.Millisecond), o.ID, outcome, "")
+		}
+	}
+	assert.Assert(t, a.spans[0].lapse.Sub(lapse) <= DefaultRenew+DefaultHold, "the lapse moved by %v", a.spans[0].lapse.Sub(lapse))
+}
+
+// Three orders that are lost at one moment don't make a target lost.
+func TestTargetIsLostAfterSilenceNotAfterABurst(t *testing.T) {
+	a := settled(t, "a")
+	now := after(gatherPause)
+	for range 5 {
+		a.noteSeat(now, "a", Unanswered)
+	}
+	assert.Assert(t, !a.seats["a"].lost)
+	a.noteSeat(now.Add(loseAfter), "a", Unanswered)
+	assert.Assert(t, a.seats["a"].lost)
+	a.noteSeat(now.Add(loseAfter), "a", Accepted)
+	assert.Assert(t, !a.seats["a"].lost)
+}
+
+// Popular keys that lie close together are spread over the targets within a few moves, and
+// no more keys are moved than have to be.
+func TestPopularNeighboursAreSpread(t *testing.T) {
+	a := settled(t, "a", "b", "c", "d")
+	now := after(3 * time.Second)
+	settle(a, now)
+	moved := 0
+	hottest := func() (most float64, holder string) {
+		p := a.planWith(now, nil)
+		for _, at := range p.seats {
+			if at.utilisation() > most {
+				most, holder = at.utilisation(), at.target.ID
+			}
+		}
+		return most, holder
+	}
+	for i := range 600 {
+		a.Heat().Add(now, keyspace.Key(30000+i%60), 1)
+		a.Heat().Add(now, keyspace.Key(i*109), 1)
+	}
+	before, _ := hottest()
+	for range 12 {
+		now = now.Add(100 * time.Millisecond)
+		for _, m := range a.Rebalance(now, nil, 1.0/3) {
+			if a.Begin(now, m) {
+				moved += int(m.To) - int(m.From) + 1
+			}
+		}
+		settle(a, now)
+	}
+	most, _ := hottest()
+	assert.Assert(t, most < before*0.55, "%v of %v", most, before)
+	assert.Assert(t, moved < 1<<15, "%d keys were moved", moved)
+}
+
+// Neighbours of one holder become one range once there are many.
+func TestRangesAreMerged(t *testing.T) {
+	a := settled(t, "a", "b")
+	now := after(4 * time.Second)
+	for k := 100; k < 1000; k += 50 {
+		a.carve(a.find(keyspace.Key(k)), keyspace.Key(k), keyspace.Key(k+20))
+	}
+	assert.Assert(t, len(a.spans) > 20)
+	settle(a, now)
+	assert.Assert(t, len(a.spans) < 10, "%d ranges", len(a.spans))
+	assert.NilError(t, a.Table().Check())
+}
--- a/core/assign/world_test.go
+++ b/core/assign/world_test.go
@@ -120,8 +120,6 @@
 	cut  bool
 	kept time.Duration
 	dead bool
-	// writes are under way.
-	writes []*Write
 }
 
 // delivery is something that happens later.
--- /dev/null
+++ b/gateway/fleet_test.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/core/keyspace"
+	"tarragongw/internal/waittest"
+	"tarragongw/kv"
+	"tarragongw/platform"
+)
+
+// Each key is served by the one target that holds it, whichever router is asked.
+func TestKeysAreServedByTheirHolder(t *testing.T) {
+	f := newFleet(t, 2, keyedConfig, keyedTarget("a"), keyedTarget("b"), keyedTarget("c"))
+	seen := map[string]bool{}
+	waittest.Until(t, "all keys have a holder", func() bool { return f.holder(0) != "" && f.holder(keyspace.LastKey) != "" })
+	for k := 0; k <= int(keyspace.LastKey); k += 5000 {
+		for _, g := range f.gateways {
+			got := f.served(g, call{method: "GET", path: "/read/1", key: k})
+			holder := f.holder(keyspace.Key(k))
+			assert.Equal(t, got.body, holder+" ran "+got.id)
+			seen[holder] = true
+		}
+	}
+	assert.Equal(t, len(seen), 3, "all targets hold keys: %v", seen)
+	got := f.send(f.gateways[0], call{method: "GET", path: "/read/1", key: -1})
+	assert.Equal(t, got.status, http.StatusBadRequest, "a request without a key")
+}
+
+// Symptom: keys are not served for seconds after the loss of one router.
+// Sequence: the leader's process is lost without a word.
+func TestAnotherRouterLeadsBeforeGrantsLapse(t *testing.T) {
+	f := newFleet(t, 3, keyedConfig, keyedTarget("a"), keyedTarget("b"))
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 7})
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 65000})
+	old := f.leader()
+	abandon(old)
+	var other *Gateway
+	for _, g := range f.gateways {
+		if g != old {
+			other = g
+		}
+	}
+	failed := 0
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); {
+		for _, key := range []int{7, 65000} {
+			if f.send(other, call{method: "GET", path: "/read/1", key: key}).status != http.StatusOK {
+				failed++
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, f.leader() != nil && f.leader() != old)
+	assert.Equal(t, failed, 0)
+}
+
+// A target that says that it leaves hands its keys over, and gets no new work.
+func TestLeavingTargetHandsItsKeysOver(t *testing.T) {
+	f := newFleet(t, 2, keyedConfig, keyedTarget("a"), keyedTarget("b"))
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 100})
+	leaving := f.targets[f.holder(100)]
+	leaving.Drain(f.store)
+	waittest.Until(t, "another target holds the key", func() bool {
+		holder := f.holder(100)
+		return holder != "" && holder != leaving.ID
+	})
+	f.served(f.gateways[1], call{method: "GET", path: "/read/1", key: 100})
+	before := len(leaving.Runs())
+	for range 50 {
+		f.served(f.gateways[1], call{method: "GET", path: "/read/1", key: 100})
+	}
+	assert.Equal(t, len(leaving.Runs()), before)
+}
+
+// Symptom: the keys of a target that was lost without a word are never served again.
+func TestKeysOfASilentTargetMoveOnceTheirGrantHasLapsed(t *testing.T) {
+	f := newFleet(t, 1, keyedConfig, keyedTarget("a"), keyedTarget("b"))
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 100})
+	lost := f.targets[f.holder(100)]
+	lost.Close()
+	began := time.Now()
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 100})
+	assert.Assert(t, time.Since(began) < 6*time.Second, "after %v", time.Since(began))
+}
+
+// A target that starts again under its id holds nothing and is granted its keys anew.
+func TestTargetBornAgainIsGrantedItsKeysAnew(t *testing.T) {
+	f := newFleet(t, 1, keyedConfig, keyedTarget("a"))
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 100})
+	f.targets["a"].Reborn(f.store)
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 100})
+}
+
+// While the store refuses all calls, requests and grants go on.
+func TestStoreAwayStopsNothing(t *testing.T) {
+	f := newFleet(t, 2, keyedConfig, keyedTarget("a"), keyedTarget("b"))
+	for _, key := range []int{100, 65000} {
+		f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: key})
+	}
+	f.store.Refuse(http.StatusServiceUnavailable)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for i, key := range []int{100, 65000} {
+			got := f.send(f.gateways[i], call{method: "GET", path: "/read/1", key: key})
+			assert.Equal(t, got.status, http.StatusOK, got.body)
+		}
+	}
+	f.store.Refuse(0)
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 100})
+}
+
+// Symptom: a router serves by a configuration that was replaced.
+// Sequence: an older or an unreadable one is written after it.
+func TestConfigurationNeverReverts(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	g := f.gateways[0]
+	f.configure(plainConfig)
+	waittest.Until(t, "the second configuration is in force", func() bool { return g.view.Load().config.Version == 6 })
+	f.store.Put(platform.ConfigKey, []byte(`{"version":"00000003",`+plainConfig+`}`))
+	f.store.Put(platform.ConfigKey, []byte(`{"version":`))
+	f.configure(plainConfig)
+	waittest.Until(t, "the third configuration is in force", func() bool { return g.view.Load().config.Version == 9 })
+	assert.Equal(t, f.send(g, call{method: "GET", path: "/read/1", key: -1}).status, http.StatusOK)
+}
+
+// Symptom: some routers serve by an old configuration for many seconds.
+// Sequence: the store passes their watches over, drops its history, and cuts nothing.
+func TestChangeInAGapOfTheHistoryIsFound(t *testing.T) {
+	f := newFleet(t, 3, plainConfig, plainTarget("a"))
+	time.Sleep(300 * time.Millisecond)
+	f.store.Deafen()
+	f.configure(plainConfig)
+	time.Sleep(100 * time.Millisecond)
+	f.store.Compact()
+	heartbeat := time.NewTicker(200 * time.Millisecond)
+	defer heartbeat.Stop()
+	began := time.Now()
+	for _, g := range f.gateways {
+		waittest.Until(t, "the configuration is in force", func() bool {
+			select {
+			case <-heartbeat.C:
+				f.targets["a"].Register(f.store)
+			default:
+			}
+			return g.view.Load().config.Version == 6
+		})
+	}
+	assert.Assert(t, time.Since(began) < 3*time.Second, "after %v", time.Since(began))
+}
+
+// An entry of another writer names no target and disturbs none.
+func TestForeignEntriesDisturbNothing(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	f.store.Put(platform.TargetPrefix+"x", []byte{0xff})
+	f.store.Put(platform.TargetPrefix+"y", []byte(`{"address":3}`))
+	f.add(plainTarget("b"))
+	waittest.Until(t, "the second target is known", func() bool {
+		f.gateways[0].mu.RLock()
+		defer f.gateways[0].mu.RUnlock()
+		return len(f.gateways[0].targets) == 2
+	})
+}
+
+// A planned stop cuts nothing: what is under way is answered, what still comes too, and
+// the connection's end is announced.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	g := f.gateways[0]
+	f.targets["a"].SetWork(700 * time.Millisecond)
+	under := make(chan answer, 1)
+	go func() { under <- f.sendAs(g, call{method: "POST", path: "/pay/1", key: -1, body: "x"}, "under-way") }()
+	waittest.Until(t, "the request runs", func() bool { return len(f.targets["a"].Runs()) == 1 })
+	stopped := make(chan int, 1)
+	go func() { stopped <- g.Stop() }()
+	waittest.Until(t, "the gateway is not ready", func() bool {
+		resp, err := http.Get("http://" + g.readyListener.Addr().String() + platform.ReadyPath)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	})
+	late := f.sendAs(g, call{method: "POST", path: "/pay/2", key: -1, body: "x"}, "late")
+	assert.Equal(t, late.status, http.StatusOK)
+	got := <-under
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, <-stopped, 0)
+}
+
+// The leader that stops gives the lead up at once.
+func TestStoppingLeaderHandsTheLeadOver(t *testing.T) {
+	f := newFleet(t, 2, keyedConfig, keyedTarget("a"))
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: 100})
+	old := f.leader()
+	go old.Stop()
+	began := time.Now()
+	waittest.Until(t, "another router leads", func() bool { l := f.leader(); return l != nil && l != old })
+	assert.Assert(t, time.Since(began) < time.Second, "after %v", time.Since(began))
+}
+
+// The calls to the store don't grow with the targets' reports: followers make none for them.
+func TestFollowersDoNotWatchTargets(t *testing.T) {
+	f := newFleet(t, 4, plainConfig, plainTarget("a"))
+	waittest.Until(t, "all others are fed", func() bool {
+		fed := 0
+		for _, g := range f.gateways {
+			g.follow.mu.Lock()
+			if g.follow.stopDirect == nil {
+				fed++
+			}
+			g.follow.mu.Unlock()
+		}
+		return fed == 3
+	})
+	time.Sleep(400 * time.Millisecond) // what the start itself asks for is over
+	before := f.store.Calls()
+	for range 20 {
+		f.targets["a"].Register(f.store)
+		time.Sleep(50 * time.Millisecond)
+	}
+	after := f.store.Calls()
+	for name := range after {
+		after[name] -= before[name]
+	}
+	watches := after["kv-watch "+platform.TargetPrefix]
+	assert.Assert(t, watches >= 1 && watches <= 4, "the leader alone watches, with pauses: %v", after)
+	assert.Assert(t, after["kv-watch "+fleetPrefix] <= 1 && after["kv-watch "+platform.ConfigPrefix] <= 1, "%v", after)
+}
+
+var _ kv.Ledger = (*platform.Store)(nil)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -240,7 +240,8 @@
 	if len(f.direct) == 0 {
 		return false
 	}
-	return time.Since(time.Unix(0, f.direct[0].heard.Load())) < freshFor
+	heard := f.direct[0].heard.Load()
+	return heard != nil && time.Since(*heard) < freshFor
 }
 
 // unseen is by how much the routers' requests exceed those that this router hears of.
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/core/keyspace"
+	"tarragongw/internal/syncbuffer"
+	"tarragongw/internal/waittest"
+	"tarragongw/platform"
+	"tarragongw/platform/platformtest"
+	"tarragongw/target"
+)
+
+// fleet is a store, targets and gateways in one process.
+type fleet struct {
+	t        *testing.T
+	store    *platformtest.Store
+	targets  map[string]*platformtest.Target
+	gateways []*Gateway
+	log      syncbuffer.Buffer
+	version  int
+	nextID   int
+	client   *http.Client
+}
+
+const host = "h.example"
+
+// newFleet starts gateways on a store that has the configuration and the targets.
+func newFleet(t *testing.T, gateways int, config string, targets ...*platformtest.Target) *fleet {
+	f := &fleet{t: t, store: platformtest.NewStore(), targets: map[string]*platformtest.Target{}, client: &http.Client{}}
+	t.Cleanup(f.close)
+	if config != "" {
+		f.configure(config)
+	}
+	for _, target := range targets {
+		f.add(target)
+	}
+	for i := range gateways {
+		f.start(fmt.Sprintf("router-%d", i))
+	}
+	if config != "" {
+		for _, g := range f.gateways {
+			waittest.Until(t, "the gateway is ready", g.known.Load)
+		}
+	}
+	return f
+}
+
+func (f *fleet) close() {
+	f.client.CloseIdleConnections()
+	for _, g := range f.gateways {
+		abandon(g)
+	}
+	for _, target := range f.targets {
+		target.Close()
+	}
+	f.store.Close()
+	if f.t.Failed() {
+		f.t.Log(f.log.String())
+	}
+}
+
+// abandon ends a gateway as a lost process does.
+func abandon(g *Gateway) {
+	g.cancel()
+	for _, l := range []interface{ Close() error }{g.callerListener, g.readyListener, g.peerListener} {
+		// It may be closed already.
+		_ = l.Close()
+	}
+}
+
+func (f *fleet) add(target *platformtest.Target) {
+	f.targets[target.ID] = target
+	target.Register(f.store)
+}
+
+// configure writes a configuration with the next version; routes and services are JSON.
+func (f *fleet) configure(rest string) {
+	f.version += 3
+	f.store.Put(platform.ConfigKey, []byte(fmt.Sprintf(`{"version":"%08x",%s}`, f.version, rest)))
+}
+
+func (f *fleet) start(name string) *Gateway {
+	f.t.Helper()
+	orders := platform.NewOrders()
+	g, err := New(Options{
+		Name: name, DataCentre: "hall", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		Store: platform.NewStore(f.store.Address()), LeaseMin: time.Second, HoldMax: 10 * time.Second, Grace: 3 * time.Second,
+		RetryShare: 0.2, RetryMin: 60, RetryWindow: 10 * time.Second,
+		Logger: slog.New(slog.NewTextHandler(&f.log, nil)).With("router", name),
+		Adapter: Adapter{
+			Headers: Headers{
+				RequestID: platform.HeaderRequestID, Deadline: platform.HeaderDeadline, Expect: platform.HeaderExpect, Key: platform.HeaderKey,
+			},
+			Dialect: target.Dialect{
+				NotRun: platform.HeaderNotRun, Misplaced: []int{http.StatusMisdirectedRequest},
+				RequestID: platform.HeaderRequestID, Signature: platform.HeaderStamp,
+			},
+			ReadyPath: platform.ReadyPath, ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
+			DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, TargetID: platform.TargetID,
+			DecodeLoad: platform.DecodeLoad, SendOrder: orders.Send,
+		},
+	})
+	assert.NilError(f.t, err)
+	g.opts.PeerAddress = g.peerListener.Addr().String()
+	g.Start()
+	f.gateways = append(f.gateways, g)
+	return g
+}
+
+// call is one request of a caller.
+type call struct {
+	method, path string
+	key          int
+	body         string
+	left         time.Duration
+}
+
+// answer is what the caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	id     string
+	err    error
+}
+
+func (f *fleet) send(g *Gateway, c call) answer {
+	f.nextID++
+	id := fmt.Sprintf("id-%d", f.nextID)
+	return f.sendAs(g, c, id)
+}
+
+func (f *fleet) sendAs(g *Gateway, c call, id string) answer {
+	if c.left == 0 {
+		c.left = 5 * time.Second
+	}
+	ctx, cancel := context.WithTimeout(f.t.Context(), c.left)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+g.callerListener.Addr().String()+c.path, bytes.NewReader([]byte(c.body)))
+	assert.NilError(f.t, err)
+	req.Host = host
+	req.Header.Set(platform.HeaderRequestID, id)
+	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(c.left.Milliseconds()))
+	if c.key >= 0 {
+		req.Header.Set(platform.HeaderKey, fmt.Sprint(c.key))
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return answer{err: err, id: id}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), id, err}
+}
+
+// served sends until the call is answered 200, since keys may be on their way.
+func (f *fleet) served(g *Gateway, c call) answer {
+	f.t.Helper()
+	var last answer
+	waittest.Until(f.t, c.path+" is served", func() bool {
+		last = f.send(g, c)
+		return last.status == http.StatusOK
+	})
+	return last
+}
+
+// holder is the target that holds the key.
+func (f *fleet) holder(k keyspace.Key) string {
+	var held []string
+	for id, target := range f.targets {
+		if target.Holds(k) {
+			held = append(held, id)
+		}
+	}
+	return strings.Join(held, "+")
+}
+
+// leader is the gateway that leads, or nil.
+func (f *fleet) leader() *Gateway {
+	for _, g := range f.gateways {
+		g.follow.mu.Lock()
+		leads := g.follow.term != nil && g.lifetime.Err() == nil
+		g.follow.mu.Unlock()
+		if leads {
+			return g
+		}
+	}
+	return nil
+}
+
+// runsOf counts how often targets ran the request.
+func (f *fleet) runsOf(id string) int {
+	n := 0
+	for _, target := range f.targets {
+		for _, r := range target.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+const plainConfig = `"routes":[
+{"name":"read","host":"h.example","prefix":"/read/","route_type":"safe","timeout":"1000ms","target_latency":"400ms","service":"any","max_attempts":2},
+{"name":"pay","host":"h.example","prefix":"/pay/","route_type":"unsafe","timeout":"1000ms","target_latency":"400ms","service":"any","max_attempts":2}],
+"services":[{"name":"any","max_connections":40}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
+
+const keyedConfig = `"routes":[
+{"name":"read","host":"h.example","prefix":"/read/","route_type":"safe","timeout":"1500ms","target_latency":"400ms","service":"keyed","max_attempts":2}],
+"services":[{"name":"keyed","max_connections":40,"sharded":true}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
+
+func plainTarget(id string) *platformtest.Target { return platformtest.NewTarget(id, "any", "hall", false) }
+
+func keyedTarget(id string) *platformtest.Target {
+	return platformtest.NewTarget(id, "keyed", "hall", true)
+}
--- /dev/null
+++ b/gateway/request_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/internal/waittest"
+	"tarragongw/platform"
+)
+
+// What the target gets is what the caller sent, and what the caller gets what the target
+// answered.
+func TestRequestPassesUnchanged(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	path := "/pay/x%2Fy/%7E?q=1&r=%20+"
+	got := f.send(f.gateways[0], call{method: "POST", path: path, key: -1, body: strings.Repeat("photo", 40_000)})
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "a ran "+got.id)
+	assert.Equal(t, got.header.Get(platform.HeaderStamp), "stamp-of-a")
+	assert.Equal(t, got.header.Get(platform.HeaderRequestID), got.id)
+	runs := f.targets["a"].Runs()
+	assert.Equal(t, len(runs), 1)
+	assert.Equal(t, runs[0].Method, "POST")
+	assert.Equal(t, runs[0].URI, path)
+	assert.Equal(t, len(runs[0].Body), 200_000)
+	assert.Assert(t, runs[0].DeadlineMillis > 0 && runs[0].DeadlineMillis <= 1000, "the route's timeout bounds what is left")
+}
+
+func TestUnknownRouteAndMissingConfiguration(t *testing.T) {
+	f := newFleet(t, 1, "")
+	waittest.Until(t, "the server answers", func() bool {
+		return f.send(f.gateways[0], call{method: "GET", path: "/read/1", key: -1}).status == http.StatusServiceUnavailable
+	})
+	f.add(plainTarget("a"))
+	f.configure(plainConfig)
+	f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: -1})
+	assert.Equal(t, f.send(f.gateways[0], call{method: "GET", path: "/nothing/1", key: -1}).status, http.StatusNotFound)
+}
+
+// Symptom: a payment is made twice.
+// Sequence: the target runs it and its connection breaks before the answer.
+// Cause: the loss of an answer is taken for the loss of the request.
+func TestWhatMayHaveRunIsNotRepeatedUnlessItMayBe(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"), plainTarget("b"))
+	for _, target := range f.targets {
+		broken := false
+		target.Answer(func(w http.ResponseWriter, r *http.Request) bool {
+			if broken || strings.HasPrefix(r.URL.Path, "/read/") && r.Header.Get(platform.HeaderRequestID) == "id-again" {
+				return false
+			}
+			broken = true
+			hangUp(t, w)
+			return true
+		})
+	}
+	got := f.send(f.gateways[0], call{method: "POST", path: "/pay/1", key: -1, body: "x"})
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Equal(t, f.runsOf(got.id), 0)
+	got = f.send(f.gateways[0], call{method: "GET", path: "/read/1", key: -1})
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, f.runsOf(got.id), 1)
+}
+
+func hangUp(t *testing.T, w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	assert.NilError(t, err)
+	conn.Close()
+}
+
+// A target that says that it did not run a request is no reason to give it up, and if all
+// say so the caller is told when to come back.
+func TestRefusalsOfTargetsGoElsewhereOrBack(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"), plainTarget("b"))
+	refuse := func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set(platform.HeaderNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	f.targets["a"].Answer(refuse)
+	for range 5 {
+		got := f.send(f.gateways[0], call{method: "POST", path: "/pay/1", key: -1, body: "body"})
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, "b ran "+got.id)
+	}
+	f.targets["b"].Answer(refuse)
+	got := f.send(f.gateways[0], call{method: "POST", path: "/pay/2", key: -1, body: "body"})
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds > 0 && seconds < 2, got.header.Get("Retry-After"))
+}
+
+// Symptom: a caller gets the answer to another caller's request.
+// Sequence: a target answers a request twice, the second time while the next request is
+// under way on the same connection.
+// Cause: the next bytes on a connection are taken for the next answer.
+func TestSecondAnswerIsPassedOver(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	first := true
+	f.targets["a"].Answer(func(w http.ResponseWriter, r *http.Request) bool {
+		if !first {
+			return false
+		}
+		first = false
+		id := r.Header.Get(platform.HeaderRequestID)
+		conn, rw, err := http.NewResponseController(w).Hijack()
+		assert.NilError(t, err)
+		go func() {
+			defer conn.Close()
+			whole := func(id, body string) {
+				fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Length: %d\r\n\r\n%s",
+					platform.HeaderRequestID, id, platform.HeaderStamp, len(body), body)
+				rw.Flush()
+			}
+			whole(id, "first")
+			next, err := http.ReadRequest(rw.Reader)
+			if err != nil {
+				return
+			}
+			whole(id, "first again")
+			whole(next.Header.Get(platform.HeaderRequestID), "second")
+		}()
+		return true
+	})
+	assert.Equal(t, f.send(f.gateways[0], call{method: "GET", path: "/read/1", key: -1}).body, "first")
+	assert.Equal(t, f.send(f.gateways[0], call{method: "GET", path: "/read/2", key: -1}).body, "second")
+}
+
+// A success that lacks the target's signature is not passed off as one.
+func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	f.targets["a"].Answer(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.WriteHeader(http.StatusOK)
+		return true
+	})
+	got := f.send(f.gateways[0], call{method: "POST", path: "/pay/1", key: -1, body: "x"})
+	assert.Equal(t, got.status, http.StatusBadGateway)
+}
+
+// Symptom: a part of an answer is taken for the whole.
+// Sequence: an answer without a length ends with a reset.
+func TestBrokenAnswerDoesNotLookWhole(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	f.targets["a"].Answer(func(w http.ResponseWriter, r *http.Request) bool {
+		conn, rw, err := http.NewResponseController(w).Hijack()
+		assert.NilError(t, err)
+		fmt.Fprintf(rw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nConnection: close\r\n\r\npart",
+			platform.HeaderRequestID, r.Header.Get(platform.HeaderRequestID), platform.HeaderStamp)
+		rw.Flush()
+		time.Sleep(50 * time.Millisecond)
+		assert.NilError(t, conn.(*net.TCPConn).SetLinger(0))
+		conn.Close()
+		return true
+	})
+	got := f.send(f.gateways[0], call{method: "GET", path: "/read/1", key: -1})
+	assert.Assert(t, got.err != nil || got.status != http.StatusOK, "%+v", got)
+}
+
+// A request whose target is still at work at the route's timeout is answered then.
+func TestTimeoutOfTheRouteIsKept(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	f.targets["a"].SetWork(3 * time.Second)
+	began := time.Now()
+	got := f.send(f.gateways[0], call{method: "GET", path: "/read/1", key: -1})
+	assert.Equal(t, got.status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+}
+
+// Requests that come behind another on one connection are answered in order.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	f.served(f.gateways[0], call{method: "GET", path: "/read/0", key: -1})
+	conn, err := net.Dial("tcp", f.gateways[0].callerListener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	var all bytes.Buffer
+	for i := range 5 {
+		fmt.Fprintf(&all, "GET /read/%d HTTP/1.1\r\nHost: %s\r\n%s: pipe-%d\r\n%s: 2000\r\n\r\n",
+			i, host, platform.HeaderRequestID, i, platform.HeaderDeadline)
+	}
+	_, err = conn.Write(all.Bytes())
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	var got []byte
+	buffer := make([]byte, 4096)
+	for bytes.Count(got, []byte("a ran pipe-")) < 5 {
+		n, err := conn.Read(buffer)
+		assert.NilError(t, err)
+		got = append(got, buffer[:n]...)
+	}
+	last := -1
+	for i := range 5 {
+		at := bytes.Index(got, []byte(fmt.Sprintf("a ran pipe-%d", i)))
+		assert.Assert(t, at > last)
+		last = at
+	}
+}
