--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -39,6 +39,10 @@
 	// off, and raise it by a part of a request with each answer.
 	depthCut  = 0.5
 	depthGain = 0.05
+	// minUnreached and maxUnreached bound for how long a target that can't be reached is
+	// left alone; the second is about what a broken way takes to be found anyway.
+	minUnreached = 200 * time.Millisecond
+	maxUnreached = time.Second
 )
 
 // Report is what an answer tells of its target's work.
@@ -63,6 +67,10 @@
 	failedAt time.Time
 	// depth is how much work may wait at the target.
 	depth float64
+	// unreached is for how long the target is left alone after a connection to it could
+	// not be opened, until triedAgain.
+	unreached  time.Duration
+	triedAgain time.Time
 }
 
 func newLoad(t directory.Target) *Load {
@@ -152,6 +160,7 @@
 // answered notes the time that an answer took.
 func (l *Load) answered(took time.Duration, waited bool) {
 	l.depth = math.Min(l.depth+depthGain, l.maxDepth())
+	l.unreached, l.triedAgain = 0, time.Time{}
 	if waited {
 		return
 	}
@@ -162,5 +171,18 @@
 	l.service += (took.Seconds() - l.service) * serviceGain
 }
 
+// away reports whether the target is left alone, because it can't be reached.
+func (l *Load) away(now time.Time) bool { return now.Before(l.triedAgain) }
+
+// unreachable notes that no connection to the target could be opened. Each request would
+// else wait for one in vain; now one in a while does.
+func (l *Load) unreachable(now time.Time) {
+	if l.away(now) {
+		return // it was under way when another found out
+	}
+	l.unreached = min(max(2*l.unreached, minUnreached), maxUnreached)
+	l.triedAgain = now.Add(l.unreached)
+}
+
 // full notes that the target had no room.
 func (l *Load) full() { l.depth = math.Max(l.depth*depthCut, minDepth) }
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -90,6 +90,8 @@
 	Shed
 	// Misplaced work was not run because the target doesn't hold the key.
 	Misplaced
+	// Unreached work was not sent, because no connection could be opened.
+	Unreached
 	// Left work ended because the caller did or its time was over.
 	Left
 )
@@ -202,6 +204,9 @@
 	case Shed:
 		l.outcome(now, shedFailure)
 		l.full()
+	case Unreached:
+		l.outcome(now, 1)
+		l.unreachable(now)
 	case Misplaced, Left:
 	}
 }
@@ -243,7 +248,7 @@
 
 func (s *Service) find(now time.Time, r *Request) (*Load, *block) {
 	if s.byKey {
-		return s.holder(r)
+		return s.holder(now, r)
 	}
 	if l := s.best(now, r); l != nil {
 		return l, nil
@@ -252,7 +257,7 @@
 }
 
 // holder returns the target that holds the request's key.
-func (s *Service) holder(r *Request) (*Load, *block) {
+func (s *Service) holder(now time.Time, r *Request) (*Load, *block) {
 	if s.table == nil {
 		return nil, &block{kind: fault.NotReady, detail: "the division of the keys is not known yet", wait: -1, advice: emptyRetryAfter}
 	}
@@ -267,6 +272,9 @@
 	if l == nil || l.Holder() != segment.Holder {
 		return nil, &block{kind: fault.NoOwner, detail: "target " + segment.Target + " is not there", wait: -1, advice: emptyRetryAfter}
 	}
+	if l.away(now) {
+		return nil, &block{kind: fault.NoOwner, detail: "target " + l.ID + " can't be reached", wait: -1, advice: l.triedAgain.Sub(now) + minRetryAfter}
+	}
 	return l, nil
 }
 
@@ -280,7 +288,7 @@
 	var least float64
 	crossing := time.Duration(r.Bytes) * crossingPerByte
 	for _, l := range s.sample() {
-		if l.Draining || l.ID == r.Avoid && len(s.order) > 1 {
+		if l.Draining || l.away(now) || l.ID == r.Avoid && len(s.order) > 1 {
 			continue
 		}
 		cost := l.expected(now, s.mean) * (1 + tieBreak*s.random.Float64())
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -71,6 +71,7 @@
 func (f *follow) watcher(prefix string, pause, wait time.Duration) *watcher {
 	return &watcher{
 		store: f.g.opts.Store, log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
+		gate: &f.g.gate, probe: f.g.members.wake,
 		tell: func(message any) { f.g.beliefs.duty.Tell(&fromPrefix{prefix, message}) },
 	}
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -146,7 +146,7 @@
 func (x *exchange) ask() dispatch.Request {
 	q := dispatch.Request{
 		Key: x.key, Rank: x.route.Rank, Deadline: x.meta.Deadline, Avoid: x.avoid,
-		Bytes: max(x.r.ContentLength, 0) + headerOverhead,
+		Bytes: x.g.sizes.expect(x.route.Name, x.r) + headerOverhead,
 	}
 	if x.route.Objective > 0 {
 		q.Due = x.began.Add(x.route.Objective)
@@ -180,6 +180,7 @@
 	} else if !failed {
 		result = dispatch.Answered
 	}
+	x.g.sizes.note(x.route.Name, x.r, resp)
 	f = caller.CopyAnswer(x.w, resp)
 	if f != nil {
 		result = resultOf(f)
@@ -189,9 +190,9 @@
 }
 
 // mayReplace reports whether an answer that says that the target failed may be replaced by
-// another target's, and takes what that costs. The request's next send follows for certain.
+// another target's, and takes what that costs. Where the key binds there is no other. The request's next send follows for certain.
 func (x *exchange) mayReplace() bool {
-	return x.route.Repeat == routes.Idempotent && x.mayGoOn() && x.s.mayRetry()
+	return x.route.Repeat == routes.Idempotent && !x.s.byKey && x.mayGoOn() && x.s.mayRetry()
 }
 
 // mayGoOn reports whether the request's own bounds allow another send.
@@ -221,6 +222,8 @@
 	switch {
 	case f.Kind == fault.CallerGone, f.Kind == fault.DeadlineUnmeetable:
 		return dispatch.Left
+	case f.Kind == fault.TargetUnreachable:
+		return dispatch.Unreached
 	case f.Kind == fault.StaleRoute:
 		return dispatch.Misplaced
 	case f.Kind == fault.TargetRefused:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,6 +37,8 @@
 	leader  *leader
 	members *members
 	follow  *follow
+	gate    storeGate
+	sizes   sizes
 
 	mu       sync.RWMutex
 	services map[string]*service
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -221,7 +221,9 @@
 {"name":"read","host":"h.example","prefix":"/read/","route_type":"safe","timeout":"1500ms","target_latency":"400ms","service":"keyed","max_attempts":2}],
 "services":[{"name":"keyed","max_connections":40,"sharded":true}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
 
-func plainTarget(id string) *platformtest.Target { return platformtest.NewTarget(id, "any", "hall", false) }
+func plainTarget(id string) *platformtest.Target {
+	return platformtest.NewTarget(id, "any", "hall", false)
+}
 
 func keyedTarget(id string) *platformtest.Target {
 	return platformtest.NewTarget(id, "keyed", "hall", true)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,8 @@
 	// The renewal is also what shows that the store answers this router: watches that it
 	// never answered would else be waited for to their end.
 	memberKeep = time.Second
+	// probeEvery is how often a store that doesn't answer is asked, on average.
+	probeEvery = 400 * time.Millisecond
 )
 
 // members keeps this router's own record in the store, by which the others count it.
@@ -42,14 +45,13 @@
 	for ctx.Err() == nil {
 		pause := memberKeep
 		err := m.keep(ctx)
-		if err != nil && !m.failing {
-			m.g.log.Warn("own record not kept", "err", err)
-		}
-		if err == nil && m.failing {
-			m.g.follow.rewatch()
+		m.judge(err)
+		if m.failing {
+			pause = time.Duration(float64(probeEvery) * (0.5 + rand.Float64()))
 		}
-		if m.failing = err != nil; m.failing {
-			pause = maxBackoff
+		if m.failing {
+			sleep(ctx, pause)
+			continue
 		}
 		select {
 		case <-time.After(pause):
@@ -59,6 +61,23 @@
 	}
 }
 
+// judge opens or shuts the gate for all other calls by how this one ended.
+func (m *members) judge(err error) {
+	if err != nil {
+		if !m.failing {
+			m.g.log.Warn("own record not kept", "err", err)
+		}
+		m.failing = true
+		m.g.gate.shut()
+		return
+	}
+	m.g.gate.open()
+	if m.failing {
+		m.failing = false
+		m.g.follow.rewatch()
+	}
+}
+
 func (m *members) keep(ctx context.Context) error {
 	if m.lease != 0 {
 		err := m.g.opts.Store.KeepLease(ctx, m.lease)
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -33,7 +33,7 @@
 		key = int(*x.key)
 	}
 	g.log.Info("placed", "id", x.meta.ID, "service", x.s.name, "key", key, "config", x.route.version,
-		"target", d.Target.ID, "born", d.Target.Born, "work", d.Work, "report_age", d.ReportAge, "waited", waited, "send", x.sends+1)
+		"target", d.Target.ID, "in", d.Target.DataCentre, "born", d.Target.Born, "work", d.Work, "report_age", d.ReportAge, "waited", waited, "send", x.sends+1)
 }
 
 // serveReady answers the platform's question whether this router takes new connections.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -50,6 +50,10 @@
 	tell func(message any)
 	// wait is how long a watch waits for a change; each costs a call.
 	wait time.Duration
+	// gate keeps watches back while the store doesn't answer.
+	gate *storeGate
+	// probe has the store asked by the cheapest call.
+	probe func()
 	// lost is called when the store has dropped history.
 	lost func()
 
@@ -93,7 +97,7 @@
 
 // run follows the prefix until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for w.gate.wait(ctx) {
 		began := time.Now()
 		message, err := w.step(ctx)
 		if err != nil {
@@ -157,6 +161,8 @@
 	if time.Since(w.failing) >= outage {
 		w.tell(&absence{since: w.failing})
 	}
+	w.gate.shut()
+	w.probe()
 	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
 	sleep(ctx, time.Duration(float64(w.backoff)*(0.5+rand.Float64())))
 }
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/core/keyspace"
 	"tarragongw/peer/feedpb"
 )
 
@@ -38,13 +39,13 @@
 		return err
 	}
 	go f.report(ctx, conn)
-	reader := bufio.NewReader(conn)
+	reader, tables := bufio.NewReader(conn), map[string]*keyspace.Table{}
 	for {
 		p := &feedpb.Update{}
 		if err := read(conn, reader, p, Silence); err != nil {
 			return err
 		}
-		u, err := decodeUpdate(p)
+		u, err := decodeUpdate(p, tables)
 		if err != nil {
 			return err
 		}
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -9,6 +9,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
 	"tarragongw/peer/feedpb"
@@ -81,40 +83,84 @@
 }
 
 func encodeTable(t Table) *feedpb.Table {
-	p := &feedpb.Table{Service: t.Table.Service, Revision: t.Revision, Sequence: t.Sequence, NextToken: t.Table.NextToken}
-	for i := range t.Table.Segments {
-		s := &t.Table.Segments[i]
-		p.Segments = append(p.Segments, &feedpb.Segment{
+	return &feedpb.Table{
+		Service: t.Table.Service, Revision: t.Revision, Sequence: t.Sequence, NextToken: t.Table.NextToken,
+		Segments: encodeSegments(t.Table.Segments),
+	}
+}
+
+func encodeSegments(segments []keyspace.Segment) []*feedpb.Segment {
+	var all []*feedpb.Segment
+	for i := range segments {
+		s := &segments[i]
+		all = append(all, &feedpb.Segment{
 			Last: uint32(s.To), Target: s.Target, Born: s.Born, Token: s.Token, Moving: s.Moving, Lost: s.Lost,
 		})
 	}
-	return p
+	return all
 }
 
-// decodeTable checks what it reads; a table that doesn't cover all keys is an error.
-func decodeTable(p *feedpb.Table) (Table, error) {
+// encodePatch returns what makes the new table of the old one. A move changes two or three
+// of a hundred segments, and each change goes to all routers.
+func encodePatch(old, t Table) *feedpb.Table {
+	before, after := old.Table.Segments, t.Table.Segments
+	shorter := min(len(before), len(after))
+	head := 0
+	for head < shorter && before[head] == after[head] {
+		head++
+	}
+	tail := 0
+	for tail < shorter-head && before[len(before)-1-tail] == after[len(after)-1-tail] {
+		tail++
+	}
+	return &feedpb.Table{
+		Service: t.Table.Service, Revision: t.Revision, Sequence: t.Sequence, NextToken: t.Table.NextToken,
+		Patch: true, Head: uint32(head), Tail: uint32(tail), Segments: encodeSegments(after[head : len(after)-tail]),
+	}
+}
+
+var errNoBase = errors.New("feed: a patch of a table that was not sent")
+
+// decodeTable makes a table of what was sent, and of the table before where it is a patch.
+// A table that doesn't cover all keys is an error.
+func decodeTable(p *feedpb.Table, before *keyspace.Table) (Table, error) {
 	t := &keyspace.Table{Service: p.GetService(), NextToken: p.GetNextToken()}
-	from := uint32(0)
+	var tail []keyspace.Segment
+	if p.GetPatch() {
+		if before == nil || int(p.GetHead())+int(p.GetTail()) > len(before.Segments) {
+			return Table{}, errNoBase
+		}
+		t.Segments = append(t.Segments, before.Segments[:p.GetHead()]...)
+		tail = before.Segments[len(before.Segments)-int(p.GetTail()):]
+	}
+	from := 0
+	if n := len(t.Segments); n > 0 {
+		from = int(t.Segments[n-1].To) + 1
+	}
 	for _, s := range p.GetSegments() {
 		t.Segments = append(t.Segments, keyspace.Segment{
 			From: keyspace.Key(from), To: keyspace.Key(s.GetLast()), Holder: keyspace.Holder{Target: s.GetTarget(), Born: s.GetBorn()},
 			Token: s.GetToken(), Moving: s.GetMoving(), Lost: s.GetLost(),
 		})
-		from = s.GetLast() + 1
+		from = int(s.GetLast()) + 1
 	}
+	t.Segments = append(t.Segments, tail...)
 	return Table{p.GetRevision(), p.GetSequence(), t}, t.Check()
 }
 
-func decodeUpdate(p *feedpb.Update) (*Update, error) {
+// decodeUpdate reads an update; tables are those that came before on the same connection,
+// which it replaces.
+func decodeUpdate(p *feedpb.Update, tables map[string]*keyspace.Table) (*Update, error) {
 	u := &Update{Whole: p.GetWhole(), Gone: p.GetGone(), Config: p.GetConfig()}
 	for _, t := range p.GetTargets() {
 		u.Targets = append(u.Targets, decodeTarget(t))
 	}
 	for _, t := range p.GetTables() {
-		table, err := decodeTable(t)
+		table, err := decodeTable(t, tables[t.GetService()])
 		if err != nil {
 			return nil, err
 		}
+		tables[t.GetService()] = table.Table
 		u.Tables = append(u.Tables, table)
 	}
 	return u, nil
--- /dev/null
+++ b/peer/feed/feed_test.go
@@ -0,0 +1,155 @@
+package feed
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"tarragongw/core/directory"
+	"tarragongw/core/keyspace"
+	"tarragongw/internal/waittest"
+	"tarragongw/peer/feedpb"
+)
+
+// drawTable cuts and gives away some ranges of a table.
+func drawTable(t *rapid.T, table *keyspace.Table) *keyspace.Table {
+	next := table.Clone()
+	for range rapid.IntRange(0, 5).Draw(t, "changes") {
+		first := keyspace.Key(rapid.IntRange(0, int(keyspace.LastKey)).Draw(t, "first"))
+		s := next.Carve(first, min(next.Find(first).To, keyspace.Key(min(int(first)+rapid.IntRange(0, 5000).Draw(t, "length"), int(keyspace.LastKey)))))
+		s.Holder = keyspace.Holder{Target: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "holder"), Born: 1}
+		s.Token, s.Moving = next.TakeToken(), rapid.Bool().Draw(t, "moving")
+	}
+	next.Join()
+	return next
+}
+
+// Whatever changes, and however far a follower is behind, it ends with the leader's table.
+func TestFollowersEndWithTheLeadersTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := NewSource()
+		seen, version := map[string]*keyspace.Table{}, uint64(0)
+		table := keyspace.New("s")
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			table = drawTable(t, table)
+			source.SetTable(Table{Revision: uint64(i/2 + 1), Sequence: uint64(i), Table: table})
+			if rapid.Bool().Draw(t, "behind") {
+				continue
+			}
+			var p *feedpb.Update
+			p, version, _ = source.since(version)
+			data, err := proto.Marshal(p)
+			assert.NilError(t, err)
+			again := &feedpb.Update{}
+			assert.NilError(t, proto.Unmarshal(data, again))
+			_, err = decodeUpdate(again, seen)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, seen["s"], table)
+		}
+	})
+}
+
+func TestPatchOfNothingIsRefused(t *testing.T) {
+	_, err := decodeTable(&feedpb.Table{Patch: true, Head: 1}, nil)
+	assert.Equal(t, err, errNoBase)
+	_, err = decodeTable(&feedpb.Table{Patch: true, Head: 1, Tail: 1}, keyspace.New("s"))
+	assert.Equal(t, err, errNoBase)
+}
+
+// harness is a leader that serves one source.
+type harness struct {
+	source *Source
+	fresh  atomic.Bool
+	heat   chan Report
+	addr   string
+	term   context.Context
+	end    context.CancelFunc
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{source: NewSource(), heat: make(chan Report, 16)}
+	h.fresh.Store(true)
+	h.term, h.end = context.WithCancel(t.Context())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h.addr = l.Addr().String()
+	server := &Server{
+		Lead: func(term uint64) (context.Context, *Source) {
+			if term != 7 {
+				return nil, nil
+			}
+			return h.term, h.source
+		},
+		Fresh: h.fresh.Load, Heat: func(r Report) { h.heat <- r }, Log: slog.New(slog.DiscardHandler),
+	}
+	go func() { assert.Check(t, server.Serve(t.Context(), l)) }()
+	return h
+}
+
+// follow follows until the feed ends; updates go to the channel.
+func (h *harness) follow(t *testing.T, term uint64, updates chan<- *Update) <-chan error {
+	ended := make(chan error, 1)
+	reported := false
+	f := &Follower{
+		Router: "r", Address: h.addr, Term: term,
+		Update: func(u *Update) { updates <- u },
+		Reports: func() []Report {
+			if reported {
+				return nil
+			}
+			reported = true
+			return []Report{{Service: "s", Keys: []keyspace.Key{1, 1, 65535}}}
+		},
+	}
+	go func() { ended <- f.Run(t.Context()) }()
+	return ended
+}
+
+func TestFollowerIsToldAndReports(t *testing.T) {
+	h := newHarness(t)
+	target := directory.Target{ID: "a", Born: 3, Address: "h:1", Service: "s", DataCentre: "hall", Slots: 6}
+	h.source.SetTargets([]directory.Target{target})
+	h.source.SetConfig(9)
+	updates := make(chan *Update, 64)
+	h.follow(t, 7, updates)
+	u := <-updates
+	assert.Assert(t, u.Whole)
+	assert.Equal(t, u.Config, uint64(9))
+	assert.DeepEqual(t, u.Targets, []directory.Target{target})
+	assert.DeepEqual(t, <-h.heat, Report{Service: "s", Keys: []keyspace.Key{1, 1, 65535}})
+	h.source.SetTargets(nil)
+	waittest.Until(t, "the target's end is told", func() bool { return len((<-updates).Gone) == 1 })
+}
+
+// Symptom: routers send work to targets that left, because their leader doesn't know.
+// Sequence: the leader alone is cut off from the store and goes on to feed the others.
+// Cause: a feed that says nothing new is taken for news that nothing has changed.
+func TestLeaderThatDoesNotHearTheStoreFeedsNobody(t *testing.T) {
+	h := newHarness(t)
+	h.source.SetConfig(1)
+	updates := make(chan *Update, 64)
+	ended := h.follow(t, 7, updates)
+	<-updates
+	h.fresh.Store(false)
+	began := time.Now()
+	assert.ErrorContains(t, <-ended, "timeout")
+	assert.Assert(t, time.Since(began) < 2*Silence)
+}
+
+func TestEndOfTheTermEndsTheFeed(t *testing.T) {
+	h := newHarness(t)
+	h.source.SetConfig(1)
+	updates := make(chan *Update, 64)
+	ended := h.follow(t, 7, updates)
+	<-updates
+	h.end()
+	assert.Assert(t, <-ended != nil)
+	assert.Assert(t, <-h.follow(t, 8, updates) != nil, "another term is not fed")
+}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -15,7 +15,9 @@
 	version uint64
 	targets map[string]versionedTarget
 	gone    map[string]uint64
-	tables  map[string]versionedTable
+	// tables are the last ones of each service, in order; followers that have one of them
+	// get just what has changed since.
+	tables  map[string][]versionedTable
 	config  uint64
 	changed chan struct{}
 }
@@ -33,7 +35,7 @@
 // NewSource returns a source that has nothing to tell yet.
 func NewSource() *Source {
 	return &Source{
-		targets: map[string]versionedTarget{}, gone: map[string]uint64{}, tables: map[string]versionedTable{},
+		targets: map[string]versionedTarget{}, gone: map[string]uint64{}, tables: map[string][]versionedTable{},
 		changed: make(chan struct{}),
 	}
 }
@@ -79,11 +81,34 @@
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, known := s.tables[t.Table.Service]; known && !t.Newer(&old.table) {
+	name := t.Table.Service
+	kept := s.tables[name]
+	if n := len(kept); n > 0 && !t.Newer(&kept[n-1].table) {
 		return
 	}
 	s.bump()
-	s.tables[t.Table.Service] = versionedTable{t, s.version}
+	if len(kept) == keptTables {
+		kept = append(kept[:0], kept[1:]...)
+	}
+	s.tables[name] = append(kept, versionedTable{t, s.version})
+}
+
+// keptTables is how many tables of a service are kept to make patches of: followers are
+// rarely more than a few changes behind.
+const keptTables = 8
+
+// tableSince returns what a follower at the version needs of a service's tables, or nil.
+func tableSince(kept []versionedTable, version uint64) *feedpb.Table {
+	last := kept[len(kept)-1]
+	if last.version <= version {
+		return nil
+	}
+	for i := len(kept) - 2; i >= 0; i-- {
+		if kept[i].version <= version {
+			return encodePatch(kept[i].table, last.table)
+		}
+	}
+	return encodeTable(last.table)
 }
 
 // since returns what has changed after a version, the present version, and what is closed
@@ -103,9 +128,9 @@
 			u.Gone = append(u.Gone, id)
 		}
 	}
-	for _, t := range s.tables {
-		if t.version > version {
-			u.Tables = append(u.Tables, encodeTable(t.table))
+	for _, kept := range s.tables {
+		if t := tableSince(kept, version); t != nil {
+			u.Tables = append(u.Tables, t)
 		}
 	}
 	return u, s.version, s.changed
