Make checks that rest on leases again where the process stood still

Cause: TestFollowersDoNotWatchTargets failed once: all four gateways of the process logged nothing for 2.1 s and the lease was 2.145 s old after it; the machine had stopped the process. Change: such a check is made again only if the process was seen to stand still meanwhile.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -228,3 +228,51 @@
 func keyedTarget(id string) *platformtest.Target {
 	return platformtest.NewTarget(id, "keyed", "hall", true)
 }
+
+const (
+	// stallTick is how often a watcher of the process looks at the clock, and stallMost how
+	// late it may be: leases of a second are kept by renewals some hundred milliseconds apart.
+	stallTick = 20 * time.Millisecond
+	stallMost = 250 * time.Millisecond
+	// stallTries is how often a check is made again that a stall has spoilt.
+	stallTries = 5
+)
+
+// unstalled makes a check that rests on leases kept in time. Where it fails and the whole
+// process was seen to stand still meanwhile, which no router could have borne, it is made
+// again; a failure without a stall fails the test.
+func unstalled(t *testing.T, check func() error) {
+	t.Helper()
+	var err error
+	for range stallTries {
+		worst := make(chan time.Duration, 1)
+		done := make(chan struct{})
+		go func() { worst <- watchStalls(done) }()
+		err = check()
+		close(done)
+		stall := <-worst
+		if err == nil {
+			return
+		}
+		t.Logf("%v; the process stood still for up to %v", err, stall)
+		if stall < stallMost {
+			break
+		}
+	}
+	t.Fatal(err)
+}
+
+// watchStalls returns the longest time for which the process stood still.
+func watchStalls(done <-chan struct{}) (worst time.Duration) {
+	last := time.Now()
+	for {
+		select {
+		case <-done:
+			return worst
+		case <-time.After(stallTick):
+		}
+		now := time.Now()
+		worst = max(worst, now.Sub(last)-stallTick)
+		last = now
+	}
+}
