--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -205,3 +205,30 @@
 	assert.Assert(t, len(a.spans) < 10, "%d ranges", len(a.spans))
 	assert.NilError(t, a.Table().Check())
 }
+
+// Symptom: one target gets two fifths of all requests while others have room, for as long
+// as a single key is hot elsewhere.
+// Sequence: the busiest target's load is one key, which no move could spread; a second
+// target is as busy by many keys.
+// Cause: no move is looked for beyond the busiest target.
+func TestOneHotKeyDoesNotHoldUpOtherMoves(t *testing.T) {
+	a := settled(t, "a", "b", "c", "d")
+	now := after(3 * time.Second)
+	settle(a, now)
+	hot, broad := a.spans[0], a.spans[len(a.spans)-1]
+	assert.Assert(t, hot.Target != broad.Target)
+	for i := range 300 {
+		a.Heat().Add(now, hot.From+10, 1)
+		a.Heat().Add(now, broad.From+keyspace.Key(i*broad.Len()/300), 0.9)
+	}
+	moved := false
+	for range 6 {
+		now = now.Add(100 * time.Millisecond)
+		for _, m := range a.Rebalance(now, nil, 1.0/3) {
+			moved = moved || m.From >= broad.From && m.To <= broad.To
+			a.Begin(now, m)
+		}
+		settle(a, now)
+	}
+	assert.Assert(t, moved)
+}
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -46,6 +46,8 @@
 	heat  *Heat
 	seats []*place
 	byID  map[string]*place
+	// taken are the first keys of the ranges that moves were decided for.
+	taken map[keyspace.Key]bool
 }
 
 // newPlan adds up what each target holds now. Keys that are on their way count for the
@@ -54,7 +56,7 @@
 
 func (a *Assigner) planWith(now time.Time, speeds Speeds) *plan {
 	a.heat.settle(now)
-	p := &plan{heat: a.heat, byID: map[string]*place{}}
+	p := &plan{heat: a.heat, byID: map[string]*place{}, taken: map[keyspace.Key]bool{}}
 	for id, s := range a.seats {
 		if !s.takes() {
 			continue
@@ -154,28 +156,30 @@
 	return moves
 }
 
+// oneMove returns the move that the busiest target gains most by. Where that one has no
+// range that could be moved, because a single key is all of its load, the next one may.
 func (a *Assigner) oneMove(p *plan, rate float64) (Move, bool) {
 	if len(p.seats) < 2 {
 		return Move{}, false
 	}
-	hot, cool := p.seats[0], p.leastPlace()
-	for _, at := range p.seats[1:] {
-		if at.utilisation() > hot.utilisation() {
-			hot = at
+	busiest := append([]*place(nil), p.seats...)
+	sort.SliceStable(busiest, func(i, j int) bool { return busiest[i].utilisation() > busiest[j].utilisation() })
+	cool := busiest[len(busiest)-1]
+	for _, hot := range busiest {
+		gap := hot.utilisation() - cool.utilisation()
+		if gap*rate < moveGap {
+			return Move{}, false
+		}
+		want := moveShare * gap / (hot.cost + cool.cost)
+		from, to, load, ok := a.bestRange(p, hot.target.ID, want)
+		if ok && !p.taken[from] {
+			p.taken[from] = true
+			hot.load -= load
+			cool.load += load
+			return Move{From: from, To: to, Target: cool.target.ID}, true
 		}
 	}
-	gap := (hot.utilisation() - cool.utilisation()) * rate
-	if gap < moveGap {
-		return Move{}, false
-	}
-	want := moveShare * (hot.utilisation() - cool.utilisation()) / (hot.cost + cool.cost)
-	from, to, load, ok := a.bestRange(p, hot.target.ID, want)
-	if !ok {
-		return Move{}, false
-	}
-	hot.load -= load
-	cool.load += load
-	return Move{From: from, To: to, Target: cool.target.ID}, true
+	return Move{}, false
 }
 
 // bestRange returns the smallest range of the holder's keys, at an end of one of its
