--- a/cmd/tarragonctl/main.go
+++ b/cmd/tarragonctl/main.go
@@ -69,7 +69,7 @@
 		Commands: []*cli.Command{
 			checkCommand(), applyCommand(), diffCommand(), getCommand(),
 			explainCommand(), eventsCommand(), drainCommand(), confirmDeadCommand(), statusCommand(),
-			reportCommand(), keysCommand(),
+			reportCommand(), keysCommand(), logCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- /dev/null
+++ b/core/dispatch/dispatch_test.go
@@ -0,0 +1,221 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/core/directory"
+	"tarragongw/core/fault"
+	"tarragongw/core/keyspace"
+)
+
+var start = time.Unix(9000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func target(id, dc string) directory.Target {
+	return directory.Target{ID: id, Service: "s", Address: id, DataCentre: dc, Slots: 2}
+}
+
+func newService(targets ...directory.Target) *Service {
+	s := New("here", false, rand.New(rand.NewPCG(1, 2)))
+	s.SetTargets(targets)
+	return s
+}
+
+// keyed is a service whose keys one target holds.
+func keyed(holder string, targets ...directory.Target) (*Service, *keyspace.Key) {
+	s := New("here", true, rand.New(rand.NewPCG(1, 2)))
+	s.SetTargets(targets)
+	table := keyspace.New("s")
+	table.Segments[0].Holder = keyspace.Holder{Target: holder}
+	s.SetTable(table)
+	return s, new(keyspace.Key)
+}
+
+func request(id uint64) Request {
+	return Request{ID: id, Due: at(400), Deadline: at(1200)}
+}
+
+// spread offers n requests and counts where they are sent.
+func spread(s *Service, n int) map[string]int {
+	sent := map[string]int{}
+	for i := range n {
+		d := s.Offer(start, Request{ID: uint64(i), Deadline: at(10_000)})
+		if d.Verdict == Send {
+			sent[d.Target.ID]++
+		}
+	}
+	return sent
+}
+
+// learn has a target answer some requests in the time.
+func learn(s *Service, id string, took time.Duration) {
+	for range 30 {
+		s.loads[id].inFlight++
+		s.Done(start, id, Answered, took, false)
+	}
+}
+
+func TestFastTargetsGetMore(t *testing.T) {
+	s := newService(target("fast", "here"), target("slow", "here"))
+	learn(s, "fast", 50*time.Millisecond)
+	learn(s, "slow", 200*time.Millisecond)
+	sent := spread(s, 5)
+	assert.Assert(t, sent["fast"] > sent["slow"], "%v", sent)
+}
+
+// A body of 60 kB stays in its data centre while there is room; a short one goes where the
+// answer comes first.
+func TestLongBodiesStayInTheirDataCentre(t *testing.T) {
+	s := newService(target("near", "here"), target("far", "there"))
+	learn(s, "near", 150*time.Millisecond)
+	learn(s, "far", 100*time.Millisecond)
+	assert.Equal(t, s.Offer(start, Request{ID: 1, Bytes: 60_000}).Target.ID, "near")
+	assert.Equal(t, s.Offer(start, Request{ID: 2, Bytes: 600}).Target.ID, "far")
+}
+
+// Symptom: some targets of a service break connections off while others have room.
+// Sequence: many routers send to the one that was idle when they last heard of it.
+// Cause: the others' work is not reckoned with.
+func TestReportsOfOthersWorkCount(t *testing.T) {
+	s := newService(target("a", "here"), target("b", "here"))
+	s.Report(start, "a", Report{Running: 2, Waiting: 4, Slots: 2})
+	assert.Equal(t, spread(s, 2)["b"], 2)
+	assert.Assert(t, s.loads["a"].othersNow(at(0)) > s.loads["a"].othersNow(at(5000))-1e-9)
+}
+
+// A target that breaks off when it is full gets less at a time, and more again later.
+func TestDepthFollowsRefusals(t *testing.T) {
+	s := newService(target("a", "here"))
+	l := s.loads["a"]
+	before := l.depth
+	l.inFlight = 2
+	s.Done(start, "a", Shed, 0, false)
+	s.Done(start, "a", Shed, 0, false)
+	assert.Assert(t, l.depth < before/2+minDepth)
+	learn(s, "a", 100*time.Millisecond)
+	assert.Assert(t, l.depth > before/2)
+}
+
+// Symptom: requests are kept for seconds and refused in the end.
+// Sequence: one key's holder is asked for more than it can do, through many routers.
+// Cause: the wait is reckoned from the target's queue alone, not from the router's own.
+func TestWhatCanNotBeInTimeIsRefusedAtOnce(t *testing.T) {
+	s, key := keyed("a", target("a", "here"))
+	learn(s, "a", 200*time.Millisecond)
+	s.Report(start, "a", Report{Running: 2, Waiting: 4, Slots: 2})
+	var sent, waiting, refused int
+	for i := range 40 {
+		r := request(uint64(i))
+		r.Key = key
+		switch d := s.Offer(start, r); d.Verdict {
+		case Send:
+			sent++
+		case Wait:
+			waiting++
+		default:
+			refused++
+			assert.Equal(t, d.Fault, fault.QueueFull)
+			assert.Assert(t, d.RetryAfter >= minRetryAfter)
+		}
+	}
+	assert.Assert(t, sent >= 1 && waiting >= 1, "%d sent, %d wait", sent, waiting)
+	assert.Assert(t, waiting <= 4, "%d wait for a target that takes a second for each", waiting)
+	assert.Equal(t, sent+waiting+refused, 40)
+}
+
+// Urgent requests go first, then those that can still be in time, then the oldest.
+func TestOrderOfThoseThatWait(t *testing.T) {
+	q := queue{}
+	add := func(id uint64, rank, since, due int) {
+		q.add(&Request{ID: id, Rank: rank, since: at(since), Due: at(due)})
+	}
+	add(1, 1, 0, 50)
+	add(2, 1, 20, 500)
+	add(3, 1, 10, 500)
+	add(4, 0, 30, 60)
+	var order []uint64
+	for _, r := range q.ordered(at(100)) {
+		order = append(order, r.ID)
+	}
+	assert.DeepEqual(t, order, []uint64{4, 3, 2, 1})
+}
+
+// Requests that wait get their place when work ends.
+func TestPlacesThatComeFreeAreGivenOut(t *testing.T) {
+	s, key := keyed("a", target("a", "here"))
+	learn(s, "a", 50*time.Millisecond)
+	var waiting []uint64
+	for i := uint64(1); len(waiting) < 2; i++ {
+		r := request(i)
+		r.Key = key
+		if s.Offer(start, r).Verdict == Wait {
+			waiting = append(waiting, i)
+		}
+	}
+	assert.Equal(t, len(s.Poll(at(1))), 0)
+	s.Done(at(50), "a", Answered, 50*time.Millisecond, false)
+	decided := s.Poll(at(50))
+	assert.Equal(t, decided[waiting[0]].Verdict, Send)
+	assert.Assert(t, s.Cancel(waiting[1]))
+	assert.Assert(t, !s.Cancel(waiting[0]))
+}
+
+// Keys that are being handed over are waited for, those of a lost holder are not.
+func TestMovingAndLostKeys(t *testing.T) {
+	s, key := keyed("a", target("a", "here"))
+	s.table.Segments[0].Moving = true
+	r := request(1)
+	r.Key = key
+	assert.Equal(t, s.Offer(start, r).Verdict, Wait)
+	decided := s.Poll(start.Add(movePatience + time.Millisecond))
+	assert.Equal(t, decided[1].Fault, fault.Moving)
+	s.table.Segments[0].Lost = true
+	r.ID = 2
+	d := s.Offer(start, r)
+	assert.Equal(t, d.Verdict, Refuse)
+	assert.Equal(t, d.RetryAfter, lapseRetryAfter)
+}
+
+// A target that can't be reached is left alone, a little longer each time, until it answers.
+func TestUnreachableTargetIsLeftAlone(t *testing.T) {
+	s, key := keyed("a", target("a", "here"))
+	r := request(1)
+	r.Key = key
+	assert.Equal(t, s.Offer(start, r).Verdict, Send)
+	s.Done(start, "a", Unreached, 0, false)
+	r.ID = 2
+	assert.Equal(t, s.Offer(start, r).Verdict, Refuse)
+	assert.Equal(t, s.Offer(start.Add(minUnreached), r).Verdict, Send)
+	s.Done(start.Add(minUnreached), "a", Unreached, 0, false)
+	assert.Equal(t, s.Offer(start.Add(2*minUnreached), r).Verdict, Refuse)
+	s.Done(start.Add(3*minUnreached), "a", Answered, time.Millisecond, false)
+	assert.Equal(t, s.Offer(start.Add(3*minUnreached), r).Verdict, Send)
+}
+
+// Targets that fail are passed by, and tried again once that is some seconds ago.
+func TestFailingTargetsArePassedByForAWhile(t *testing.T) {
+	s := newService(target("good", "here"), target("bad", "here"))
+	learn(s, "good", 100*time.Millisecond)
+	learn(s, "bad", 100*time.Millisecond)
+	for range 10 {
+		s.loads["bad"].inFlight++
+		s.Done(start, "bad", Failed, time.Millisecond, false)
+	}
+	assert.Equal(t, spread(s, 2)["good"], 2)
+	assert.Assert(t, s.loads["bad"].failingNow(at(10_000)) < 0.05)
+}
+
+// A new life of a target is not judged by the one before.
+func TestNewLifeBeginsAnew(t *testing.T) {
+	s := newService(target("a", "here"))
+	s.loads["a"].inFlight = 2
+	again := target("a", "here")
+	again.Born = 7
+	s.SetTargets([]directory.Target{again})
+	assert.Equal(t, s.loads["a"].inFlight, 0)
+}
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -124,11 +124,16 @@
 	return l.waiting(now) / l.slots() * l.serviceTime(now, mean)
 }
 
+// stay is how long a request that is sent to the target now stays there, in seconds.
+func (l *Load) stay(now time.Time, mean float64) float64 {
+	return l.wait(now, mean) + l.serviceTime(now, mean)
+}
+
 // expected is the time to a new request's answer in seconds, failures taken into
 // account: a target that fails half of its work costs each request a second try.
 func (l *Load) expected(now time.Time, mean float64) float64 {
 	failing := math.Min(l.failingNow(now), maxFailing)
-	return (l.wait(now, mean) + l.serviceTime(now, mean)) / (1 - failing)
+	return l.stay(now, mean) / (1 - failing)
 }
 
 // maxFailing keeps a target that fails all work from being compared with infinity.
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -24,6 +24,18 @@
 	return false
 }
 
+// waitingFor is the number of requests that wait for the target and go before one that
+// comes now; those that are late already don't.
+func (q *queue) waitingFor(target *Load, now time.Time) int {
+	n := 0
+	for _, r := range q.all {
+		if r.target == target && !r.late(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // ordered returns the requests in the order in which they are to be placed: urgent ones
 // first, among equals those whose answer can still be in time before those for which it
 // is late already, then the oldest.
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -50,6 +50,8 @@
 	Avoid string
 	// since is when the request came.
 	since time.Time
+	// target is the one that it waits for; nil where any will do.
+	target *Load
 }
 
 // Verdict is what becomes of a request.
@@ -145,9 +147,11 @@
 	if blocked == nil {
 		return d
 	}
+	blocked.behind(s.queue.waitingFor(blocked.target, now))
 	if refusal, hopeless := s.hopeless(now, &r, blocked); hopeless {
 		return refusal
 	}
+	r.target = blocked.target
 	s.queue.add(&r)
 	return Decision{Verdict: Wait}
 }
@@ -157,10 +161,13 @@
 	if s.queue.empty() {
 		return nil
 	}
-	decided := map[uint64]Decision{}
+	decided, ahead := map[uint64]Decision{}, map[*Load]int{}
 	for _, r := range s.queue.ordered(now) {
 		d, blocked := s.place(now, r)
 		if blocked != nil {
+			blocked.behind(ahead[blocked.target])
+			ahead[blocked.target]++
+			r.target = blocked.target
 			refusal, hopeless := s.hopeless(now, r, blocked)
 			if !hopeless {
 				continue
@@ -218,6 +225,11 @@
 type block struct {
 	kind   fault.Kind
 	detail string
+	// target is the one that is full; nil where it is all of them, or another thing.
+	target *Load
+	// turn is the time in seconds after which one request after the other that waits here
+	// gets a place.
+	turn float64
 	// wait is the time until a place is expected, in seconds; negative means that it is
 	// not to be waited for.
 	wait float64
@@ -234,9 +246,7 @@
 		return Decision{}, blocked
 	}
 	if !l.hasRoom(now) {
-		return Decision{}, &block{
-			kind: fault.QueueFull, detail: "target " + l.ID, wait: l.wait(now, s.mean), advice: minRetryAfter,
-		}
+		return Decision{}, s.full(now, l)
 	}
 	d := Decision{Verdict: Send, Target: l.Target, Work: l.work(now), ReportAge: -1}
 	if !l.lastReport.IsZero() {
@@ -246,6 +256,36 @@
 	return d, nil
 }
 
+// full says how long a request waits where the target has no room.
+//
+// It answers load beyond what a target can do, which comes through many routers: this one
+// gets a place each time that one of its own requests there ends. The queue at the target
+// alone would tell of a short wait, while the routers' own grow; requests are then kept
+// until their time is over and refused in the end.
+func (s *Service) full(now time.Time, l *Load) *block {
+	b := &block{kind: fault.QueueFull, detail: "target " + l.ID, target: l, advice: minRetryAfter}
+	b.turn = l.stay(now, s.mean) / float64(max(l.inFlight, 1))
+	if s.byKey {
+		return b
+	}
+	// The next place at any target will do.
+	b.target, b.turn = nil, 0
+	for _, other := range s.order {
+		if other.inFlight > 0 {
+			b.turn += float64(other.inFlight) / other.stay(now, s.mean)
+		}
+	}
+	b.turn = 1 / max(b.turn, 1/l.stay(now, s.mean))
+	return b
+}
+
+// behind sets the wait of a request that so many others go before.
+func (b *block) behind(ahead int) {
+	if b.wait >= 0 && b.turn > 0 {
+		b.wait = float64(ahead+1) * b.turn
+	}
+}
+
 func (s *Service) find(now time.Time, r *Request) (*Load, *block) {
 	if s.byKey {
 		return s.holder(now, r)
