Give no place in a queue to a request that would be late

Change: a request whose stay would pass its objective goes only where nobody waits, and is refused after 120 ms; callers that come back are known by the time that they have left. Test: TestHotKeyIsAnsweredInTimeNotInFull.

--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -219,3 +219,41 @@
 	s.SetTargets([]directory.Target{again})
 	assert.Equal(t, s.loads["a"].inFlight, 0)
 }
+
+// Symptom: one key is hot, and all of its answers are late although its holder is never idle.
+// Sequence: the holder's queue is kept full, so that each request waits longer than its
+// objective.
+// Cause: places in the queue are given to requests that will be late.
+func TestHotKeyIsAnsweredInTimeNotInFull(t *testing.T) {
+	const service, perSecond = 100 * time.Millisecond, 60
+	s, key := keyed("a", target("a", "here"))
+	learn(s, "a", service)
+	type work struct{ ends time.Time }
+	var running []work
+	inTime, late := 0, 0
+	for i := range 5 * perSecond {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		for len(running) > 0 && !running[0].ends.After(now) {
+			running = running[1:]
+			s.Done(now, "a", Answered, service, true)
+		}
+		r := Request{ID: uint64(i), Key: key, Due: now.Add(400 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond)}
+		if s.Offer(now, r).Verdict != Send {
+			s.Cancel(r.ID)
+			continue
+		}
+		begins := now
+		if n := len(running); n >= 2 && running[n-2].ends.After(now) {
+			begins = running[n-2].ends
+		}
+		ends := begins.Add(service)
+		running = append(running, work{ends})
+		if ends.After(r.Due) {
+			late++
+		} else {
+			inTime++
+		}
+	}
+	assert.Assert(t, late <= inTime/20, "%d in time, %d late", inTime, late)
+	assert.Assert(t, inTime >= 5*20*9/10, "%d in time; the target can do 100", inTime)
+}
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -25,6 +25,9 @@
 	// movePatience is how long a request waits for a key that is being handed over; the
 	// work that runs on it has to end first.
 	movePatience = 800 * time.Millisecond
+	// latePatience is how long a request that would be late waits for a target that nobody
+	// waits for: queues of chance are over within a service time, those of overload are not.
+	latePatience = 120 * time.Millisecond
 	// lapseRetryAfter is the advice where a key's holder is lost and its grant has to lapse.
 	lapseRetryAfter = 700 * time.Millisecond
 	// emptyRetryAfter is the advice where no target is there at all.
@@ -248,6 +251,9 @@
 	if !l.hasRoom(now) {
 		return Decision{}, s.full(now, l)
 	}
+	if l.inFlight > 0 && !s.worthwhile(now, r, l) {
+		return Decision{}, s.tooLate(now, l)
+	}
 	d := Decision{Verdict: Send, Target: l.Target, Work: l.work(now), ReportAge: -1}
 	if !l.lastReport.IsZero() {
 		d.ReportAge = now.Sub(l.lastReport)
@@ -279,6 +285,26 @@
 	return b
 }
 
+// worthwhile reports whether a place in the target's queue is well spent on the request.
+//
+// It answers one key that is asked for more than its holder can do. With a long queue each
+// answer comes late and is worth a third; as many are given in time with a short one. So a
+// request that would be late goes only where nobody else has to wait for it.
+func (s *Service) worthwhile(now time.Time, r *Request, l *Load) bool {
+	if r.Due.IsZero() || l.waiting(now) == 0 {
+		return true
+	}
+	stay := time.Duration(l.stay(now, s.mean) * float64(time.Second))
+	return !now.Add(stay).After(r.Due)
+}
+
+// tooLate says that a request waits for a time at which nobody else does.
+func (s *Service) tooLate(now time.Time, l *Load) *block {
+	b := &block{kind: fault.QueueFull, detail: "target " + l.ID + ", too late for its objective", target: l, patience: latePatience}
+	b.advice = max(time.Duration(l.wait(now, s.mean)*float64(time.Second)), minRetryAfter)
+	return b
+}
+
 // behind sets the wait of a request that so many others go before.
 func (b *block) behind(ahead int) {
 	if b.wait >= 0 && b.turn > 0 {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -39,6 +39,8 @@
 	key   *keyspace.Key
 	body  *replay.Body
 	began time.Time
+	// age is how long the caller has waited already, in attempts before this one.
+	age time.Duration
 	// sends counts the times that the request was sent, and targets those to which it was.
 	sends   int
 	targets map[string]bool
@@ -103,6 +105,7 @@
 	x := &exchange{
 		g: g, w: w, r: r, meta: meta, route: to, s: s, body: replay.New(r, maxKeptBytes), began: time.Now(), targets: map[string]bool{},
 	}
+	x.age = g.patience.age(to.Name, r.Header.Get(g.opts.Adapter.Headers.Deadline))
 	if s.byKey {
 		key, f := keyOf(r.Header, g.opts.Adapter.Headers.Key)
 		if f != nil {
@@ -149,7 +152,7 @@
 		Bytes: x.g.sizes.expect(x.route.Name, x.r) + headerOverhead,
 	}
 	if x.route.Objective > 0 {
-		q.Due = x.began.Add(x.route.Objective)
+		q.Due = x.began.Add(x.route.Objective - x.age)
 	}
 	return q
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,16 +29,17 @@
 	system  *actor.ActorSystem
 	workers *duty.Workers
 
-	view    atomic.Pointer[view]
-	handler *caller.Handler
-	callers *caller.Server
-	pools   *pools
-	beliefs *beliefs
-	leader  *leader
-	members *members
-	follow  *follow
-	gate    storeGate
-	sizes   sizes
+	view     atomic.Pointer[view]
+	handler  *caller.Handler
+	callers  *caller.Server
+	pools    *pools
+	beliefs  *beliefs
+	leader   *leader
+	members  *members
+	follow   *follow
+	gate     storeGate
+	sizes    sizes
+	patience patience
 
 	mu       sync.RWMutex
 	services map[string]*service
