--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -237,7 +237,7 @@
 			running = running[1:]
 			s.Done(now, "a", Answered, service, true)
 		}
-		r := Request{ID: uint64(i), Key: key, Due: now.Add(400 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond)}
+		r := Request{ID: uint64(i), Key: key, Due: now.Add(220 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond)}
 		if s.Offer(now, r).Verdict != Send {
 			s.Cancel(r.ID)
 			continue
