Let most routers back a leader that doesn't reach the store

Change: without the store a leader renews for 2 s, and beyond that up to 10 s only while three fifths of the routers, which don't reach the store either, back it; one that takes over knows from those that follow it when the old one has stopped. The feed says when it is stale, and tells tables then too. The lead is asked for with a pause, and not while the store is down.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -305,6 +305,19 @@
 	a.seats = seats
 }
 
+// OldLeaderStops tells when the leader before has stopped renewing at the latest, and the
+// longest grant that it gave: targets that don't answer this one need not be waited for
+// any longer than that.
+func (a *Assigner) OldLeaderStops(at time.Time, hold time.Duration) {
+	lapse := at.Add(lapseAfter(hold))
+	for i := range a.spans {
+		s := &a.spans[i]
+		if s.inherited && s.lapse.After(lapse) {
+			s.lapse = lapse
+		}
+	}
+}
+
 // takes reports whether the target may be given keys.
 func (s *seat) takes() bool { return s != nil && !s.lost && !s.target.Draining }
 
--- /dev/null
+++ b/gateway/backing.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// backingShare is the part of all routers that has to back a leader which doesn't reach
+// the store. Two such parts have a router in common also while the number of routers grows
+// by up to half.
+const backingShare = 0.6
+
+// backing decides how long a leader may renew grants without the store, and how long one
+// that takes over has to wait for what the old leader may still renew.
+//
+// Alone, a leader may renew for aloneBound after the last renewal of its lease. Beyond that
+// only while enough routers say that they don't reach the store either: each then follows
+// no other leader for a time. A new leader that enough routers follow knows by that when
+// the old one has stopped at the latest. Without it each loss of a leader's way to the
+// store would leave the keys of targets that the new leader doesn't reach unserved for as
+// long as an outage of the store is to be borne.
+type backing struct {
+	mu sync.Mutex
+	// until is when each router's backing of this leader ends, by the clock that counts
+	// suspension.
+	until map[string]time.Duration
+	// joined has the routers that follow this leader, and promised when the last promise
+	// to another leader ends.
+	joined   map[string]bool
+	promised time.Duration
+}
+
+func newBacking() *backing {
+	return &backing{until: map[string]time.Duration{}, joined: map[string]bool{}}
+}
+
+// enough reports whether so many routers and this one are the share of all.
+func enough(others, routers int) bool {
+	return others+1 >= int(math.Ceil(backingShare*float64(routers)))
+}
+
+// back notes that a router backs this leader until a time.
+func (b *backing) back(router string, until time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.until[router] = max(b.until[router], until)
+}
+
+// backed reports whether enough of so many routers back this leader.
+func (b *backing) backed(now time.Duration, routers int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	others := 0
+	for _, until := range b.until {
+		if until > now {
+			others++
+		}
+	}
+	return enough(others, routers)
+}
+
+// join notes that a router follows this leader, which backs another one until a time. It
+// reports whether enough follow, and when the last promise of theirs ends.
+func (b *backing) join(router string, until time.Duration, routers int) (bool, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.joined[router] = true
+	b.promised = max(b.promised, until)
+	return enough(len(b.joined), routers), b.promised
+}
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -75,13 +75,18 @@
 	for _, t := range u.Tables {
 		b.takeTable(&t)
 	}
-	b.hearFrom(b.g.opts.Adapter.TargetPrefix)
+	if !u.Stale {
+		b.hearFrom(b.g.opts.Adapter.TargetPrefix)
+	}
 }
 
 // hearFrom notes that what stands under the prefix is known.
 func (b *beliefs) hearFrom(prefix string) {
 	b.known[prefix] = true
 	a := &b.g.opts.Adapter
+	if prefix == a.TargetPrefix {
+		b.g.follow.source.SetKnown()
+	}
 	b.g.setKnown(b.config != nil && b.known[a.TargetPrefix] && b.known[fleetPrefix])
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"tarragongw/core/keyspace"
+	"tarragongw/core/routes"
 	"tarragongw/internal/waittest"
 	"tarragongw/kv"
 	"tarragongw/platform"
@@ -242,4 +243,20 @@
 	})
 }
 
+// Symptom: a router uses a whole core, and calls the store all the time, while the store is
+// down.
+// Sequence: the store refuses all calls; nobody leads; each router asks for the lead.
+// Cause: a try that fails at once is followed by the next at once.
+func TestLeadIsNotAskedForWithoutPause(t *testing.T) {
+	f := newFleet(t, 1, "")
+	waittest.Until(t, "the fleet's records are read", func() bool { return f.store.Calls()["kv-range "+fleetPrefix] > 0 })
+	f.store.Refuse(http.StatusServiceUnavailable)
+	f.gateways[0].view.Store(&view{config: &routes.Config{}})
+	f.gateways[0].leader.duty.Tell(&leaderSeen{})
+	before := f.store.Calls()
+	time.Sleep(1500 * time.Millisecond)
+	after := f.store.Calls()
+	assert.Assert(t, after["kv-lease"]-before["kv-lease"] <= 12, "%v", after)
+}
+
 var _ kv.Ledger = (*platform.Store)(nil)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragongw/core/keyspace"
+	"tarragongw/kv"
 	"tarragongw/peer/feed"
 )
 
@@ -52,6 +53,9 @@
 	term     *term
 	standing []*watcher
 	direct   []*watcher
+	// backs is the term of the leader that this router backs, until backsUntil.
+	backs      kv.Revision
+	backsUntil time.Time
 	// stopDirect ends the watches that only a router without a feed needs.
 	stopDirect context.CancelFunc
 }
@@ -160,7 +164,20 @@
 	fed := false
 	follower := &feed.Follower{
 		Router: f.g.opts.Name, Address: leader.address, Term: uint64(leader.revision), Reports: f.reports,
+		Promised: f.promisedElsewhere(leader), Backs: f.g.gate.isShut,
+		Backed: func(until time.Time) { f.promise(leader, until) },
 		Update: func(u *feed.Update) {
+			if u.Stale {
+				if fed {
+					f.g.log.Info("leader doesn't hear from the store", "leader", leader.name, "term", leader.revision)
+				}
+				fed = false
+				f.askStore(true)
+				if len(u.Tables) > 0 {
+					f.g.beliefs.duty.Tell(u)
+				}
+				return
+			}
 			if !fed {
 				fed = true
 				f.g.log.Info("fed", "leader", leader.name, "term", leader.revision)
@@ -186,6 +203,23 @@
 	f.rewatch()
 }
 
+// promise notes that this router backs a leader until a time, and follows no other before.
+func (f *follow) promise(leader leaderSeen, until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backs, f.backsUntil = leader.revision, until
+}
+
+// promisedElsewhere is for how long this router still backs another leader.
+func (f *follow) promisedElsewhere(leader leaderSeen) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.backs == leader.revision {
+		return 0
+	}
+	return max(time.Until(f.backsUntil), 0)
+}
+
 // reports returns the keys that were asked for since the last call.
 func (f *follow) reports() []feed.Report {
 	var all []feed.Report
@@ -254,7 +288,11 @@
 func (g *Gateway) serveFollowers() {
 	server := &feed.Server{
 		Log: g.log, Fresh: g.follow.fresh, Lead: g.follow.leads,
-		Heat: func(r feed.Report) { g.addHeat(r.Service, r.Keys) },
+		Heat: func(r feed.Report) { g.addHeat(r.Service, r.Keys) }, Clock: g.opts.Clock,
+		Joined: func(router string, term uint64, promised time.Duration) {
+			g.leader.duty.Tell(&followerJoined{router, kv.Revision(term), promised})
+		},
+		Backed: g.follow.backed,
 	}
 	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
 		g.log.Error("followers are fed no more", "err", err)
@@ -273,6 +311,15 @@
 	return f.term.ctx, f.source
 }
 
+// backed notes that a router backs this one as the leader of a term.
+func (f *follow) backed(router string, term uint64, until time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.term != nil && uint64(f.term.revision) == term {
+		f.term.backing.back(router, until)
+	}
+}
+
 func (g *Gateway) addHeat(service string, keys []keyspace.Key) {
 	s := g.service(service)
 	if s == nil {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -19,10 +19,13 @@
 	// the keep interval it is short enough that another renews all grants before they lapse.
 	leaderTTL  = 1200 * time.Millisecond
 	leaderKeep = 400 * time.Millisecond
-	// oldLeaderBound is how long a leader that doesn't reach the store goes on renewing.
-	// It bears outages of the store of that length, and is what a new leader waits out
+	// aloneBound is how long after the last renewal of its lease a leader goes on renewing
+	// grants that no other router backs, see backing: time enough to be backed.
+	aloneBound = 2 * time.Second
+	// oldLeaderBound is how long a leader that is backed goes on. It bears outages of the
+	// store of that length, and is what a new leader waits out that too few routers follow,
 	// where a target answers the old one alone.
-	oldLeaderBound = 8 * time.Second
+	oldLeaderBound = 10 * time.Second
 	// longHold is how long grants last while the store isn't reached, when no other router
 	// could take over. Longer would bear longer outages that meet the loss of the leader,
 	// but a target that is lost soon after keeps its keys for as long.
@@ -33,6 +36,9 @@
 	// campaignSpread is the longest pause before a router asks for the lead, drawn at
 	// random: all routers see at once that there is none.
 	campaignSpread = 60 * time.Millisecond
+	// campaignPause is kept after a try that failed: another router has the lead by then, or
+	// the store doesn't answer.
+	campaignPause = 150 * time.Millisecond
 	// campaignAgain is how often a router without a leader looks again.
 	campaignAgain = 700 * time.Millisecond
 	// rebalanceEvery is how often the leader looks for keys to move; within it some dozen
@@ -96,6 +102,13 @@
 		took     time.Duration
 	}
 	rebalance struct{}
+	// followerJoined says that a router follows the leader of the term, and for how long it
+	// still backs another.
+	followerJoined struct {
+		router   string
+		term     kv.Revision
+		promised time.Duration
+	}
 )
 
 // term is the time for which this router leads.
@@ -109,6 +122,12 @@
 	ctx  context.Context
 	end  context.CancelFunc
 	post map[string]*post
+	// backing has the routers that back and follow this leader.
+	backing *backing
+	// oldStops is when the old leader has stopped at the latest, with the longest grant that
+	// it has given by then; zero where that isn't known.
+	oldStops time.Time
+	oldHold  time.Duration
 }
 
 // age is how long ago the last good renewal of the lease left.
@@ -134,12 +153,15 @@
 	seen        leaderSeen
 	heard       bool
 	campaigning bool
-	term        *term
-	targets     []directory.Target
-	stopping    bool
-	away        bool
-	timer       *time.Timer
-	due         time.Time
+	// notBefore is when the lead may be asked for again after a try that failed. Without a
+	// pause each router asks a store that refuses at once some thirty times a second.
+	notBefore time.Time
+	term      *term
+	targets   []directory.Target
+	stopping  bool
+	away      bool
+	timer     *time.Timer
+	due       time.Time
 }
 
 func newLeader(g *Gateway) *leader {
@@ -165,6 +187,8 @@
 		l.wrote(m)
 	case *ordered:
 		l.answered(m)
+	case *followerJoined:
+		l.joined(m)
 	case rebalance:
 		l.rebalance()
 	case *stepDown:
@@ -199,11 +223,15 @@
 	now := time.Now()
 	due := now.Add(campaignAgain)
 	switch {
-	case l.stopping:
+	case l.stopping || l.g.lifetime.Err() != nil:
 		return
 	case l.term != nil:
 		due = l.step(now)
 	case l.heard && !l.seen.present && !l.campaigning && l.g.view.Load() != nil:
+		if l.notBefore.After(now) {
+			due = l.notBefore
+			break
+		}
 		l.campaign()
 	}
 	l.arm(now, due)
@@ -240,6 +268,7 @@
 	l.campaigning = true
 	l.g.workers.Run(func() {
 		sleep(l.g.lifetime, time.Duration(rand.Int64N(int64(campaignSpread))))
+		l.g.gate.wait(l.g.lifetime)
 		t, err := l.acquire()
 		l.duty.Tell(&campaigned{t, err})
 	})
@@ -259,7 +288,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &term{revision: revision, lease: lease, post: map[string]*post{}}
+	t := &term{revision: revision, lease: lease, post: map[string]*post{}, backing: newBacking()}
 	t.kept.Store(int64(sent))
 	t.ctx, t.end = context.WithCancel(ctx)
 	return t, nil
@@ -269,6 +298,7 @@
 	l.campaigning = false
 	if m.err != nil {
 		l.g.log.Info("lead not taken", "err", m.err)
+		l.notBefore = time.Now().Add(campaignPause)
 		return
 	}
 	if l.stopping || l.seen.revision > m.term.revision {
@@ -276,6 +306,8 @@
 		return
 	}
 	l.term = m.term
+	own := l.g.follow.promisedElsewhere(leaderSeen{revision: m.term.revision})
+	l.term.backing.promised = l.g.opts.Clock.Now() + own
 	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision, present: true}
 	l.g.log.Info("leads", "revision", m.term.revision)
 	l.g.follow.lead(m.term)
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -31,7 +31,8 @@
 func (l *leader) step(now time.Time) time.Time {
 	t := l.term
 	l.adopt(t)
-	away := t.age(l.g.opts.Clock.Now()) > storeDoubt
+	boot := l.g.opts.Clock.Now()
+	away := t.age(boot) > storeDoubt && t.backing.backed(boot, l.g.routerCount())
 	if away != l.away {
 		l.away = away
 		l.g.log.Info("store counts as away for grants", "away", away, "lease_age", t.age(l.g.opts.Clock.Now()))
@@ -88,6 +89,9 @@
 	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound}
 	a := assign.TakeOver(time.Now(), cfg, m.service, m.table)
 	a.SetTargets(time.Now(), l.targets)
+	if !m.term.oldStops.IsZero() {
+		a.OldLeaderStops(m.term.oldStops, m.term.oldHold)
+	}
 	m.term.post[m.service] = &post{assigner: a, revision: m.revision}
 	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.revision)
 }
@@ -112,8 +116,8 @@
 // how long the new leader has to wait.
 func (l *leader) order(t *term, service string, o assign.Order) *ordered {
 	m := &ordered{term: t, service: service, order: o, outcome: assign.Unanswered}
-	if age := t.age(l.g.opts.Clock.Now()); age > oldLeaderBound {
-		m.err = errors.Errorf("the lease was renewed %v ago", age)
+	if err := l.mayOrder(t); err != nil {
+		m.err = err
 		sleep(t.ctx, leaderKeep)
 		return m
 	}
@@ -123,6 +127,45 @@
 	return m
 }
 
+// mayOrder returns why this router may give no orders any more, nil where it may.
+func (l *leader) mayOrder(t *term) error {
+	now := l.g.opts.Clock.Now()
+	age := t.age(now)
+	switch {
+	case age > oldLeaderBound:
+		return errors.Errorf("the lease was renewed %v ago", age)
+	case age > aloneBound && !t.backing.backed(now, l.g.routerCount()):
+		return errors.Errorf("the lease was renewed %v ago, and too few routers back this one", age)
+	}
+	return nil
+}
+
+// joined notes a follower. Once enough routers follow, it is known when the old leader has
+// stopped at the latest.
+func (l *leader) joined(m *followerJoined) {
+	t := l.term
+	if t == nil || m.term != t.revision {
+		return
+	}
+	now := l.g.opts.Clock.Now()
+	ok, promised := t.backing.join(m.router, now+m.promised, l.g.routerCount())
+	if !ok || !t.oldStops.IsZero() {
+		return
+	}
+	wait := max(promised-now, aloneBound)
+	t.oldHold = assign.DefaultHold
+	if promised > now {
+		t.oldHold = min(longHold, l.g.opts.HoldMax)
+	}
+	t.oldStops = time.Now().Add(wait)
+	l.g.log.Info("old leader stops", "in", wait, "hold", t.oldHold, "term", t.revision)
+	for _, p := range t.post {
+		if p.assigner != nil {
+			p.assigner.OldLeaderStops(t.oldStops, t.oldHold)
+		}
+	}
+}
+
 func (l *leader) answered(m *ordered) {
 	o := &m.order
 	if m.outcome != assign.Accepted || o.Kind == assign.Release || o.First {
--- a/gateway/storegate.go
+++ b/gateway/storegate.go
@@ -51,3 +51,10 @@
 		return false
 	}
 }
+
+// isShut reports whether the store doesn't answer.
+func (s *storeGate) isShut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened != nil
+}
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,10 +20,21 @@
 	// Address and Term are the leader's.
 	Address string
 	Term    uint64
+	// Promised is for how long this router still backs another leader.
+	Promised time.Duration
 	// Update is told what the leader tells, heartbeats included.
 	Update func(u *Update)
 	// Reports returns what is to be reported since the last call.
 	Reports func() []Report
+	// Backs says whether this router doesn't reach the store, so that it backs a leader
+	// that doesn't either; Backed is told until when it does so.
+	Backs  func() bool
+	Backed func(until time.Time)
+
+	// mu guards the last beat and when it came.
+	mu     sync.Mutex
+	beat   uint64
+	beatAt time.Time
 }
 
 // Run follows until ctx ends or the leader is lost, which the error explains.
@@ -35,16 +47,32 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	if err := write(conn, &feedpb.Hello{Router: f.Router, Term: f.Term}); err != nil {
+	hello := &feedpb.Hello{Router: f.Router, Term: f.Term, PromisedMs: f.Promised.Milliseconds()}
+	if err := write(conn, hello); err != nil {
 		return err
 	}
-	go f.report(ctx, conn)
+	var reporting sync.WaitGroup
+	reporting.Add(1)
+	go func() {
+		defer reporting.Done()
+		f.report(ctx, conn)
+	}()
+	// No report may leave once Run has returned: another leader may be followed then.
+	defer reporting.Wait()
+	defer cancel()
+	return f.listen(conn)
+}
+
+func (f *Follower) listen(conn net.Conn) error {
 	reader, tables := bufio.NewReader(conn), map[string]*keyspace.Table{}
 	for {
 		p := &feedpb.Update{}
 		if err := read(conn, reader, p, Silence); err != nil {
 			return err
 		}
+		f.mu.Lock()
+		f.beat, f.beatAt = p.GetBeat(), time.Now()
+		f.mu.Unlock()
 		u, err := decodeUpdate(p, tables)
 		if err != nil {
 			return err
@@ -53,8 +81,8 @@
 	}
 }
 
-// report tells the leader which keys were asked for. A report that can't be written is
-// lost with the connection, whose end Run notices.
+// report tells the leader which keys were asked for, and whether it is backed. A report
+// that can't be written is lost with the connection, whose end Run notices.
 func (f *Follower) report(ctx context.Context, conn net.Conn) {
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
@@ -64,14 +92,35 @@
 		case <-ctx.Done():
 			return
 		}
+		p := &feedpb.Report{}
 		for _, r := range f.Reports() {
 			heat := &feedpb.Heat{Service: r.Service}
 			for _, k := range r.Keys {
 				heat.Keys = append(heat.Keys, uint32(k))
 			}
-			if err := write(conn, heat); err != nil {
-				return
-			}
+			p.Heat = append(p.Heat, heat)
+		}
+		f.back(p)
+		if len(p.Heat) == 0 && !p.Backs {
+			continue
 		}
+		if err := write(conn, p); err != nil {
+			return
+		}
+	}
+}
+
+// back puts into a report that this router backs the leader, where it does.
+func (f *Follower) back(p *feedpb.Report) {
+	if !f.Backs() {
+		return
+	}
+	f.mu.Lock()
+	beat, at := f.beat, f.beatAt
+	f.mu.Unlock()
+	if beat == 0 {
+		return
 	}
+	p.Backs, p.Beat = true, beat
+	f.Backed(at.Add(BackedFor))
 }
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -24,6 +24,9 @@
 	// may be late. With a watch of its own it then still learns of a leaving target within
 	// two seconds.
 	Silence = 700 * time.Millisecond
+	// BackedFor is how long a router that backs a leader follows no other one, from the
+	// beat that it answers: a few reports may be lost.
+	BackedFor = time.Second
 	// dialTimeout bounds opening a connection between routers.
 	dialTimeout = 300 * time.Millisecond
 	// writeTimeout ends the feed of a follower that doesn't read.
@@ -59,6 +62,8 @@
 	Tables  []Table
 	// Config is the version of the configuration that the leader has in force.
 	Config uint64
+	// Stale says that the leader doesn't hear from the store: there are tables at most.
+	Stale bool
 }
 
 // Report is the keys of one service that were asked for.
@@ -151,7 +156,7 @@
 // decodeUpdate reads an update; tables are those that came before on the same connection,
 // which it replaces.
 func decodeUpdate(p *feedpb.Update, tables map[string]*keyspace.Table) (*Update, error) {
-	u := &Update{Whole: p.GetWhole(), Gone: p.GetGone(), Config: p.GetConfig()}
+	u := &Update{Whole: p.GetWhole(), Gone: p.GetGone(), Config: p.GetConfig(), Stale: p.GetStale()}
 	for _, t := range p.GetTargets() {
 		u.Targets = append(u.Targets, decodeTarget(t))
 	}
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -5,12 +5,14 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"tarragongw/clock"
 	"tarragongw/core/keyspace"
 	"tarragongw/peer/feedpb"
 )
@@ -21,11 +23,17 @@
 	// ends with the term; nil where it doesn't lead then.
 	Lead func(term uint64) (context.Context, *Source)
 	// Fresh says whether this router has heard from the store of late. Without that it says
-	// nothing, and its followers ask the store themselves.
+	// that it doesn't know, and its followers ask the store themselves.
 	Fresh func() bool
+	// Joined is told who follows, and for how long that router still backs another leader.
+	Joined func(router string, term uint64, promised time.Duration)
+	// Backed is told that a router backs this leader until a time of Clock: until then it
+	// follows no other.
+	Backed func(router string, term uint64, until time.Duration)
 	// Heat is told what a follower reports.
-	Heat func(r Report)
-	Log  *slog.Logger
+	Heat  func(r Report)
+	Clock clock.Clock
+	Log   *slog.Logger
 }
 
 // Serve accepts followers until the listener is closed.
@@ -44,42 +52,58 @@
 	}
 }
 
+// follower is one connection of a router that follows this one.
+type follower struct {
+	server *Server
+	conn   net.Conn
+	reader *bufio.Reader
+	hello  *feedpb.Hello
+
+	// mu guards sent, the times at which the last beats left.
+	mu   sync.Mutex
+	beat uint64
+	sent [keptBeats]time.Duration
+}
+
+// keptBeats is how many beats an answer may be behind: those of more than BackedFor.
+const keptBeats = 64
+
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	hello := &feedpb.Hello{}
-	if err := read(conn, reader, hello, Silence); err != nil {
+	f := &follower{server: s, conn: conn, reader: bufio.NewReader(conn), hello: &feedpb.Hello{}}
+	if err := read(conn, f.reader, f.hello, Silence); err != nil {
 		s.Log.Info("follower not understood", "from", conn.RemoteAddr().String(), "err", err)
 		return
 	}
-	leads, source := s.Lead(hello.GetTerm())
+	term := f.hello.GetTerm()
+	leads, source := s.Lead(term)
 	if source == nil {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(leads, cancel)()
+	s.Joined(f.hello.GetRouter(), term, time.Duration(f.hello.GetPromisedMs())*time.Millisecond)
 	go func() {
 		defer cancel()
-		s.listen(conn, reader)
+		f.listen()
 	}()
-	s.Log.Info("follower fed", "router", hello.GetRouter(), "term", hello.GetTerm())
-	err := s.tell(ctx, conn, source)
-	s.Log.Info("follower lost", "router", hello.GetRouter(), "err", err)
+	s.Log.Info("follower fed", "follower", f.hello.GetRouter(), "term", term)
+	err := f.tell(ctx, source)
+	s.Log.Info("follower lost", "follower", f.hello.GetRouter(), "err", err)
 }
 
-// tell writes what changes, and heartbeats in between, as long as the store is heard from.
-func (s *Server) tell(ctx context.Context, conn net.Conn, source *Source) error {
+// tell writes what changes, and a beat at least every HeartbeatEvery.
+func (f *follower) tell(ctx context.Context, source *Source) error {
 	heartbeat := time.NewTicker(HeartbeatEvery)
 	defer heartbeat.Stop()
-	version := uint64(0)
+	var known told
 	for {
-		update, at, changed := source.since(version)
-		if at > 0 && s.Fresh() {
-			version = at
-			if err := write(conn, update); err != nil {
-				return err
-			}
+		update, after, changed := source.since(known, !f.server.Fresh())
+		known = after
+		update.Beat = f.nextBeat()
+		if err := write(f.conn, update); err != nil {
+			return err
 		}
 		select {
 		case <-changed:
@@ -90,18 +114,44 @@
 	}
 }
 
+// nextBeat counts an update that leaves now.
+func (f *follower) nextBeat() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.beat++
+	f.sent[f.beat%keptBeats] = f.server.Clock.Now()
+	return f.beat
+}
+
 // listen takes a follower's reports until it is gone.
-func (s *Server) listen(conn net.Conn, reader *bufio.Reader) {
+func (f *follower) listen() {
 	for {
-		heat := &feedpb.Heat{}
-		if err := read(conn, reader, heat, 0); err != nil {
+		p := &feedpb.Report{}
+		if err := read(f.conn, f.reader, p, 0); err != nil {
 			return // the feed's own end is logged
 		}
-		r := Report{Service: heat.GetService()}
-		for _, k := range heat.GetKeys() {
-			r.Keys = append(r.Keys, keyspace.Key(k))
+		for _, h := range p.GetHeat() {
+			r := Report{Service: h.GetService()}
+			for _, k := range h.GetKeys() {
+				r.Keys = append(r.Keys, keyspace.Key(k))
+			}
+			f.server.Heat(r)
+		}
+		if p.GetBacks() {
+			f.backed(p.GetBeat())
 		}
-		s.Heat(r)
+	}
+}
+
+// backed notes that the follower backs this leader, from when the beat left that it
+// answers: an answer that was held up on its way is worth no more than its beat.
+func (f *follower) backed(beat uint64) {
+	f.mu.Lock()
+	known := beat > 0 && beat <= f.beat && f.beat-beat < keptBeats
+	sent := f.sent[beat%keptBeats]
+	f.mu.Unlock()
+	if known {
+		f.server.Backed(f.hello.GetRouter(), f.hello.GetTerm(), sent+BackedFor)
 	}
 }
 
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -19,6 +19,8 @@
 	// get just what has changed since.
 	tables  map[string][]versionedTable
 	config  uint64
+	// known says that the targets have been read from the store once.
+	known   bool
 	changed chan struct{}
 }
 
@@ -69,6 +71,17 @@
 	}
 }
 
+// SetKnown says that the targets are all there are. Before, a follower would take those
+// that have been read so far for all, and the others for gone.
+func (s *Source) SetKnown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.known {
+		s.known = true
+		s.bump()
+	}
+}
+
 // SetConfig tells the version of the configuration that is in force.
 func (s *Source) SetConfig(version uint64) {
 	s.mu.Lock()
@@ -111,13 +124,36 @@
 	return encodeTable(last.table)
 }
 
-// since returns what has changed after a version, the present version, and what is closed
-// at the next change.
-func (s *Source) since(version uint64) (*feedpb.Update, uint64, <-chan struct{}) {
+// told is what a follower has been told last.
+type told struct {
+	// all and tables are the versions up to which it knows everything, and the tables.
+	all, tables uint64
+}
+
+// since returns what a follower doesn't know, and what is closed at the next change. A
+// stale source tells tables alone: these are true by the leader's own writes.
+func (s *Source) since(t told, stale bool) (*feedpb.Update, told, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	stale = stale || !s.known
+	u := &feedpb.Update{Stale: stale}
+	for _, kept := range s.tables {
+		if table := tableSince(kept, t.tables); table != nil {
+			u.Tables = append(u.Tables, table)
+		}
+	}
+	t.tables = s.version
+	if !stale {
+		s.tellTargets(u, t.all)
+		t.all = s.version
+	}
+	return u, t, s.changed
+}
+
+// tellTargets adds the targets and the configuration after a version; the lock is held.
+func (s *Source) tellTargets(u *feedpb.Update, version uint64) {
 	now := time.Now()
-	u := &feedpb.Update{Whole: version == 0, Config: s.config}
+	u.Whole, u.Config = version == 0, s.config
 	for _, t := range s.targets {
 		if t.version > version {
 			u.Targets = append(u.Targets, encodeTarget(&t.target, now))
@@ -128,10 +164,4 @@
 			u.Gone = append(u.Gone, id)
 		}
 	}
-	for _, kept := range s.tables {
-		if t := tableSince(kept, version); t != nil {
-			u.Tables = append(u.Tables, t)
-		}
-	}
-	return u, s.version, s.changed
 }
