Let a watch bring the configuration that the leader has already

The routers' records, which ended a watch of each router with each start of one, are watched by the leader alone and counted by the feed. Change: the watch is asked anew after 0.9 s, once.

--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -17,9 +17,9 @@
 // Keys that the routers write themselves.
 const (
 	tablePrefix  = "tarragongw/keys/"
-	fleetPrefix  = "tarragongw/fleet/"
-	leaderKey    = fleetPrefix + "leader"
-	routerPrefix = fleetPrefix + "routers/"
+	leaderPrefix = "tarragongw/leader/"
+	leaderKey    = leaderPrefix + "record"
+	routerPrefix = "tarragongw/routers/"
 )
 
 // beliefs is the duty that turns what the store says into what the request path reads.
@@ -75,6 +75,9 @@
 	for _, t := range u.Tables {
 		b.takeTable(&t)
 	}
+	if u.Routers > 0 && u.Routers != b.g.routerCount() {
+		b.g.setRouters(u.Routers)
+	}
 	if !u.Stale {
 		b.hearFrom(b.g.opts.Adapter.TargetPrefix)
 	}
@@ -87,7 +90,7 @@
 	if prefix == a.TargetPrefix {
 		b.g.follow.source.SetKnown()
 	}
-	b.g.setKnown(b.config != nil && b.known[a.TargetPrefix] && b.known[fleetPrefix])
+	b.g.setKnown(b.config != nil && b.known[a.TargetPrefix] && b.known[leaderPrefix])
 }
 
 func (b *beliefs) hear(m *fromPrefix) {
@@ -107,8 +110,10 @@
 		b.hearConfig(c)
 	case b.g.opts.Adapter.TargetPrefix:
 		b.hearTargets(c)
-	case fleetPrefix:
-		b.hearFleet(c)
+	case leaderPrefix:
+		b.hearLeader(c)
+	case routerPrefix:
+		b.hearRouters(c)
 	case tablePrefix:
 		b.hearTables(c)
 	}
@@ -210,36 +215,43 @@
 	b.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() { b.duty.Tell(tick{}) })
 }
 
-// hearFleet notes who leads and who is there.
-func (b *beliefs) hearFleet(c *change) {
+// hearLeader notes who leads.
+func (b *beliefs) hearLeader(c *change) {
+	there := false
+	for _, r := range c.records {
+		if r.Key == leaderKey {
+			there = true
+			b.seeLeader(r)
+		}
+	}
+	if c.listed && !there {
+		b.seeLeader(kv.Record{Key: leaderKey, Deleted: true})
+	}
+}
+
+func (b *beliefs) seeLeader(r kv.Record) {
+	seen := &leaderSeen{revision: r.Revision, present: !r.Deleted}
+	seen.name, seen.address, _ = strings.Cut(string(r.Value), leaderSeparator)
+	b.g.leader.duty.Tell(seen)
+	b.g.follow.set(*seen)
+}
+
+// hearRouters notes who is there.
+func (b *beliefs) hearRouters(c *change) {
 	seen := make(map[string]bool, len(c.records))
 	for _, r := range c.records {
-		seen[r.Key] = !r.Deleted
-		b.hearRecord(r)
+		name := strings.TrimPrefix(r.Key, routerPrefix)
+		seen[name] = !r.Deleted
+		b.hearRouter(name, !r.Deleted)
 	}
 	if !c.listed {
 		return
 	}
 	for name := range b.routers {
-		if !seen[routerPrefix+name] {
-			b.hearRecord(kv.Record{Key: routerPrefix + name, Deleted: true})
+		if !seen[name] {
+			b.hearRouter(name, false)
 		}
 	}
-	if !seen[leaderKey] {
-		b.hearRecord(kv.Record{Key: leaderKey, Deleted: true})
-	}
-}
-
-func (b *beliefs) hearRecord(r kv.Record) {
-	switch {
-	case r.Key == leaderKey:
-		seen := &leaderSeen{revision: r.Revision, present: !r.Deleted}
-		seen.name, seen.address, _ = strings.Cut(string(r.Value), leaderSeparator)
-		b.g.leader.duty.Tell(seen)
-		b.g.follow.set(*seen)
-	case strings.HasPrefix(r.Key, routerPrefix):
-		b.hearRouter(strings.TrimPrefix(r.Key, routerPrefix), !r.Deleted)
-	}
 }
 
 func (b *beliefs) hearRouter(name string, there bool) {
@@ -253,6 +265,7 @@
 	}
 	b.g.log.Info("routers changed", "router", name, "there", there, "known", len(b.routers))
 	b.g.setRouters(max(len(b.routers), 1))
+	b.g.follow.source.SetRouters(max(len(b.routers), 1))
 	if !there && name == b.g.opts.Name {
 		b.g.members.wake()
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -236,7 +236,7 @@
 		if n := after["kv-watch "+platform.TargetPrefix]; n < 1 || n > 4 {
 			return errors.Errorf("the leader alone watches, with pauses: %v", after)
 		}
-		if after["kv-watch "+fleetPrefix] > 1 || after["kv-watch "+platform.ConfigPrefix] > 1 {
+		if after["kv-watch "+leaderPrefix] > 1 || after["kv-watch "+platform.ConfigPrefix] > 1 {
 			return errors.Errorf("what changes seldom is asked for seldom: %v", after)
 		}
 		return nil
@@ -249,7 +249,7 @@
 // Cause: a try that fails at once is followed by the next at once.
 func TestLeadIsNotAskedForWithoutPause(t *testing.T) {
 	f := newFleet(t, 1, "")
-	waittest.Until(t, "the fleet's records are read", func() bool { return f.store.Calls()["kv-range "+fleetPrefix] > 0 })
+	waittest.Until(t, "the fleet's records are read", func() bool { return f.store.Calls()["kv-range "+leaderPrefix] > 0 })
 	f.store.Refuse(http.StatusServiceUnavailable)
 	f.gateways[0].view.Store(&view{config: &routes.Config{}})
 	f.gateways[0].leader.duty.Tell(&leaderSeen{})
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// configPause and fleetPause are kept between a change and the next watch, see
-	// watcher.pause; configurations and routers change seldom, at times in a storm.
+	// configPause and leaderPause are kept between a change and the next watch, see
+	// watcher.pause; configurations and leaders change seldom, at times in a storm.
 	configPause = 100 * time.Millisecond
-	fleetPause  = 20 * time.Millisecond
+	leaderPause = 20 * time.Millisecond
+	// routersPause is that of the routers' records, of which just the number counts.
+	routersPause = 500 * time.Millisecond
 	// targetsPause is that of the targets, which write every second or so. A leaving target
 	// must get no new work within two seconds, of which the way to the followers and the
 	// search for a lost leader take one.
@@ -32,6 +34,9 @@
 	freshFor = targetsPause + targetsWait + 150*time.Millisecond
 	// feedPatience is how long a router waits for its first feed before it asks the store.
 	feedPatience = 1500 * time.Millisecond
+	// configPatience is how long a watch may take to bring a configuration that the leader
+	// has: 200 kB take 0.2 s on a link of 10 Mbit/s, and the store may be busy with all routers.
+	configPatience = 900 * time.Millisecond
 	// followAgain is the pause before a lost leader is tried again.
 	followAgain = 300 * time.Millisecond
 )
@@ -53,9 +58,14 @@
 	term     *term
 	standing []*watcher
 	direct   []*watcher
+	// directTables says that the tables are among what direct watches.
+	directTables bool
 	// backs is the term of the leader that this router backs, until backsUntil.
 	backs      kv.Revision
 	backsUntil time.Time
+	// newer is the version that the leader has and this router doesn't, since newerAt.
+	newer   uint64
+	newerAt time.Time
 	// stopDirect ends the watches that only a router without a feed needs.
 	stopDirect context.CancelFunc
 }
@@ -64,7 +74,7 @@
 	f := &follow{g: g, source: feed.NewSource(), moved: make(chan struct{})}
 	a := &g.opts.Adapter
 	f.standing = []*watcher{
-		f.watcher(a.ConfigPrefix, configPause, restingWait), f.watcher(fleetPrefix, fleetPause, restingWait),
+		f.watcher(a.ConfigPrefix, configPause, restingWait), f.watcher(leaderPrefix, leaderPause, restingWait),
 	}
 	for _, w := range f.standing {
 		g.goRun(func() { w.run(g.lifetime) })
@@ -184,7 +194,7 @@
 				f.leaveStore()
 			}
 			f.compare(u.Config)
-			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables) > 0 {
+			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
 				f.g.beliefs.duty.Tell(u)
 			}
 		},
@@ -193,14 +203,30 @@
 }
 
 // compare asks the store again where the leader has a newer configuration than this
-// router: a watch that the store passed over while it dropped history hears of nothing.
+// router for longer than a watch takes to bring it: one that the store passed over while it
+// dropped history hears of nothing.
+//
+// A watch must not be cut while it brings the configuration: a long one takes a router on a
+// slow link most of a second, and each update would make it begin anew.
 func (f *follow) compare(version uint64) {
 	v := f.g.view.Load()
 	if v == nil || v.config.Version >= version {
 		return
 	}
-	f.g.log.Info("leader has a newer configuration", "version", version, "in_force", v.config.Version)
-	f.rewatch()
+	f.mu.Lock()
+	now := time.Now()
+	if f.newer != version {
+		f.newer, f.newerAt = version, now
+	}
+	late := now.Sub(f.newerAt) >= configPatience
+	if late {
+		f.newerAt = now
+	}
+	f.mu.Unlock()
+	if late {
+		f.g.log.Info("leader has a newer configuration", "version", version, "in_force", v.config.Version)
+		f.rewatch()
+	}
 }
 
 // promise notes that this router backs a leader until a time, and follows no other before.
@@ -241,7 +267,7 @@
 func (f *follow) askStore(tables bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.stopDirect != nil && (len(f.direct) > 1 || !tables) {
+	if f.stopDirect != nil && (f.directTables || !tables) {
 		return
 	}
 	if f.stopDirect != nil {
@@ -249,7 +275,10 @@
 	}
 	ctx, cancel := context.WithCancel(f.g.lifetime)
 	f.stopDirect = cancel
-	f.direct = []*watcher{f.watcher(f.g.opts.Adapter.TargetPrefix, targetsPause, targetsWait)}
+	f.direct = []*watcher{
+		f.watcher(f.g.opts.Adapter.TargetPrefix, targetsPause, targetsWait), f.watcher(routerPrefix, routersPause, restingWait),
+	}
+	f.directTables = tables
 	if tables {
 		f.direct = append(f.direct, f.watcher(tablePrefix, tablesPause, restingWait))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,12 +142,12 @@
 	return duty.Start(g.system, g.workers, g.opts.Mailbox, false, handle)
 }
 
-// configPatience is how long callers' connections wait for the first configuration, whose
+// firstPatience is how long callers' connections wait for the first configuration, whose
 // limits the server then has from its start. After it they are answered "not ready".
-const configPatience = 1500 * time.Millisecond
+const firstPatience = 1500 * time.Millisecond
 
 func (g *Gateway) serveCallers() {
-	timer := time.NewTimer(configPatience)
+	timer := time.NewTimer(firstPatience)
 	defer timer.Stop()
 	select {
 	case <-g.firstKnown:
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -62,6 +62,8 @@
 	Tables  []Table
 	// Config is the version of the configuration that the leader has in force.
 	Config uint64
+	// Routers is the number of live routers; zero where it isn't known.
+	Routers int
 	// Stale says that the leader doesn't hear from the store: there are tables at most.
 	Stale bool
 }
@@ -156,7 +158,7 @@
 // decodeUpdate reads an update; tables are those that came before on the same connection,
 // which it replaces.
 func decodeUpdate(p *feedpb.Update, tables map[string]*keyspace.Table) (*Update, error) {
-	u := &Update{Whole: p.GetWhole(), Gone: p.GetGone(), Config: p.GetConfig(), Stale: p.GetStale()}
+	u := &Update{Whole: p.GetWhole(), Gone: p.GetGone(), Config: p.GetConfig(), Stale: p.GetStale(), Routers: int(p.GetRouters())}
 	for _, t := range p.GetTargets() {
 		u.Targets = append(u.Targets, decodeTarget(t))
 	}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -19,6 +19,7 @@
 	// get just what has changed since.
 	tables  map[string][]versionedTable
 	config  uint64
+	routers int
 	// known says that the targets have been read from the store once.
 	known   bool
 	changed chan struct{}
@@ -90,6 +91,14 @@
 	s.config = version
 }
 
+// SetRouters tells the number of live routers.
+func (s *Source) SetRouters(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bump()
+	s.routers = n
+}
+
 // SetTable tells a division that the store has.
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
@@ -153,7 +162,7 @@
 // tellTargets adds the targets and the configuration after a version; the lock is held.
 func (s *Source) tellTargets(u *feedpb.Update, version uint64) {
 	now := time.Now()
-	u.Whole, u.Config = version == 0, s.config
+	u.Whole, u.Config, u.Routers = version == 0, s.config, uint32(s.routers)
 	for _, t := range s.targets {
 		if t.version > version {
 			u.Targets = append(u.Targets, encodeTarget(&t.target, now))
