--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 # SYSTEM are the packages whose tests run whole systems by the clock. Beside the
 # processor-bound tests of other packages their leases and timeouts pass unheard, and
 # a test fails for want of a core; so they run afterwards, one package at a time.
-SYSTEM = ./caller ./cmd/tarragonctl ./cmd/tarragongw ./dev ./examples/embed ./peer ./target
+SYSTEM = ./caller ./cmd/tarragonctl ./cmd/tarragongw ./dev ./examples/embed ./gateway ./peer ./target
 
 # unit runs all tests but those that KNOWN-RED.txt lists, which it prints.
 unit: unit-packages unit-system
--- /dev/null
+++ b/caller/promises_test.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/core/fault"
+)
+
+// Symptom: a caller repeats an upload that the target has run.
+// Sequence: its body stalls on the way to the target; it is answered 408.
+// Cause: where callers take 408 for "not run", it was said without knowing.
+func TestStatusThatPromisesNeedsAProof(t *testing.T) {
+	for _, promises := range []bool{false, true} {
+		cfg := Config{Promises: promises}
+		for _, kind := range fault.Kinds() {
+			f := fault.New(kind, "")
+			f.Ran = fault.RanUnknown
+			w := httptest.NewRecorder()
+			writeFaultAnswer(w, http.MethodGet, "id", f, &cfg)
+			switch w.Code {
+			case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+				assert.Assert(t, !promises, kind.String())
+			}
+			f.Ran = fault.NotRun
+			w = httptest.NewRecorder()
+			writeFaultAnswer(w, http.MethodGet, "id", f, &cfg)
+			assert.Equal(t, w.Code, kind.Row().Status)
+		}
+	}
+}
+
+func TestWaitsInFractionsOfASecond(t *testing.T) {
+	f := fault.New(fault.QueueFull, "")
+	f.RetryAfter = 120 * time.Millisecond
+	w := httptest.NewRecorder()
+	writeFaultAnswer(w, http.MethodGet, "id", f, &Config{FractionalWaits: true})
+	seconds, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds >= 0.12 && seconds <= 0.25, "%v", seconds)
+}
