--- /dev/null
+++ b/core/assign/seats.go
@@ -0,0 +1,64 @@
+package assign
+
+import (
+	"time"
+
+	"tarragongw/core/directory"
+)
+
+// seat is what the leader knows of one target.
+type seat struct {
+	target directory.Target
+	// failures counts orders without an answer since the last one with, which came at
+	// answered; for a new seat that is when it was seen first.
+	failures int
+	answered time.Time
+	lost     bool
+}
+
+// SetTargets tells the targets that there are.
+func (a *Assigner) SetTargets(now time.Time, targets []directory.Target) {
+	seats := make(map[string]*seat, len(targets))
+	for _, t := range targets {
+		if t.Service != a.service {
+			continue
+		}
+		s, known := a.seats[t.ID]
+		if !known || s.target.Born != t.Born || s.target.Address != t.Address {
+			s = &seat{answered: now}
+			a.grown = now
+		}
+		s.target = t
+		seats[t.ID] = s
+	}
+	a.seats = seats
+}
+
+// OldLeaderStops tells when the leader before has stopped renewing at the latest, and the
+// longest grant that it gave: targets that don't answer this one need not be waited for
+// any longer than that.
+func (a *Assigner) OldLeaderStops(at time.Time, hold time.Duration) {
+	lapse := at.Add(lapseAfter(hold))
+	for i := range a.spans {
+		s := &a.spans[i]
+		if s.inherited && s.lapse.After(lapse) {
+			s.lapse = lapse
+		}
+	}
+}
+
+// takes reports whether the target may be given keys.
+func (s *seat) takes() bool { return s != nil && !s.lost && !s.target.Draining }
+
+func (a *Assigner) noteSeat(now time.Time, id string, outcome Outcome) {
+	seat := a.seats[id]
+	if seat == nil {
+		return
+	}
+	if outcome != Unanswered {
+		seat.failures, seat.lost, seat.answered = 0, false, now
+		return
+	}
+	seat.failures++
+	seat.lost = seat.lost || seat.failures >= failuresToLose && now.Sub(seat.answered) >= loseAfter
+}
