Learn a target's speed also from answers that waited, and move load out of many small ranges

And where its keys lay in many ranges none had the wanted load, so that nothing moved. Change: an answer's time is divided by the turns that it was expected to wait; the speed begins at the service's mean; the range with the most load moves where none has enough. Tests: TestSpeedOfAFullTargetIsLearnt, TestLoadInManySmallRangesMoves; the hot key's test takes the whole stay for an answer's time, as the router does.

--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -256,3 +256,26 @@
 	assert.Equal(t, len(full), len(first))
 	assert.Equal(t, full[0].Hold, DefaultHold)
 }
+
+// Symptom: one target has more than half of the load for ten seconds, and none of it moves.
+// Sequence: its keys lie in many ranges, each with a small part of what should be moved.
+// Cause: only ranges with about the wanted load are looked at.
+func TestLoadInManySmallRangesMoves(t *testing.T) {
+	a := settled(t, "a", "b", "c", "d")
+	now := after(3 * time.Second)
+	settle(a, now)
+	hot := a.spans[0]
+	size := keyspace.Key(hot.Len() / 12)
+	for i := range keyspace.Key(11) {
+		a.carve(a.find(hot.From+i*size), hot.From+i*size, hot.From+(i+1)*size-1)
+	}
+	a.mergeDue = now.Add(time.Hour)
+	for i := range 600 {
+		a.Heat().Add(now, hot.From+keyspace.Key(i*hot.Len()/600), 1)
+	}
+	moves := a.Rebalance(now, nil, 1.0/3)
+	assert.Assert(t, len(moves) >= 4, "%v", moves)
+	for _, m := range moves {
+		assert.Assert(t, m.From >= hot.From && m.To <= hot.To, "%v", m)
+	}
+}
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -21,6 +21,9 @@
 	// wanted.
 	tooLittle = 0.5
 	tooMuch   = 1.5
+	// atLeast is the least part that is moved where the holder's keys lie in many ranges of
+	// which none has the wanted load.
+	atLeast = 0.05
 	// maxMoving bounds the ranges that are on their way at once.
 	maxMoving = 8
 	// defaultServiceTime is used for targets whose own is not known, in seconds.
@@ -47,7 +50,17 @@
 	seats []*place
 	byID  map[string]*place
 	// taken are the first keys of the ranges that moves were decided for.
-	taken map[keyspace.Key]bool
+	taken []keyspace.Key
+}
+
+// takes reports whether a part of the range moves already.
+func (p *plan) takes(s *span) bool {
+	for _, k := range p.taken {
+		if s.From <= k && k <= s.To {
+			return true
+		}
+	}
+	return false
 }
 
 // newPlan adds up what each target holds now. Keys that are on their way count for the
@@ -56,7 +69,7 @@
 
 func (a *Assigner) planWith(now time.Time, speeds Speeds) *plan {
 	a.heat.settle(now)
-	p := &plan{heat: a.heat, byID: map[string]*place{}, taken: map[keyspace.Key]bool{}}
+	p := &plan{heat: a.heat, byID: map[string]*place{}}
 	for id, s := range a.seats {
 		if !s.takes() {
 			continue
@@ -172,8 +185,8 @@
 		}
 		want := moveShare * gap / (hot.cost + cool.cost)
 		from, to, load, ok := a.bestRange(p, hot.target.ID, want)
-		if ok && !p.taken[from] {
-			p.taken[from] = true
+		if ok {
+			p.taken = append(p.taken, from)
 			hot.load -= load
 			cool.load += load
 			return Move{From: from, To: to, Target: cool.target.ID}, true
@@ -183,19 +196,24 @@
 }
 
 // bestRange returns the smallest range of the holder's keys, at an end of one of its
-// segments, whose load is near the wanted one. Of ranges of one load the one with fewer
+// segments, whose load is near the wanted one, or the one with the most load below it. Of ranges of one load the one with fewer
 // keys has the hot ones; the others would be moved for nothing.
 func (a *Assigner) bestRange(p *plan, holder string, want float64) (from, to keyspace.Key, load float64, found bool) {
 	least := int(keyspace.LastKey) + 2
 	consider := func(f, t keyspace.Key) {
 		l, keys := p.heat.of(f, t), int(t)-int(f)+1
-		if l >= want*tooLittle && l <= want*tooMuch && keys < least {
+		switch {
+		case l > want*tooMuch:
+		case l >= want*tooLittle && keys < least:
 			from, to, load, found, least = f, t, l, true, keys
+		case least > int(keyspace.LastKey)+1 && l > load && l >= want*atLeast:
+			// Nothing near the wanted load so far: of what there is, the most.
+			from, to, load, found = f, t, l, true
 		}
 	}
 	for i := range a.spans {
 		s := &a.spans[i]
-		if s.Target != holder || s.Moving || s.busy || !s.acked {
+		if s.Target != holder || s.Moving || s.busy || !s.acked || p.takes(s) {
 			continue
 		}
 		if p.heat.of(s.From, s.To) <= want*tooMuch {
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -56,7 +56,7 @@
 func learn(s *Service, id string, took time.Duration) {
 	for range 30 {
 		s.loads[id].inFlight++
-		s.Done(start, id, Answered, took, false)
+		s.Done(start, id, Answered, took, 1)
 	}
 }
 
@@ -94,8 +94,8 @@
 	l := s.loads["a"]
 	before := l.depth
 	l.inFlight = 2
-	s.Done(start, "a", Shed, 0, false)
-	s.Done(start, "a", Shed, 0, false)
+	s.Done(start, "a", Shed, 0, 1)
+	s.Done(start, "a", Shed, 0, 1)
 	assert.Assert(t, l.depth < before/2+minDepth)
 	learn(s, "a", 100*time.Millisecond)
 	assert.Assert(t, l.depth > before/2)
@@ -158,7 +158,7 @@
 		}
 	}
 	assert.Equal(t, len(s.Poll(at(1))), 0)
-	s.Done(at(50), "a", Answered, 50*time.Millisecond, false)
+	s.Done(at(50), "a", Answered, 50*time.Millisecond, 1)
 	decided := s.Poll(at(50))
 	assert.Equal(t, decided[waiting[0]].Verdict, Send)
 	assert.Assert(t, s.Cancel(waiting[1]))
@@ -187,13 +187,13 @@
 	r := request(1)
 	r.Key = key
 	assert.Equal(t, s.Offer(start, r).Verdict, Send)
-	s.Done(start, "a", Unreached, 0, false)
+	s.Done(start, "a", Unreached, 0, 1)
 	r.ID = 2
 	assert.Equal(t, s.Offer(start, r).Verdict, Refuse)
 	assert.Equal(t, s.Offer(start.Add(minUnreached), r).Verdict, Send)
-	s.Done(start.Add(minUnreached), "a", Unreached, 0, false)
+	s.Done(start.Add(minUnreached), "a", Unreached, 0, 1)
 	assert.Equal(t, s.Offer(start.Add(2*minUnreached), r).Verdict, Refuse)
-	s.Done(start.Add(3*minUnreached), "a", Answered, time.Millisecond, false)
+	s.Done(start.Add(3*minUnreached), "a", Answered, time.Millisecond, 1)
 	assert.Equal(t, s.Offer(start.Add(3*minUnreached), r).Verdict, Send)
 }
 
@@ -204,7 +204,7 @@
 	learn(s, "bad", 100*time.Millisecond)
 	for range 10 {
 		s.loads["bad"].inFlight++
-		s.Done(start, "bad", Failed, time.Millisecond, false)
+		s.Done(start, "bad", Failed, time.Millisecond, 1)
 	}
 	assert.Equal(t, spread(s, 2)["good"], 2)
 	assert.Assert(t, s.loads["bad"].failingNow(at(10_000)) < 0.05)
@@ -228,17 +228,22 @@
 	const service, perSecond = 100 * time.Millisecond, 60
 	s, key := keyed("a", target("a", "here"))
 	learn(s, "a", service)
-	type work struct{ ends time.Time }
+	type work struct {
+		sent, ends time.Time
+		turns      float64
+	}
 	var running []work
 	inTime, late := 0, 0
 	for i := range 5 * perSecond {
 		now := start.Add(time.Duration(i) * time.Second / perSecond)
 		for len(running) > 0 && !running[0].ends.After(now) {
+			done := running[0]
 			running = running[1:]
-			s.Done(now, "a", Answered, service, true)
+			s.Done(now, "a", Answered, done.ends.Sub(done.sent), done.turns)
 		}
 		r := Request{ID: uint64(i), Key: key, Due: now.Add(220 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond)}
-		if s.Offer(now, r).Verdict != Send {
+		d := s.Offer(now, r)
+		if d.Verdict != Send {
 			s.Cancel(r.ID)
 			continue
 		}
@@ -247,7 +252,7 @@
 			begins = running[n-2].ends
 		}
 		ends := begins.Add(service)
-		running = append(running, work{ends})
+		running = append(running, work{now, ends, d.Turns})
 		if ends.After(r.Due) {
 			late++
 		} else {
@@ -257,3 +262,18 @@
 	assert.Assert(t, late <= inTime/20, "%d in time, %d late", inTime, late)
 	assert.Assert(t, inTime >= 5*20*9/10, "%d in time; the target can do 100", inTime)
 }
+
+// Symptom: a target gets two fifths of a service's keys for ten seconds and refuses most.
+// Sequence: its first answer is a short one; from then on it is always full.
+// Cause: its speed is known by the answers that did not wait alone.
+func TestSpeedOfAFullTargetIsLearnt(t *testing.T) {
+	s := newService(target("a", "here"))
+	s.loads["a"].inFlight = 1
+	s.Done(start, "a", Answered, 10*time.Millisecond, 1)
+	assert.Assert(t, s.ServiceTime("a") > 0.1, "one answer says little")
+	for range 50 {
+		s.loads["a"].inFlight = 1
+		s.Done(start, "a", Answered, 600*time.Millisecond, 3)
+	}
+	assert.Assert(t, s.ServiceTime("a") > 0.19 && s.ServiceTime("a") < 0.21, "%v", s.ServiceTime("a"))
+}
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -59,8 +59,8 @@
 	// said of it, at lastReport.
 	others, lastOthers float64
 	lastReport         time.Time
-	// service is the mean time of an answer that did not wait, in seconds; zero before
-	// the first.
+	// service is the mean time of an answer without its wait, in seconds; zero before the
+	// first.
 	service float64
 	// failing is the share of work that failed, as of failedAt.
 	failing  float64
@@ -162,18 +162,20 @@
 	l.lastOthers, l.lastReport = others, now
 }
 
-// answered notes the time that an answer took.
-func (l *Load) answered(took time.Duration, waited bool) {
+// turns is how many service times a new request stays at the target.
+func (l *Load) turns(now time.Time) float64 { return 1 + l.waiting(now)/l.slots() }
+
+// answered notes the time that an answer took, of a request that was expected to stay for
+// so many turns. Answers that waited count as well: a target that is always full would else
+// be known by the few that did not, or by its first alone.
+func (l *Load) answered(took time.Duration, turns, mean float64) {
 	l.depth = math.Min(l.depth+depthGain, l.maxDepth())
 	l.unreached, l.triedAgain = 0, time.Time{}
-	if waited {
-		return
-	}
+	sample := took.Seconds() / math.Max(turns, 1)
 	if l.service == 0 {
-		l.service = took.Seconds()
-		return
+		l.service = mean
 	}
-	l.service += (took.Seconds() - l.service) * serviceGain
+	l.service += (sample - l.service) * serviceGain
 }
 
 // away reports whether the target is left alone, because it can't be reached.
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -76,6 +76,8 @@
 	// it was; negative where there was none.
 	Work      float64
 	ReportAge time.Duration
+	// Turns is how many service times the request is expected to stay there.
+	Turns float64
 	// Fault and RetryAfter say why and for how long a request is refused.
 	Fault      fault.Kind
 	RetryAfter time.Duration
@@ -196,8 +198,8 @@
 	}
 }
 
-// Done ends work at a target that took so long; waited says that it had to wait there.
-func (s *Service) Done(now time.Time, id string, result Result, took time.Duration, waited bool) {
+// Done ends work at a target that took so long; turns are those of its Decision.
+func (s *Service) Done(now time.Time, id string, result Result, took time.Duration, turns float64) {
 	l := s.loads[id]
 	if l == nil {
 		return
@@ -206,8 +208,8 @@
 	switch result {
 	case Answered:
 		l.outcome(now, 0)
-		l.answered(took, waited)
-		s.mean += (took.Seconds() - s.mean) * meanGain
+		l.answered(took, turns, s.mean)
+		s.mean += (took.Seconds()/max(turns, 1) - s.mean) * meanGain
 	case Failed:
 		l.outcome(now, 1)
 		l.full()
@@ -254,7 +256,7 @@
 	if l.inFlight > 0 && !s.worthwhile(now, r, l) {
 		return Decision{}, s.tooLate(now, l)
 	}
-	d := Decision{Verdict: Send, Target: l.Target, Work: l.work(now), ReportAge: -1}
+	d := Decision{Verdict: Send, Target: l.Target, Work: l.work(now), ReportAge: -1, Turns: l.turns(now)}
 	if !l.lastReport.IsZero() {
 		d.ReportAge = now.Sub(l.lastReport)
 	}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -160,8 +160,8 @@
 // send sends the request to the target it was placed at and passes the answer on.
 func (x *exchange) send(d *dispatch.Decision) *fault.Fault {
 	began := time.Now()
-	result, waited := dispatch.Failed, d.Work >= float64(d.Target.Slots)
-	defer func() { x.s.done(d.Target.ID, result, time.Since(began), waited) }()
+	result := dispatch.Failed
+	defer func() { x.s.done(d.Target.ID, result, time.Since(began), d.Turns) }()
 	pool, err := x.g.pools.get(&d.Target, x.g.connsOf(x.s.name))
 	if err != nil {
 		return fault.Wrap(fault.TargetUnreachable, err, "")
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -105,7 +105,7 @@
 	if s.core.Cancel(id) {
 		delete(s.waiting, id)
 	} else if d := <-answer; d.Verdict == dispatch.Send {
-		s.core.Done(time.Now(), d.Target.ID, dispatch.Left, 0, false)
+		s.core.Done(time.Now(), d.Target.ID, dispatch.Left, 0, 1)
 	}
 	return dispatch.Decision{}, endOf(ctx)
 }
@@ -131,11 +131,11 @@
 }
 
 // done ends work at a target.
-func (s *service) done(id string, result dispatch.Result, took time.Duration, waited bool) {
+func (s *service) done(id string, result dispatch.Result, took time.Duration, turns float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.core.Done(now, id, result, took, waited)
+	s.core.Done(now, id, result, took, turns)
 	s.poll(now)
 }
 
