--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -72,3 +72,20 @@
 	assert.Assert(t, !d.Put(at(20), Target{ID: "a", Born: 5, Seq: 41, Draining: true}))
 	assert.Assert(t, !d.Targets()[0].Draining)
 }
+
+// Symptom: a router that was cut off sends work to a target that left 12 s ago.
+// Sequence: its way to the store heals; the target's entry is missing; since the router
+// hadn't reached the store, it believes in the target for the time that entries may take to
+// come back, and counts as whole again before that is over.
+// What ends it: the leader, which was not cut off, knows that the target is gone.
+func TestLeadersWordEndsTheGrace(t *testing.T) {
+	d := New()
+	d.Put(at(0), Target{ID: "a"})
+	d.Put(at(0), Target{ID: "b"})
+	d.StoreAway()
+	d.StoreBack(at(9000))
+	d.Replace(at(9000), []Target{{ID: "b", Seq: 7}})
+	assert.DeepEqual(t, known(d), []string{"a", "b"})
+	assert.Assert(t, d.Adopt(at(9100), true, []Target{{ID: "b", Seq: 8}}, nil))
+	assert.DeepEqual(t, known(d), []string{"b"})
+}
