Wait in one place, and drop what nothing reads

The same sleep stood in router and gateway: duty.Sleep serves both. The time of a table and the count of waiting requests were written and never read. Behaviour stays as it is.

--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -188,9 +188,6 @@
 // Cancel forgets a request that waits; false means that it was decided already.
 func (s *Service) Cancel(id uint64) bool { return s.queue.remove(id) }
 
-// Waiting is the number of requests that wait.
-func (s *Service) Waiting() int { return len(s.queue.all) }
-
 // Report notes what an answer of the target tells of its work.
 func (s *Service) Report(now time.Time, id string, r Report) {
 	if l := s.loads[id]; l != nil {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -267,7 +267,7 @@
 func (l *leader) campaign() {
 	l.campaigning = true
 	l.g.workers.Run(func() {
-		sleep(l.g.lifetime, time.Duration(rand.Int64N(int64(campaignSpread))))
+		duty.Sleep(l.g.lifetime, time.Duration(rand.Int64N(int64(campaignSpread))))
 		l.g.gate.wait(l.g.lifetime)
 		t, err := l.acquire()
 		l.duty.Tell(&campaigned{t, err})
@@ -317,7 +317,7 @@
 
 // keep renews the lease until the term ends.
 func (l *leader) keep(t *term) {
-	for sleep(t.ctx, leaderKeep) {
+	for duty.Sleep(t.ctx, leaderKeep) {
 		sent := l.g.opts.Clock.Now()
 		err := l.g.opts.Store.KeepLease(t.ctx, t.lease)
 		l.duty.Tell(&leaseKept{t, sent, err})
@@ -326,7 +326,7 @@
 
 // beat has the keys looked at for moves until the term ends.
 func (l *leader) beat(t *term) {
-	for sleep(t.ctx, rebalanceEvery) {
+	for duty.Sleep(t.ctx, rebalanceEvery) {
 		l.duty.Tell(rebalance{})
 	}
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -8,6 +8,7 @@
 
 	"tarragongw/core/assign"
 	"tarragongw/core/keyspace"
+	"tarragongw/duty"
 	"tarragongw/kv"
 	"tarragongw/peer/feed"
 )
@@ -103,7 +104,7 @@
 	if w := actions.Write; w != nil {
 		pause, revision := p.notBefore.Sub(now), p.revision
 		l.g.workers.Run(func() {
-			sleep(t.ctx, pause)
+			duty.Sleep(t.ctx, pause)
 			l.duty.Tell(l.write(t, service, revision, w))
 		})
 	}
@@ -118,7 +119,7 @@
 	m := &ordered{term: t, service: service, order: o, outcome: assign.Unanswered}
 	if err := l.mayOrder(t); err != nil {
 		m.err = err
-		sleep(t.ctx, leaderKeep)
+		duty.Sleep(t.ctx, leaderKeep)
 		return m
 	}
 	began := time.Now()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/duty"
 	"tarragongw/kv"
 )
 
@@ -50,7 +51,7 @@
 			pause = time.Duration(float64(probeEvery) * (0.5 + rand.Float64()))
 		}
 		if m.failing {
-			sleep(ctx, pause)
+			duty.Sleep(ctx, pause)
 			continue
 		}
 		select {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -31,9 +31,8 @@
 	waiting map[uint64]chan dispatch.Decision
 	lastID  uint64
 	timer   *time.Timer
-	// table is the division of keys that is in force; tableAt is when it came.
-	table   *keyspace.Table
-	tableAt time.Time
+	// table is the division of keys that is in force.
+	table *keyspace.Table
 	// changed is closed when the table changes.
 	changed chan struct{}
 	heat    *heatBuffer
@@ -60,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.table, s.tableAt = t, now
+	s.table = t
 	close(s.changed)
 	s.changed = make(chan struct{})
 	s.core.SetTable(t)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"tarragongw/duty"
 )
 
 const (
@@ -29,7 +31,7 @@
 	case <-ctx.Done():
 	}
 	g.members.leave(ctx)
-	sleep(ctx, time.Until(began.Add(part(g.opts.Grace, leaveShare))))
+	duty.Sleep(ctx, time.Until(began.Add(part(g.opts.Grace, leaveShare))))
 	g.mu.RLock()
 	callers := g.callers
 	g.mu.RUnlock()
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/duty"
 	"tarragongw/kv"
 )
 
@@ -106,7 +107,7 @@
 		}
 		w.succeeded(began, message)
 		if len(message.records) > 0 {
-			sleep(ctx, w.pause)
+			duty.Sleep(ctx, w.pause)
 		}
 	}
 }
@@ -164,20 +165,5 @@
 	w.gate.shut()
 	w.probe()
 	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
-	sleep(ctx, time.Duration(float64(w.backoff)*(0.5+rand.Float64())))
-}
-
-// sleep waits and reports whether the context still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	duty.Sleep(ctx, time.Duration(float64(w.backoff)*(0.5+rand.Float64())))
 }
--- a/router/forward.go
+++ b/router/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"tarragongw/core/routing"
 	"tarragongw/core/selector"
 	"tarragongw/core/shed"
+	"tarragongw/duty"
 	"tarragongw/peer"
 	"tarragongw/replay"
 )
@@ -117,7 +117,7 @@
 	if !decision.Retry || r.own.refuse(shed.Retry) != nil {
 		return false
 	}
-	return sleep(x.r.Context(), decision.After)
+	return duty.Sleep(x.r.Context(), decision.After)
 }
 
 // routeMayBeOld reports refusals with proof that a newer routing table would mend.
@@ -296,21 +296,6 @@
 	return caller.CopyAnswer(x.w, resp)
 }
 
-// sleep waits and reports whether the context still lives.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func unitName(unit routing.Unit) string {
 	if unit.Service == "" {
 		return ""
--- a/router/isolation.go
+++ b/router/isolation.go
@@ -13,6 +13,7 @@
 	"tarragongw/core/ownership"
 	"tarragongw/core/reach"
 	"tarragongw/core/rendezvous"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/peer"
 )
@@ -73,7 +74,7 @@
 // watch looks at the data centres until all are at rest.
 func (i *isolation) watch() {
 	last := i.r.clock.Now()
-	for sleep(i.r.lifetime, isolationEvery) {
+	for duty.Sleep(i.r.lifetime, isolationEvery) {
 		now := i.r.clock.Now()
 		if !i.look(now, now-last) {
 			return
--- a/router/owndelay.go
+++ b/router/owndelay.go
@@ -10,6 +10,7 @@
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
 	"tarragongw/core/shed"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 )
 
@@ -95,7 +96,7 @@
 // late counts as delay, so that a lack of any processor time shows too.
 func (d *ownDelay) probe(out *os.File) {
 	due := time.Now().Add(delayRest)
-	for sleep(d.r.lifetime, time.Until(due)) {
+	for duty.Sleep(d.r.lifetime, time.Until(due)) {
 		if d.send(due) {
 			// The pipe holds one byte at most, so that the write doesn't block; it fails once
 			// the pipe is closed.
--- a/router/stop.go
+++ b/router/stop.go
@@ -6,6 +6,7 @@
 
 	"tarragongw/core/membership"
 	"tarragongw/core/ownership"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 )
 
@@ -36,14 +37,14 @@
 	r.stopping.Store(true)
 	r.journal.Record(eventlog.Event{Kind: eventlog.RouterStopping, Cause: "asked to stop", Router: r.self.Name})
 	r.members.duty.Tell(membership.Leave{Leaving: true})
-	sleep(ctx, r.opts.Settings.Drain.NotReady)
+	duty.Sleep(ctx, r.opts.Settings.Drain.NotReady)
 	var report StopReport
 	report.Cut = r.caller.Shutdown(ctx)
 	r.owner.duty.Tell(ownership.Stop{})
 	report.HandedOver = r.awaitHandOver(ctx)
 	report.Cut += r.awaitForwarded(ctx)
 	r.members.duty.Tell(membership.Leave{})
-	sleep(ctx, leaveLinger)
+	duty.Sleep(ctx, leaveLinger)
 	r.end(ctx)
 	return report
 }
@@ -59,7 +60,7 @@
 			// It hands nothing over: the others take its duties without being asked.
 			return false
 		}
-		if !sleep(ctx, handOverCheckEvery) {
+		if !duty.Sleep(ctx, handOverCheckEvery) {
 			return false
 		}
 	}
@@ -81,7 +82,7 @@
 		for _, u := range r.upstreams.all() {
 			busy += u.flights.countForwarded()
 		}
-		if busy == 0 || !sleep(ctx, handOverCheckEvery) {
+		if busy == 0 || !duty.Sleep(ctx, handOverCheckEvery) {
 			return busy
 		}
 	}
--- a/router/storewatch.go
+++ b/router/storewatch.go
@@ -7,6 +7,7 @@
 
 	"tarragongw/confstore"
 	"tarragongw/core/spread"
+	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/kv"
 )
@@ -46,7 +47,7 @@
 			continue
 		}
 		w.reached(false)
-		sleep(w.ctx, pauseAfterFailure)
+		duty.Sleep(w.ctx, pauseAfterFailure)
 	}
 }
 
--- a/router/takeover.go
+++ b/router/takeover.go
@@ -8,6 +8,7 @@
 	"tarragongw/core/fault"
 	"tarragongw/core/model"
 	"tarragongw/core/ownership"
+	"tarragongw/duty"
 )
 
 const (
@@ -164,7 +165,7 @@
 		}
 		left, last = min(left, max(seen, last)), seen
 		u.gate.Inherit(inheritFor, left)
-		if left == 0 || !sleep(r.lifetime, inheritEvery) {
+		if left == 0 || !duty.Sleep(r.lifetime, inheritEvery) {
 			return
 		}
 	}
--- a/router/vmlist.go
+++ b/router/vmlist.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragongw/core/membership"
+	"tarragongw/duty"
 	"tarragongw/kv"
 	"tarragongw/peer/wire"
 )
@@ -85,7 +86,7 @@
 				m.duty.Tell(listRead{vms: event.VMs, at: at})
 			}
 		}
-		if !sleep(m.r.lifetime, every) {
+		if !duty.Sleep(m.r.lifetime, every) {
 			return
 		}
 	}
