--- a/cmd/tarragonctl/events.go
+++ b/cmd/tarragonctl/events.go
@@ -9,7 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/operator"
 )
 
@@ -102,7 +102,7 @@
 	fmt.Fprintf(f.c.Root().ErrWriter, "tarragonctl: "+format+"\n", args...)
 }
 
-func (f *follower) print(events []journal.Event) error {
+func (f *follower) print(events []eventlog.Event) error {
 	out := f.c.Root().Writer
 	if f.c.String(flagOutput) != outputJSON {
 		showEvents(out, events)
@@ -117,10 +117,10 @@
 	return nil
 }
 
-func showEvents(out io.Writer, events []journal.Event) {
+func showEvents(out io.Writer, events []eventlog.Event) {
 	for _, e := range events {
 		fmt.Fprintf(out, "%s %s", e.Time.Format("15:04:05.000"), e.Kind)
-		for _, f := range []journal.Field{
+		for _, f := range []eventlog.Field{
 			{Key: "service", Value: e.Service}, {Key: "unit", Value: e.Unit}, {Key: "target", Value: e.Target},
 			{Key: "router", Value: e.Router}, {Key: "caller", Value: e.Caller},
 		} {
--- a/cmd/tarragonctl/mergeevents.go
+++ b/cmd/tarragonctl/mergeevents.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"time"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 // mergedEvent is one thing that happened, as one or more routers recorded it.
 type mergedEvent struct {
-	journal.Event
+	eventlog.Event
 	// Routers recorded it, about these Targets; Count is how often in all.
 	Routers, Targets []string
 	Count            int
@@ -29,12 +29,12 @@
 // record is an event with the router that recorded it.
 type record struct {
 	recorder string
-	journal.Event
+	eventlog.Event
 }
 
 // subject is what records of the same event have in common.
 type subject struct {
-	kind                   journal.Kind
+	kind                   eventlog.Kind
 	cause, service, router string
 }
 
--- a/cmd/tarragonctl/pageevents.go
+++ b/cmd/tarragonctl/pageevents.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 const (
@@ -28,12 +28,12 @@
 }
 
 // marked are the kinds of events that the plots show.
-var marked = map[journal.Kind]bool{
-	journal.ConfigChanged: true, journal.TargetDraining: true, journal.TargetEjected: true, journal.TargetReadmitted: true,
-	journal.MemberLost: true, journal.MemberLeft: true, journal.MemberJoined: true, journal.GrantorDead: true,
-	journal.DataCentreCutOff: true, journal.DataCentreBack: true, journal.StoreUnavailable: true, journal.StoreAvailable: true,
-	journal.UnitUnserved: true, journal.RouterStopping: true, journal.IsolationBegan: true, journal.IsolationEnded: true,
-	journal.RouterSaturated: true, journal.RouterRelieved: true,
+var marked = map[eventlog.Kind]bool{
+	eventlog.ConfigChanged: true, eventlog.TargetDraining: true, eventlog.TargetEjected: true, eventlog.TargetReadmitted: true,
+	eventlog.MemberLost: true, eventlog.MemberLeft: true, eventlog.MemberJoined: true, eventlog.GrantorDead: true,
+	eventlog.DataCentreCutOff: true, eventlog.DataCentreBack: true, eventlog.StoreUnavailable: true, eventlog.StoreAvailable: true,
+	eventlog.UnitUnserved: true, eventlog.RouterStopping: true, eventlog.IsolationBegan: true, eventlog.IsolationEnded: true,
+	eventlog.RouterSaturated: true, eventlog.RouterRelieved: true,
 }
 
 // addEvents fills the table, newest last, and returns the marks of the plots.
--- a/cmd/tarragonctl/request.go
+++ b/cmd/tarragonctl/request.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/operator"
 )
 
@@ -83,7 +83,7 @@
 	}
 }
 
-func showRequest(out io.Writer, r *journal.Request) {
+func showRequest(out io.Writer, r *eventlog.Request) {
 	fmt.Fprintf(out, "request %s at %s, router %s: %s (%s) after %s\n",
 		r.ID, r.Time.Format(time.RFC3339Nano), r.Router, r.Code, r.Ran, r.Elapsed)
 	fmt.Fprintf(out, "  service %s, caller %s, class %s, revision %d\n", orNone(r.Service), orNone(r.Caller), orNone(r.Class), r.Revision)
--- a/cmd/tarragongw/run.go
+++ b/cmd/tarragongw/run.go
@@ -17,7 +17,7 @@
 	"tarragongw/config"
 	"tarragongw/heap"
 	"tarragongw/keys"
-	"tarragongw/platform/httpstore"
+	"tarragongw/kv/httpstore"
 	"tarragongw/router"
 	"tarragongw/telemetry"
 )
--- a/confstore/editor.go
+++ b/confstore/editor.go
@@ -12,7 +12,7 @@
 	"tarragongw/config"
 	"tarragongw/core/model"
 	"tarragongw/core/selector"
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 // maxRaces bounds how often a change is made again on top of another operator's.
@@ -47,7 +47,7 @@
 
 // Editor changes the configuration in the store.
 type Editor struct {
-	Store   platform.Store
+	Store   kv.Store
 	History *History
 	// Now tells the time of a change; nil means time.Now.
 	Now func() time.Time
@@ -60,7 +60,7 @@
 // Load reads the present configuration; an absent one is empty with revision zero.
 func (e *Editor) Load(ctx context.Context) (*State, error) {
 	rec, err := e.Store.Get(ctx, Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return &State{Model: &model.Model{}}, nil
 	}
 	if err != nil {
@@ -77,7 +77,7 @@
 
 // decode reads a record, and validates and compiles what the last one did not have. A
 // model that cannot be compiled is read as Decode does, so that it can be mended.
-func (e *Editor) decode(rec platform.Record) (*State, error) {
+func (e *Editor) decode(rec kv.Record) (*State, error) {
 	e.mu.Lock()
 	last := e.last
 	e.mu.Unlock()
@@ -134,7 +134,7 @@
 
 // Change applies an edit to the present configuration. It returns without error
 // only once the new revision is known to be durable; where that is unknown the
-// error is platform.ErrUnknown.
+// error is kv.ErrUnknown.
 func (e *Editor) Change(ctx context.Context, author string, dryRun bool, edit Edit) (*Result, error) {
 	for range maxRaces {
 		present, err := e.Load(ctx)
@@ -146,7 +146,7 @@
 			return result, err
 		}
 		err = e.write(ctx, result.State, present)
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, kv.ErrConflict) {
 			continue
 		}
 		if err != nil {
@@ -191,8 +191,8 @@
 	if err != nil {
 		return err
 	}
-	settler := platform.Settler{Store: e.Store, Ops: opsOf}
-	settled, err := settler.Write(ctx, platform.Write{Key: Key, OpID: opID, Expect: state.Stored, Value: value})
+	settler := kv.Settler{Store: e.Store, Ops: opsOf}
+	settled, err := settler.Write(ctx, kv.Write{Key: Key, OpID: opID, Expect: state.Stored, Value: value})
 	if err != nil {
 		return err
 	}
--- a/confstore/pieces.go
+++ b/confstore/pieces.go
@@ -12,7 +12,7 @@
 
 	"tarragongw/config"
 	"tarragongw/core/model"
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 // The packed model is a gzip file with a member for each piece, which every gzip reader
@@ -149,7 +149,7 @@
 // DecodeAfter reads a record as Decode does, but reads only the pieces that are not in
 // the state that was read before, which may be nil. It does not validate the model:
 // selector.Recompile does. A record that is not in pieces is read whole.
-func DecodeAfter(before *State, rec platform.Record) (*State, error) {
+func DecodeAfter(before *State, rec kv.Record) (*State, error) {
 	var r record
 	if err := json.Unmarshal(rec.Value, &r); err != nil {
 		return nil, errors.Wrap(err, "decode the configuration's record")
--- a/confstore/record.go
+++ b/confstore/record.go
@@ -14,7 +14,7 @@
 	"tarragongw/config"
 	"tarragongw/core/model"
 	"tarragongw/core/selector"
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 // Key is the store key of the configuration and Prefix what a watch of it asks for.
@@ -33,10 +33,10 @@
 // record is the value in the store. The packed model stays far below the store's
 // limit for a value: names repeat, so it packs to about a tenth.
 type record struct {
-	Revision uint64        `json:"revision"`
-	Author   string        `json:"author"`
-	Time     time.Time     `json:"time"`
-	Ops      []platform.Op `json:"ops"`
+	Revision uint64    `json:"revision"`
+	Author   string    `json:"author"`
+	Time     time.Time `json:"time"`
+	Ops      []kv.Op   `json:"ops"`
 	// Model is config.Encode's form, packed by gzip, a member for each of its pieces.
 	Model []byte `json:"model"`
 }
@@ -48,12 +48,12 @@
 	Author string
 	Time   time.Time
 	// Stored is the store's revision of the record; zero where there is none.
-	Stored platform.Revision
+	Stored kv.Revision
 
 	// Value is the record's value as stored.
 	Value []byte
 
-	ops []platform.Op
+	ops []kv.Op
 	// parts are where the pieces of the record went, if it could be read in pieces.
 	parts []part
 	// compiled is the model as Editor compiled it; nil where it did not.
@@ -64,7 +64,7 @@
 func (s *State) Revision() uint64 { return s.Model.Revision }
 
 // Decode reads a record of the store.
-func Decode(rec platform.Record) (*State, error) {
+func Decode(rec kv.Record) (*State, error) {
 	var r record
 	if err := json.Unmarshal(rec.Value, &r); err != nil {
 		return nil, errors.Wrap(err, "decode the configuration's record")
@@ -89,7 +89,7 @@
 		return nil, err
 	}
 	s.parts = parts
-	ops := append([]platform.Op{{ID: opID, Base: s.Stored}}, s.ops...)
+	ops := append([]kv.Op{{ID: opID, Base: s.Stored}}, s.ops...)
 	return json.Marshal(&record{
 		Revision: s.Model.Revision,
 		Author:   s.Author,
@@ -100,7 +100,7 @@
 }
 
 // opsOf returns the writes that a record remembers.
-func opsOf(value []byte) ([]platform.Op, error) {
+func opsOf(value []byte) ([]kv.Op, error) {
 	var r record
 	if err := json.Unmarshal(value, &r); err != nil {
 		return nil, errors.Wrap(err, "decode the configuration's record")
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -17,9 +17,9 @@
 	"tarragongw/config"
 	"tarragongw/core/model"
 	"tarragongw/keys"
+	"tarragongw/kv/httpstore"
+	"tarragongw/kv/standin"
 	"tarragongw/operator"
-	"tarragongw/platform/httpstore"
-	"tarragongw/platform/standin"
 	"tarragongw/router"
 	"tarragongw/target/sample"
 )
--- a/dev/routers.go
+++ b/dev/routers.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/config"
-	"tarragongw/platform"
+	"tarragongw/kv"
 	"tarragongw/router"
 )
 
@@ -97,12 +97,12 @@
 
 // listVMs lists each name's latest router.
 func (s *System) listVMs() {
-	var vms []platform.VM
+	var vms []kv.VM
 	for i, r := range s.Routers {
 		if slices.ContainsFunc(s.Routers[i+1:], func(later *router.Router) bool { return later.Name() == r.Name() }) {
 			continue
 		}
-		vms = append(vms, platform.VM{Name: r.Name(), DataCentre: r.DataCentre(), PeerAddress: r.Addresses().Peer})
+		vms = append(vms, kv.VM{Name: r.Name(), DataCentre: r.DataCentre(), PeerAddress: r.Addresses().Peer})
 	}
 	s.Platform.SetVMs(vms)
 }
--- a/journal/event.go
+++ b/eventlog/event.go
@@ -1,7 +1,7 @@
-// Package journal keeps what the router did and why: a bounded ring of events,
+// Package eventlog keeps what the router did and why: a bounded ring of events,
 // each also logged as one key=value line, and a bounded ring of requests that
 // were refused or failed, found by their id. Both live in memory only.
-package journal
+package eventlog
 
 import (
 	"log/slog"
--- a/journal/request_test.go
+++ b/eventlog/request_test.go
@@ -1,4 +1,4 @@
-package journal
+package eventlog
 
 import (
 	"bytes"
--- a/examples/embed/main.go
+++ b/examples/embed/main.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/config"
-	"tarragongw/platform"
-	"tarragongw/platform/standin"
+	"tarragongw/kv"
+	"tarragongw/kv/standin"
 	"tarragongw/router"
 )
 
@@ -40,8 +40,8 @@
 	settings.DataCentre = "kushiro-hall"
 	settings.Listen.Caller, settings.Listen.Operator, settings.Listen.Peer = loopback, loopback, loopback
 
-	// A firm gives its own platform.Store and platform.Directory, or
-	// platform/httpstore with the address of its platform.
+	// A firm gives its own kv.Store and kv.Directory, or
+	// kv/httpstore with the address of its platform.
 	service := standin.New(standin.Config{})
 	client := service.Client(settings.Name)
 
@@ -55,7 +55,7 @@
 		return errors.Wrap(err, "make the router")
 	}
 	addresses := r.Addresses()
-	service.SetVMs([]platform.VM{{Name: settings.Name, DataCentre: settings.DataCentre, PeerAddress: addresses.Peer}})
+	service.SetVMs([]kv.VM{{Name: settings.Name, DataCentre: settings.DataCentre, PeerAddress: addresses.Peer}})
 	r.Start()
 	started(addresses)
 	<-ctx.Done()
--- a/platform/call.go
+++ b/kv/call.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 // CallKind names one kind of call to the platform, in metrics and budgets.
 type CallKind string
--- a/platform/httpstore/call.go
+++ b/kv/httpstore/call.go
@@ -11,7 +11,7 @@
 
 	"github.com/pkg/errors"
 
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 var (
@@ -22,10 +22,10 @@
 // call carries out one call. It goes on to the next address only where no
 // connection could be had, because then the call surely was not sent; nothing
 // that may have reached the platform is repeated.
-func (c *Client) call(ctx context.Context, kind platform.CallKind, body *callBody) (*replyBody, error) {
+func (c *Client) call(ctx context.Context, kind kv.CallKind, body *callBody) (*replyBody, error) {
 	payload, err := json.Marshal(body)
 	if err != nil {
-		return nil, platform.WithCause(platform.ErrInvalid, err)
+		return nil, kv.WithCause(kv.ErrInvalid, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(kind))
 	defer cancel()
@@ -45,19 +45,19 @@
 			break
 		}
 	}
-	return nil, platform.WithCause(platform.ErrUnavailable, last)
+	return nil, kv.WithCause(kv.ErrUnavailable, last)
 }
 
 // outcome returns the platform's error for the code, nil for success.
 func outcome(code string) error {
-	if code == platform.CodeOK {
+	if code == kv.CodeOK {
 		return nil
 	}
-	return platform.ByCode(code)
+	return kv.ByCode(code)
 }
 
-func (c *Client) timeout(kind platform.CallKind) time.Duration {
-	if kind == platform.CallWatch {
+func (c *Client) timeout(kind kv.CallKind) time.Duration {
+	if kind == kv.CallWatch {
 		return c.cfg.WatchWait + c.cfg.WatchGrace
 	}
 	return c.cfg.Timeout
@@ -70,17 +70,17 @@
 // lost returns the error of a call that was sent and got no answer. Resting
 // connections are closed too: where something between lost track of one, it has
 // often lost all, and each would cost a call its full timeout.
-func (c *Client) lost(kind platform.CallKind, cause error) error {
+func (c *Client) lost(kind kv.CallKind, cause error) error {
 	c.transport.CloseIdleConnections()
 	if kind.Writes() {
-		return platform.WithCause(platform.ErrUnknown, cause)
+		return kv.WithCause(kv.ErrUnknown, cause)
 	}
-	return platform.WithCause(platform.ErrUnavailable, cause)
+	return kv.WithCause(kv.ErrUnavailable, cause)
 }
 
 // attempt sends the call to one address. Where it fails, sent says whether a
 // connection was had, so that the platform may have run the call.
-func (c *Client) attempt(ctx context.Context, address string, kind platform.CallKind, payload []byte) (reply *replyBody, sent bool, err error) {
+func (c *Client) attempt(ctx context.Context, address string, kind kv.CallKind, payload []byte) (reply *replyBody, sent bool, err error) {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }}
 	request, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), address, kind, payload)
 	if err != nil {
@@ -97,7 +97,7 @@
 	return reply, true, err
 }
 
-func (c *Client) newRequest(ctx context.Context, address string, kind platform.CallKind, payload []byte) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, address string, kind kv.CallKind, payload []byte) (*http.Request, error) {
 	url := c.scheme + "://" + address + pathPrefix + string(kind)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(payload))
 	if err != nil {
--- a/platform/httpstore/client.go
+++ b/kv/httpstore/client.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 // Config holds the settings of a client.
@@ -75,8 +75,8 @@
 	}
 }
 
-// Client speaks the protocol to the platform. It implements platform.Store and
-// platform.Directory and is safe for concurrent use.
+// Client speaks the protocol to the platform. It implements kv.Store and
+// kv.Directory and is safe for concurrent use.
 type Client struct {
 	cfg       Config
 	scheme    string
@@ -140,45 +140,45 @@
 // Close closes the resting connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Record, error) {
-	reply, err := c.call(ctx, platform.CallGet, &callBody{Key: key})
+// Get implements kv.Store.
+func (c *Client) Get(ctx context.Context, key string) (kv.Record, error) {
+	reply, err := c.call(ctx, kv.CallGet, &callBody{Key: key})
 	if err != nil {
-		return platform.Record{}, err
+		return kv.Record{}, err
 	}
 	if reply.Record == nil {
-		return platform.Record{}, platform.WithCause(platform.ErrUnavailable, errIncomplete)
+		return kv.Record{}, kv.WithCause(kv.ErrUnavailable, errIncomplete)
 	}
 	return *reply.Record, nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Record, platform.Revision, error) {
-	reply, err := c.call(ctx, platform.CallList, &callBody{Prefix: prefix})
+// List implements kv.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kv.Record, kv.Revision, error) {
+	reply, err := c.call(ctx, kv.CallList, &callBody{Prefix: prefix})
 	if err != nil {
 		return nil, 0, err
 	}
 	return reply.Records, reply.Revision, nil
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expect platform.Revision, value []byte) (platform.Revision, error) {
-	if len(value) > platform.MaxValue {
-		return 0, platform.ErrTooLarge
+// CompareAndSwap implements kv.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect kv.Revision, value []byte) (kv.Revision, error) {
+	if len(value) > kv.MaxValue {
+		return 0, kv.ErrTooLarge
 	}
-	reply, err := c.call(ctx, platform.CallCAS, &callBody{Key: key, Revision: expect, Value: value})
+	reply, err := c.call(ctx, kv.CallCAS, &callBody{Key: key, Revision: expect, Value: value})
 	if err != nil {
 		return 0, err
 	}
 	return reply.Revision, nil
 }
 
-// Watch implements platform.Store. An answer that does not come in time counts
+// Watch implements kv.Store. An answer that does not come in time counts
 // as a broken watch: a connection that went silent would otherwise look like a
 // prefix without changes.
-func (c *Client) Watch(ctx context.Context, prefix string, since platform.Revision) ([]platform.Record, platform.Revision, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, since kv.Revision) ([]kv.Record, kv.Revision, error) {
 	body := &callBody{Prefix: prefix, Revision: since, WaitMillis: c.cfg.WatchWait.Milliseconds()}
-	reply, err := c.call(ctx, platform.CallWatch, body)
+	reply, err := c.call(ctx, kv.CallWatch, body)
 	if ctx.Err() != nil {
 		return nil, since, ctx.Err()
 	}
@@ -188,41 +188,41 @@
 	return reply.Records, reply.Revision, nil
 }
 
-// Acquire implements platform.Store.
-func (c *Client) Acquire(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, error) {
-	return c.lease(ctx, platform.CallAcquire, platform.Lease{Name: name, Holder: holder, TTL: ttl})
+// Acquire implements kv.Store.
+func (c *Client) Acquire(ctx context.Context, name, holder string, ttl time.Duration) (kv.Lease, error) {
+	return c.lease(ctx, kv.CallAcquire, kv.Lease{Name: name, Holder: holder, TTL: ttl})
 }
 
-// Renew implements platform.Store.
-func (c *Client) Renew(ctx context.Context, lease platform.Lease) (platform.Lease, error) {
-	return c.lease(ctx, platform.CallRenew, lease)
+// Renew implements kv.Store.
+func (c *Client) Renew(ctx context.Context, lease kv.Lease) (kv.Lease, error) {
+	return c.lease(ctx, kv.CallRenew, lease)
 }
 
 // lease carries out a call that returns a lease. Renewed is read before the call
 // is sent: the platform may have counted from any moment after it.
-func (c *Client) lease(ctx context.Context, kind platform.CallKind, lease platform.Lease) (platform.Lease, error) {
+func (c *Client) lease(ctx context.Context, kind kv.CallKind, lease kv.Lease) (kv.Lease, error) {
 	sent := c.cfg.Now()
 	reply, err := c.call(ctx, kind, &callBody{Lease: encodeLease(lease)})
 	if err != nil {
-		return platform.Lease{}, err
+		return kv.Lease{}, err
 	}
 	if reply.Lease == nil {
-		return platform.Lease{}, platform.WithCause(platform.ErrUnknown, errIncomplete)
+		return kv.Lease{}, kv.WithCause(kv.ErrUnknown, errIncomplete)
 	}
 	renewed := reply.Lease.decode()
 	renewed.Renewed = sent
 	return renewed, nil
 }
 
-// Release implements platform.Store.
-func (c *Client) Release(ctx context.Context, lease platform.Lease) error {
-	_, err := c.call(ctx, platform.CallRelease, &callBody{Lease: encodeLease(lease)})
+// Release implements kv.Store.
+func (c *Client) Release(ctx context.Context, lease kv.Lease) error {
+	_, err := c.call(ctx, kv.CallRelease, &callBody{Lease: encodeLease(lease)})
 	return err
 }
 
-// VMs implements platform.Directory.
-func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
-	reply, err := c.call(ctx, platform.CallVMs, &callBody{})
+// VMs implements kv.Directory.
+func (c *Client) VMs(ctx context.Context) ([]kv.VM, error) {
+	reply, err := c.call(ctx, kv.CallVMs, &callBody{})
 	if err != nil {
 		return nil, err
 	}
--- a/platform/httpstore/handler.go
+++ b/kv/httpstore/handler.go
@@ -7,15 +7,15 @@
 	"net/http"
 	"time"
 
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 // Backend is what the handler serves; the stand-in's client implements it.
 type Backend interface {
-	platform.Store
-	platform.Directory
+	kv.Store
+	kv.Directory
 	// Poll is a Watch that ends after wait with no record and a revision to go on from.
-	Poll(ctx context.Context, prefix string, since platform.Revision, wait time.Duration) ([]platform.Record, platform.Revision, error)
+	Poll(ctx context.Context, prefix string, since kv.Revision, wait time.Duration) ([]kv.Record, kv.Revision, error)
 }
 
 // maxWait bounds a watch that a client may ask for.
@@ -24,15 +24,15 @@
 // operation carries out one kind of call.
 type operation func(ctx context.Context, b Backend, body *callBody, reply *replyBody) error
 
-var operations = map[platform.CallKind]operation{
-	platform.CallGet:     get,
-	platform.CallList:    list,
-	platform.CallCAS:     cas,
-	platform.CallWatch:   watch,
-	platform.CallAcquire: acquire,
-	platform.CallRenew:   renew,
-	platform.CallRelease: release,
-	platform.CallVMs:     vms,
+var operations = map[kv.CallKind]operation{
+	kv.CallGet:     get,
+	kv.CallList:    list,
+	kv.CallCAS:     cas,
+	kv.CallWatch:   watch,
+	kv.CallAcquire: acquire,
+	kv.CallRenew:   renew,
+	kv.CallRelease: release,
+	kv.CallVMs:     vms,
 }
 
 // NewHandler serves the protocol. It asks backend for the view of the client
@@ -59,12 +59,12 @@
 		err = json.Unmarshal(data, &body)
 	}
 	if err != nil {
-		write(w, &replyBody{Code: platform.Code(platform.ErrInvalid)})
+		write(w, &replyBody{Code: kv.Code(kv.ErrInvalid)})
 		return
 	}
 	reply := &replyBody{}
 	err = op(r.Context(), b, &body, reply)
-	reply.Code = platform.Code(err)
+	reply.Code = kv.Code(err)
 	if _, known := statuses[reply.Code]; !known {
 		panic(http.ErrAbortHandler)
 	}
--- a/platform/platform.go
+++ b/kv/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the side of the router that the platform meets: the
+// Package kv is the side of the router that the platform meets: the
 // key-value store that holds what must last, and the list of VMs.
-package platform
+package kv
 
 import (
 	"context"
--- a/platform/settle.go
+++ b/kv/settle.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"context"
--- a/platform/standin/lease.go
+++ b/kv/standin/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 // lease is the store's side of a lease.
@@ -17,25 +17,25 @@
 // acquireLocked gives the lease to holder where it is free, lapsed or its own.
 // Its own is given anew under a new id: a holder whose first reply was lost, or
 // that restarted under its name, gets in, and the earlier life is out.
-func (p *Platform) acquireLocked(name, holder string, ttl time.Duration) (platform.Lease, error) {
+func (p *Platform) acquireLocked(name, holder string, ttl time.Duration) (kv.Lease, error) {
 	if name == "" || holder == "" || ttl <= 0 {
-		return platform.Lease{}, platform.ErrInvalid
+		return kv.Lease{}, kv.ErrInvalid
 	}
 	now := p.cfg.Now()
 	held, ok := p.leases[name]
 	if ok && held.holder != holder && now.Before(held.expires) {
-		return platform.Lease{}, platform.ErrLeaseLost
+		return kv.Lease{}, kv.ErrLeaseLost
 	}
 	p.leaseID++
 	p.leases[name] = lease{holder: holder, id: p.leaseID, ttl: ttl, expires: now.Add(ttl)}
-	return platform.Lease{Name: name, Holder: holder, ID: p.leaseID, TTL: ttl}, nil
+	return kv.Lease{Name: name, Holder: holder, ID: p.leaseID, TTL: ttl}, nil
 }
 
-func (p *Platform) renewLocked(l platform.Lease) (platform.Lease, error) {
+func (p *Platform) renewLocked(l kv.Lease) (kv.Lease, error) {
 	now := p.cfg.Now()
 	held, ok := p.leases[l.Name]
 	if !ok || held.id != l.ID || !now.Before(held.expires) {
-		return platform.Lease{}, platform.ErrLeaseLost
+		return kv.Lease{}, kv.ErrLeaseLost
 	}
 	held.expires = now.Add(held.ttl)
 	p.leases[l.Name] = held
@@ -43,10 +43,10 @@
 	return l, nil
 }
 
-func (p *Platform) releaseLocked(l platform.Lease) error {
+func (p *Platform) releaseLocked(l kv.Lease) error {
 	held, ok := p.leases[l.Name]
 	if !ok || held.id != l.ID {
-		return platform.ErrLeaseLost
+		return kv.ErrLeaseLost
 	}
 	delete(p.leases, l.Name)
 	return nil
--- a/platform/standin/switches.go
+++ b/kv/standin/switches.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 // WatchFault says what is wrong with watches.
@@ -24,15 +24,15 @@
 	down      bool
 	delay     time.Duration
 	watch     WatchFault
-	lostReply map[platform.CallKind]int
+	lostReply map[kv.CallKind]int
 	cutOff    map[string]bool
-	staleVMs  []platform.VM
+	staleVMs  []kv.VM
 	vmsAreOld bool
 }
 
 func newSwitches() switches {
 	return switches{
-		lostReply: make(map[platform.CallKind]int),
+		lostReply: make(map[kv.CallKind]int),
 		cutOff:    make(map[string]bool),
 	}
 }
@@ -54,7 +54,7 @@
 }
 
 // LoseReplies makes the next n calls of kind take effect and lose their reply.
-func (p *Platform) LoseReplies(kind platform.CallKind, n int) {
+func (p *Platform) LoseReplies(kind kv.CallKind, n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.switches.lostReply[kind] = n
@@ -96,7 +96,7 @@
 }
 
 // losesReplyLocked uses up one lost reply of the kind, if one is left.
-func (p *Platform) losesReplyLocked(kind platform.CallKind) bool {
+func (p *Platform) losesReplyLocked(kind kv.CallKind) bool {
 	if p.switches.lostReply[kind] == 0 {
 		return false
 	}
--- a/lab/capacity/measure_grant.go
+++ b/lab/capacity/measure_grant.go
@@ -12,9 +12,9 @@
 
 	"tarragongw/config"
 	"tarragongw/core/model"
+	"tarragongw/kv"
+	"tarragongw/kv/standin"
 	"tarragongw/operator"
-	"tarragongw/platform"
-	"tarragongw/platform/standin"
 	"tarragongw/router"
 )
 
@@ -85,7 +85,7 @@
 	}))
 	r.Start()
 	a := r.Addresses()
-	store.SetVMs([]platform.VM{{Name: settings.Name, DataCentre: settings.DataCentre, PeerAddress: a.Peer}})
+	store.SetVMs([]kv.VM{{Name: settings.Name, DataCentre: settings.DataCentre, PeerAddress: a.Peer}})
 	m := &model.Model{Services: []model.Service{{
 		Name: "faq", Division: model.ByKey, HashSlots: 1024, PathPrefix: "/faq",
 		Key:     model.Extract{From: model.FromPath},
--- a/lab/capacity/measure_idle.go
+++ b/lab/capacity/measure_idle.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"sync"
 
-	"tarragongw/platform/standin"
+	"tarragongw/kv/standin"
 	"tarragongw/router"
 	"tarragongw/target"
 )
--- a/lab/capacity/measure_model.go
+++ b/lab/capacity/measure_model.go
@@ -10,9 +10,9 @@
 	"tarragongw/core/patch"
 	"tarragongw/core/selector"
 	"tarragongw/core/spread"
+	"tarragongw/kv"
+	"tarragongw/kv/standin"
 	"tarragongw/peer/wire"
-	"tarragongw/platform"
-	"tarragongw/platform/standin"
 )
 
 // modelSizes are the targets of the models of which the record is measured; the largest
@@ -24,7 +24,7 @@
 
 // modelStore is the configuration in a store of its own.
 type modelStore struct {
-	client platform.Store
+	client kv.Store
 	editor *confstore.Editor
 }
 
@@ -35,7 +35,7 @@
 	return s
 }
 
-func (s *modelStore) record() platform.Record {
+func (s *modelStore) record() kv.Record {
 	return must(s.client.Get(context.Background(), confstore.Key))
 }
 
@@ -85,14 +85,14 @@
 	s.add("model.change.cpu", x, "µs of CPU to apply it, read what is new and compile what it touches", changed...)
 }
 
-func readWhole(rec platform.Record) {
+func readWhole(rec kv.Record) {
 	if _, problems := selector.Compile(must(confstore.Decode(rec)).Model); len(problems) > 0 {
 		panic(problems)
 	}
 }
 
 // patchPayload returns the size of the message that carries the change between routers.
-func patchPayload(before, after platform.Record) int {
+func patchPayload(before, after kv.Record) int {
 	bytes := patch.Make(before.Value, after.Value)
 	m := spread.Message{Kind: spread.Patched, Root: vm(0, 0).Name, Patches: []spread.Patch{{
 		Key: after.Key, Revision: uint64(after.Revision), Class: spread.Configuration,
@@ -102,7 +102,7 @@
 }
 
 // reader returns what a router does with a change that comes as a patch.
-func reader(before, after platform.Record) func() {
+func reader(before, after kv.Record) func() {
 	state := must(confstore.DecodeAfter(nil, before))
 	inForce, _ := selector.Compile(state.Model)
 	bytes, sum := patch.Make(before.Value, after.Value), patch.Sum(after.Value)
--- a/lab/capacity/measure_request.go
+++ b/lab/capacity/measure_request.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"tarragongw/core/model"
+	"tarragongw/kv/standin"
 	"tarragongw/lab/procuse"
 	"tarragongw/operator"
-	"tarragongw/platform/standin"
 	"tarragongw/router"
 )
 
--- a/lab/capacity/measure_snapshot.go
+++ b/lab/capacity/measure_snapshot.go
@@ -14,9 +14,9 @@
 	"tarragongw/core/model"
 	"tarragongw/core/ownership"
 	"tarragongw/core/selector"
+	"tarragongw/kv"
+	"tarragongw/kv/standin"
 	"tarragongw/operator"
-	"tarragongw/platform"
-	"tarragongw/platform/standin"
 	"tarragongw/router"
 )
 
@@ -43,9 +43,9 @@
 
 // listVMs puts the routers on the platform's list.
 func listVMs(store *standin.Platform, routers map[string]*router.Router) {
-	var vms []platform.VM
+	var vms []kv.VM
 	for name, r := range routers {
-		vms = append(vms, platform.VM{Name: name, DataCentre: homeDC, PeerAddress: r.Addresses().Peer})
+		vms = append(vms, kv.VM{Name: name, DataCentre: homeDC, PeerAddress: r.Addresses().Peer})
 	}
 	store.SetVMs(vms)
 }
--- a/lab/measure/child.go
+++ b/lab/measure/child.go
@@ -20,8 +20,8 @@
 	"tarragongw/config"
 	"tarragongw/dev"
 	"tarragongw/heap"
+	"tarragongw/kv/httpstore"
 	"tarragongw/lab/procuse"
-	"tarragongw/platform/httpstore"
 	"tarragongw/router"
 )
 
--- a/lab/measure/confirm.go
+++ b/lab/measure/confirm.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"tarragongw/platform"
+	"tarragongw/kv"
 )
 
 const (
@@ -45,7 +45,7 @@
 		way = "each by itself"
 	}
 	name := fmt.Sprintf("confirm, %d routers, %d targets, %s: ", size.routers, size.targets, way)
-	reads := (p.calls[platform.CallList] + p.calls[platform.CallGet]) * float64(size.routers)
+	reads := (p.calls[kv.CallList] + p.calls[kv.CallGet]) * float64(size.routers)
 	t.add(name+"list and get calls of the data centre", "1/s", reads)
 	t.add(name+"processor of a router", "% of a core", p.cpu...)
 	t.add(name+"processor of the busiest router", "% of a core", slices.Max(p.cpu))
--- a/lab/measure/fleet.go
+++ b/lab/measure/fleet.go
@@ -13,10 +13,10 @@
 	"tarragongw/core/model"
 	"tarragongw/dev"
 	"tarragongw/keys"
+	"tarragongw/kv"
+	"tarragongw/kv/httpstore"
+	"tarragongw/kv/standin"
 	"tarragongw/operator"
-	"tarragongw/platform"
-	"tarragongw/platform/httpstore"
-	"tarragongw/platform/standin"
 )
 
 const (
@@ -81,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	var vms []platform.VM
+	var vms []kv.VM
 	for i := range size.routers {
 		name, dc := routerName(i), dataCentre(i%size.dataCentres)
 		p, err := startProcess(ctx, s.procs, size.binary, &childConfig{
@@ -93,7 +93,7 @@
 			return err
 		}
 		f.routers, f.names = append(f.routers, p), append(f.names, name)
-		vms = append(vms, platform.VM{Name: name, DataCentre: dc, PeerAddress: p.Peer})
+		vms = append(vms, kv.VM{Name: name, DataCentre: dc, PeerAddress: p.Peer})
 	}
 	f.platform.SetVMs(vms)
 	if err := f.awaitMembers(ctx); err != nil {
--- a/lab/measure/record.go
+++ b/lab/measure/record.go
@@ -7,7 +7,7 @@
 
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/telemetry"
 )
 
@@ -20,7 +20,7 @@
 // refused one costs, on one goroutine.
 func measureRecord(_ context.Context, _ *settings, t *table) error {
 	tel := telemetry.New(telemetry.Config{})
-	log := journal.New(journal.Config{})
+	log := eventlog.New(eventlog.Config{})
 	var metrics, refused, metricAllocs, refusedAllocs []float64
 	for range recordRounds {
 		ns, allocs := timeCalls(func() {
@@ -28,7 +28,7 @@
 		})
 		metrics, metricAllocs = append(metrics, ns), append(metricAllocs, allocs)
 		ns, allocs = timeCalls(func() {
-			log.Refused(journal.Request{ID: "0123456789abcdef", Service: serviceName, Caller: "counter", Code: "queue_full", Ran: "not_run"})
+			log.Refused(eventlog.Request{ID: "0123456789abcdef", Service: serviceName, Caller: "counter", Code: "queue_full", Ran: "not_run"})
 		})
 		refused, refusedAllocs = append(refused, ns), append(refusedAllocs, allocs)
 	}
--- a/lab/scale/child.go
+++ b/lab/scale/child.go
@@ -15,8 +15,8 @@
 
 	"tarragongw/clock"
 	"tarragongw/config"
+	"tarragongw/kv/httpstore"
 	"tarragongw/lab/procuse"
-	"tarragongw/platform/httpstore"
 	"tarragongw/router"
 )
 
--- a/lab/scale/fleet.go
+++ b/lab/scale/fleet.go
@@ -18,10 +18,10 @@
 
 	"tarragongw/config"
 	"tarragongw/core/model"
+	"tarragongw/kv"
+	"tarragongw/kv/httpstore"
+	"tarragongw/kv/standin"
 	"tarragongw/operator"
-	"tarragongw/platform"
-	"tarragongw/platform/httpstore"
-	"tarragongw/platform/standin"
 	"tarragongw/router"
 	"tarragongw/target/sample"
 )
@@ -162,9 +162,9 @@
 }
 
 func (f *fleet) listVMs(names []string) {
-	var vms []platform.VM
+	var vms []kv.VM
 	for _, name := range names {
-		vms = append(vms, platform.VM{Name: name, DataCentre: dataCentre, PeerAddress: f.addresses[name].Peer})
+		vms = append(vms, kv.VM{Name: name, DataCentre: dataCentre, PeerAddress: f.addresses[name].Peer})
 	}
 	f.platform.SetVMs(vms)
 }
--- a/operator/api.go
+++ b/operator/api.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"tarragongw/core/history"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 // Paths of the endpoint.
@@ -189,7 +189,7 @@
 	// Because are the reasons in order, each a sentence.
 	Because []string `json:"because"`
 	// Events are the latest moves of the unit.
-	Events []journal.Event `json:"events,omitempty"`
+	Events []eventlog.Event `json:"events,omitempty"`
 }
 
 // TargetExplanation says how a target stands.
@@ -201,14 +201,14 @@
 	Grantor    string `json:"grantor"`
 	Term       uint64 `json:"term"`
 	// Successors may take the target over without the store, the first one first.
-	Successors []string        `json:"successors"`
-	Units      int             `json:"units"`
-	Health     string          `json:"health"`
-	Draining   bool            `json:"draining"`
-	InFlight   int             `json:"in_flight"`
-	Queued     int             `json:"queued"`
-	Slots      int             `json:"slots"`
-	Events     []journal.Event `json:"events,omitempty"`
+	Successors []string         `json:"successors"`
+	Units      int              `json:"units"`
+	Health     string           `json:"health"`
+	Draining   bool             `json:"draining"`
+	InFlight   int              `json:"in_flight"`
+	Queued     int              `json:"queued"`
+	Slots      int              `json:"slots"`
+	Events     []eventlog.Event `json:"events,omitempty"`
 }
 
 // EventQuery selects events.
@@ -226,8 +226,8 @@
 	Router string `json:"router"`
 	// Life tells the router's restarts apart: each begins with an empty journal and
 	// sequence number 1.
-	Life   uint64          `json:"life"`
-	Events []journal.Event `json:"events"`
+	Life   uint64           `json:"life"`
+	Events []eventlog.Event `json:"events"`
 	// Next is the sequence number to ask after for what follows.
 	Next uint64 `json:"next"`
 	// Missed is the number of events that the journal no longer held.
@@ -250,8 +250,8 @@
 
 // RequestExplanation says why a request ended as it did.
 type RequestExplanation struct {
-	ID      string          `json:"id"`
-	Request journal.Request `json:"request"`
+	ID      string           `json:"id"`
+	Request eventlog.Request `json:"request"`
 }
 
 // Status is the screen for an owner: what is wrong, since when, what the system
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 // Client calls a router's operators' endpoint. Its methods mirror Backend.
@@ -68,7 +68,7 @@
 }
 
 // Events returns the events of the time since.
-func (c *Client) Events(ctx context.Context, since time.Duration) ([]journal.Event, error) {
+func (c *Client) Events(ctx context.Context, since time.Duration) ([]eventlog.Event, error) {
 	page, err := c.EventPage(ctx, since)
 	if err != nil {
 		return nil, err
--- a/router/backend.go
+++ b/router/backend.go
@@ -10,9 +10,9 @@
 	"tarragongw/config"
 	"tarragongw/confstore"
 	"tarragongw/core/model"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
+	"tarragongw/kv"
 	"tarragongw/operator"
-	"tarragongw/platform"
 )
 
 const (
@@ -103,19 +103,19 @@
 // maxChangesNamed bounds the changes that the event about them names.
 const maxChangesNamed = 4
 
-func changedEvent(router, author string, reply *operator.ApplyReply) journal.Event {
-	e := journal.Event{
-		Kind:   journal.ConfigChanged,
+func changedEvent(router, author string, reply *operator.ApplyReply) eventlog.Event {
+	e := eventlog.Event{
+		Kind:   eventlog.ConfigChanged,
 		Cause:  "an operator's change was accepted",
 		Router: router,
-		Fields: []journal.Field{
-			journal.F("revision", uintText(reply.Revision)),
-			journal.F("author", author),
-			journal.F("changes", fmt.Sprint(len(reply.Changes))),
+		Fields: []eventlog.Field{
+			eventlog.F("revision", uintText(reply.Revision)),
+			eventlog.F("author", author),
+			eventlog.F("changes", fmt.Sprint(len(reply.Changes))),
 		},
 	}
 	for _, change := range reply.Changes[:min(len(reply.Changes), maxChangesNamed)] {
-		e.Fields = append(e.Fields, journal.F("change", change))
+		e.Fields = append(e.Fields, eventlog.F("change", change))
 	}
 	return e
 }
@@ -156,11 +156,11 @@
 	switch {
 	case errors.Is(err, confstore.ErrBaseForgotten), errors.Is(err, confstore.ErrRaces):
 		return operator.Errorf(operator.CodeConflict, "%v", err)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOverBudget):
+	case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrOverBudget):
 		return operator.Errorf(operator.CodeUnavailable, "the store is not reached; nothing was changed: %v", err)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, kv.ErrUnknown):
 		return operator.Errorf(operator.CodeUnknown, "the store's reply was lost; look at the present configuration before trying again")
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, kv.ErrTooLarge):
 		return operator.Errorf(operator.CodeInvalid, "the configuration exceeds what the store holds")
 	}
 	return operator.Errorf(operator.CodeInternal, "%v", err)
--- a/router/build.go
+++ b/router/build.go
@@ -7,10 +7,10 @@
 
 	"tarragongw/caller"
 	"tarragongw/confstore"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
+	"tarragongw/kv"
 	"tarragongw/operator"
 	"tarragongw/peer"
-	"tarragongw/platform"
 	"tarragongw/telemetry"
 )
 
@@ -22,7 +22,7 @@
 	})
 	r.admin = telemetry.NewAdmin(r.tel.Handler())
 	r.admin.AddReady("router", r.readiness)
-	r.journal = journal.New(journal.Config{Capacity: s.Limits.JournalEvents, Logger: r.log})
+	r.journal = eventlog.New(eventlog.Config{Capacity: s.Limits.JournalEvents, Logger: r.log})
 }
 
 // StorePrefix is the part of the store that is the routers'.
@@ -33,13 +33,13 @@
 
 func (r *Router) buildPlatform() {
 	rate := r.opts.Settings.Store.CallsPerSecond
-	r.platform = platform.NewBudget(platform.Prefixed(r.opts.Store, StorePrefix), r.opts.Directory, platform.BudgetConfig{
-		Reads:    platform.Rate{PerSecond: rate, Burst: int(2 * rate)},
-		Writes:   platform.Rate{PerSecond: rate / readsPerWrite, Burst: int(rate)},
+	r.platform = kv.NewBudget(kv.Prefixed(r.opts.Store, StorePrefix), r.opts.Directory, kv.BudgetConfig{
+		Reads:    kv.Rate{PerSecond: rate, Burst: int(2 * rate)},
+		Writes:   kv.Rate{PerSecond: rate / readsPerWrite, Burst: int(rate)},
 		Observer: r.tel,
 	})
 	r.history = &confstore.History{}
-	r.editor = &confstore.Editor{Store: r.platform.For(platform.Configuration), History: r.history}
+	r.editor = &confstore.Editor{Store: r.platform.For(kv.Configuration), History: r.history}
 }
 
 // listen opens the three listeners.
--- a/router/configduty.go
+++ b/router/configduty.go
@@ -6,8 +6,8 @@
 
 	"tarragongw/confstore"
 	"tarragongw/core/model"
-	"tarragongw/journal"
-	"tarragongw/platform"
+	"tarragongw/eventlog"
+	"tarragongw/kv"
 )
 
 // pauseAfterFailure spaces the attempts to reach the store. It is short because
@@ -55,7 +55,7 @@
 	}
 	next, err := newView(m.model, old, time.Now())
 	if err != nil {
-		c.r.journal.Record(journal.Event{Kind: journal.ConfigRefused, Cause: err.Error(), Router: c.r.self.Name})
+		c.r.journal.Record(eventlog.Event{Kind: eventlog.ConfigRefused, Cause: err.Error(), Router: c.r.self.Name})
 		return
 	}
 	gone, anew := c.r.upstreams.configure(next)
@@ -64,11 +64,11 @@
 	c.r.settleGates(anew)
 	c.r.owner.configured(next)
 	c.r.members.inForce(m.model.Revision)
-	c.r.journal.Record(journal.Event{
-		Kind:   journal.ConfigApplied,
+	c.r.journal.Record(eventlog.Event{
+		Kind:   eventlog.ConfigApplied,
 		Cause:  "a newer revision was accepted",
 		Router: c.r.self.Name,
-		Fields: []journal.Field{journal.F("revision", uintText(m.model.Revision)), journal.F("author", m.author)},
+		Fields: []eventlog.Field{eventlog.F("revision", uintText(m.model.Revision)), eventlog.F("author", m.author)},
 	})
 	for _, u := range gone {
 		c.r.run(func() { c.retire(u) })
@@ -115,9 +115,9 @@
 	if key != confstore.Key {
 		return
 	}
-	state, err := confstore.DecodeAfter(c.read, platform.Record{Key: key, Revision: platform.Revision(revision), Value: value})
+	state, err := confstore.DecodeAfter(c.read, kv.Record{Key: key, Revision: kv.Revision(revision), Value: value})
 	if err != nil {
-		c.r.journal.Record(journal.Event{Kind: journal.ConfigRefused, Cause: err.Error(), Router: c.r.self.Name})
+		c.r.journal.Record(eventlog.Event{Kind: eventlog.ConfigRefused, Cause: err.Error(), Router: c.r.self.Name})
 		return
 	}
 	c.read = state
--- a/router/confirmdead.go
+++ b/router/confirmdead.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"tarragongw/core/ownership"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/operator"
 )
 
@@ -29,12 +29,12 @@
 	for i, holder := range dead {
 		names[i] = holder.Name
 	}
-	b.r.journal.Record(journal.Event{
-		Kind:   journal.GrantorDead,
+	b.r.journal.Record(eventlog.Event{
+		Kind:   eventlog.GrantorDead,
 		Cause:  "an operator confirmed that the routers will not come back",
 		Target: req.Target,
 		Router: b.r.self.Name,
-		Fields: []journal.Field{journal.F("dead", strings.Join(names, ",")), journal.F("author", req.Author)},
+		Fields: []eventlog.Field{eventlog.F("dead", strings.Join(names, ",")), eventlog.F("author", req.Author)},
 	})
 	b.r.owner.duty.tell(ownership.DeadConfirmed{Target: req.Target})
 	b.r.members.broadcast(kindDead, []byte(req.Target))
--- a/router/confirmduty.go
+++ b/router/confirmduty.go
@@ -11,9 +11,9 @@
 
 	"tarragongw/core/confirm"
 	"tarragongw/core/ownership"
+	"tarragongw/kv"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
-	"tarragongw/platform"
 )
 
 // confirmDuty drives the core that has grantor records read by one router for many. A
@@ -149,7 +149,7 @@
 func (d *confirmDuty) list(id uint64) {
 	ctx, cancel := d.r.alarms.limit(d.r.lifetime, d.r.opts.Settings.Store.Timeout)
 	defer cancel()
-	records, _, err := d.r.platform.For(platform.Ownership).List(ctx, d.prefix)
+	records, _, err := d.r.platform.For(kv.Ownership).List(ctx, d.prefix)
 	if err != nil {
 		d.duty.tellHere(confirm.Listed{ID: id})
 		return
@@ -158,7 +158,7 @@
 	d.duty.tellHere(confirm.Listed{ID: id, OK: true, Records: d.records(records)})
 }
 
-func (d *confirmDuty) records(records []platform.Record) []confirm.Record {
+func (d *confirmDuty) records(records []kv.Record) []confirm.Record {
 	out := make([]confirm.Record, 0, len(records))
 	for _, rec := range records {
 		out = append(out, confirm.Record{
--- a/router/datagramwatch.go
+++ b/router/datagramwatch.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/operator"
 )
 
@@ -21,19 +21,19 @@
 }
 
 // look returns what to tell, given the routers that datagrams don't reach now.
-func (w *datagramWatch) look(names []string) (journal.Event, bool) {
+func (w *datagramWatch) look(names []string) (eventlog.Event, bool) {
 	was := w.blocked
 	w.blocked = len(names) > 0
 	switch {
 	case w.blocked && !was:
-		return journal.Event{
-			Kind: journal.DatagramsBlocked, Cause: "sessions reach routers that datagrams don't: " + named(names),
-			Fields: []journal.Field{journal.F("routers", strconv.Itoa(len(names)))},
+		return eventlog.Event{
+			Kind: eventlog.DatagramsBlocked, Cause: "sessions reach routers that datagrams don't: " + named(names),
+			Fields: []eventlog.Field{eventlog.F("routers", strconv.Itoa(len(names)))},
 		}, true
 	case was && !w.blocked:
-		return journal.Event{Kind: journal.DatagramsPass, Cause: "datagrams reach all routers that are tried"}, true
+		return eventlog.Event{Kind: eventlog.DatagramsPass, Cause: "datagrams reach all routers that are tried"}, true
 	}
-	return journal.Event{}, false
+	return eventlog.Event{}, false
 }
 
 func (r *Router) watchDatagrams() {
--- a/router/explain.go
+++ b/router/explain.go
@@ -13,7 +13,7 @@
 	"tarragongw/core/ownership"
 	"tarragongw/core/routing"
 	"tarragongw/core/selector"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/operator"
 )
 
@@ -52,7 +52,7 @@
 		Revision: v.revision(),
 		Eligible: v.compiled.Eligible(unit),
 		Selector: decision.Selector,
-		Events:   b.r.journal.Events(0, journal.Filter{Unit: unit.String(), Limit: explainEvents}).Events,
+		Events:   b.r.journal.Events(0, eventlog.Filter{Unit: unit.String(), Limit: explainEvents}).Events,
 	}
 	e.Because = b.because(v, e, unit, &decision)
 	return e, nil
@@ -124,7 +124,7 @@
 		Health:     b.health(name),
 		Draining:   spec.Drain,
 		Slots:      spec.Slots,
-		Events:     b.r.journal.Events(0, journal.Filter{Target: name, Limit: explainEvents}).Events,
+		Events:     b.r.journal.Events(0, eventlog.Filter{Target: name, Limit: explainEvents}).Events,
 	}
 	if u := b.r.upstreams.settled(name); u != nil {
 		stats := u.gate.Stats()
--- a/router/handshakes.go
+++ b/router/handshakes.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"tarragongw/caller"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/keys"
 )
 
@@ -62,5 +62,5 @@
 		reason = callerRevoked
 	}
 	r.tel.Scope().Tagged(map[string]string{"cause": reason}).Counter("caller_connections_refused_total").Inc(1)
-	r.tellRefusal(journal.CallerRefused, "caller "+reason, detail, journal.F("reason", reason), journal.F("from", remote))
+	r.tellRefusal(eventlog.CallerRefused, "caller "+reason, detail, eventlog.F("reason", reason), eventlog.F("from", remote))
 }
--- a/router/healthduty.go
+++ b/router/healthduty.go
@@ -6,7 +6,7 @@
 
 	"tarragongw/core/health"
 	"tarragongw/core/ownership"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 // verdict is what choose needs to know of a target.
@@ -178,23 +178,23 @@
 // changed writes the events that operators want to see. Suspicion is left out: it
 // comes and goes.
 func (h *healthDuty) changed(service string, change health.Change) {
-	kind := journal.TargetReadmitted
+	kind := eventlog.TargetReadmitted
 	switch {
 	case change.To == health.Ejected || change.To == health.Lost:
-		kind = journal.TargetEjected
+		kind = eventlog.TargetEjected
 	case change.To == health.Draining:
-		kind = journal.TargetDraining
+		kind = eventlog.TargetDraining
 	case change.From == health.Ejected || change.From == health.Lost || change.From == health.Draining:
 	default:
 		return
 	}
-	h.r.journal.Record(journal.Event{
+	h.r.journal.Record(eventlog.Event{
 		Kind:    kind,
 		Cause:   change.Cause,
 		Service: service,
 		Target:  change.Target,
 		Router:  h.r.self.Name,
-		Fields:  []journal.Field{journal.F("from", change.From.String()), journal.F("to", change.To.String())},
+		Fields:  []eventlog.Field{eventlog.F("from", change.From.String()), eventlog.F("to", change.To.String())},
 	})
 }
 
--- a/router/incarnation.go
+++ b/router/incarnation.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/core/ownership"
+	"tarragongw/kv"
 	"tarragongw/peer"
-	"tarragongw/platform"
 )
 
 const (
@@ -44,7 +44,7 @@
 
 // toldIncarnation is what other routers know of former lives; zero is none above.
 func (r *Router) toldIncarnation(ctx context.Context) uint64 {
-	vms, err := r.platform.For(platform.Rest).VMs(ctx)
+	vms, err := r.platform.For(kv.Rest).VMs(ctx)
 	if err != nil {
 		r.log.Warn("other routers not asked for former lives of this one: no list of VMs", "cause", err)
 		return 0
@@ -66,7 +66,7 @@
 // the end of what it does for proved. All that ownership proves by lives rests on those in
 // the records.
 func (r *Router) recordedIncarnation(ctx context.Context) (highest uint64) {
-	records, _, err := r.platform.For(platform.Ownership).List(ctx, ownership.GrantorKey(r.opts.Settings.DataCentre, ""))
+	records, _, err := r.platform.For(kv.Ownership).List(ctx, ownership.GrantorKey(r.opts.Settings.DataCentre, ""))
 	if err != nil {
 		r.log.Warn("former lives of this router not looked for in the records", "cause", err)
 		return 0
@@ -95,7 +95,7 @@
 }
 
 // whomToAsk picks routers at random, those of the own data centre first.
-func (r *Router) whomToAsk(vms []platform.VM) []peer.Identity {
+func (r *Router) whomToAsk(vms []kv.VM) []peer.Identity {
 	var near, far []peer.Identity
 	for _, i := range rand.Perm(len(vms)) {
 		vm := &vms[i]
--- a/router/isolation.go
+++ b/router/isolation.go
@@ -13,7 +13,7 @@
 	"tarragongw/core/ownership"
 	"tarragongw/core/reach"
 	"tarragongw/core/rendezvous"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/peer"
 )
 
@@ -144,9 +144,9 @@
 	switch {
 	case !before.Isolated && w.Isolated:
 		took = now - w.Since
-		i.record(journal.IsolationBegan, dc, "no router of the data centre can be reached", journal.F("units", uintText(uint64(w.units))))
+		i.record(eventlog.IsolationBegan, dc, "no router of the data centre can be reached", eventlog.F("units", uintText(uint64(w.units))))
 	case before.Isolated && !w.Isolated:
-		i.record(journal.IsolationEnded, dc, "routers of the data centre are reached again", journal.F("lasted", (now-before.Since).Round(time.Millisecond).String()))
+		i.record(eventlog.IsolationEnded, dc, "routers of the data centre are reached again", eventlog.F("lasted", (now-before.Since).Round(time.Millisecond).String()))
 	}
 	if w.Refuse {
 		tags := map[string]string{"owner_data_centre": dc}
@@ -154,12 +154,12 @@
 	}
 }
 
-func (i *isolation) record(kind journal.Kind, dc, cause string, more journal.Field) {
-	i.r.journal.Record(journal.Event{
+func (i *isolation) record(kind eventlog.Kind, dc, cause string, more eventlog.Field) {
+	i.r.journal.Record(eventlog.Event{
 		Kind:   kind,
 		Cause:  cause,
 		Router: i.r.self.Name,
-		Fields: []journal.Field{journal.F("data_centre", dc), more},
+		Fields: []eventlog.Field{eventlog.F("data_centre", dc), more},
 	})
 }
 
--- a/router/keywatch.go
+++ b/router/keywatch.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/keys"
 	"tarragongw/operator"
 )
@@ -32,25 +32,25 @@
 	w.Run(r.lifetime, ticks, r.security.signals)
 }
 
-var keyEvents = map[keys.Change]journal.Kind{
-	keys.Reloaded: journal.KeysReloaded,
-	keys.Refused:  journal.KeysRefused,
-	keys.EndsSoon: journal.CertEndsSoon,
-	keys.Ended:    journal.CertEnded,
+var keyEvents = map[keys.Change]eventlog.Kind{
+	keys.Reloaded: eventlog.KeysReloaded,
+	keys.Refused:  eventlog.KeysRefused,
+	keys.EndsSoon: eventlog.CertEndsSoon,
+	keys.Ended:    eventlog.CertEnded,
 
-	keys.Revoked:     journal.CertRevoked,
-	keys.ListOverdue: journal.ListOverdue,
+	keys.Revoked:     eventlog.CertRevoked,
+	keys.ListOverdue: eventlog.ListOverdue,
 }
 
 func (r *Router) keysChanged(n keys.Notice) {
 	if n.Change == keys.Reloaded {
 		r.recheck(n.Source)
 	}
-	r.journal.Record(journal.Event{
+	r.journal.Record(eventlog.Event{
 		Kind:   keyEvents[n.Change],
 		Cause:  n.Cause,
 		Router: r.self.Name,
-		Fields: []journal.Field{journal.F("table", n.Source.Table())},
+		Fields: []eventlog.Field{eventlog.F("table", n.Source.Table())},
 	})
 }
 
--- a/router/memberduty.go
+++ b/router/memberduty.go
@@ -10,7 +10,7 @@
 	"tarragongw/core/membership"
 	"tarragongw/core/ownership"
 	"tarragongw/core/routing"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
 )
@@ -187,20 +187,20 @@
 }
 
 // changedKinds maps a member's new state to the kind of event.
-var changedKinds = map[membership.State]journal.Kind{
-	membership.Alive:    journal.MemberJoined,
-	membership.Suspect:  journal.MemberSuspected,
-	membership.Isolated: journal.MemberSuspected,
-	membership.Lost:     journal.MemberLost,
-	membership.Left:     journal.MemberLeft,
+var changedKinds = map[membership.State]eventlog.Kind{
+	membership.Alive:    eventlog.MemberJoined,
+	membership.Suspect:  eventlog.MemberSuspected,
+	membership.Isolated: eventlog.MemberSuspected,
+	membership.Lost:     eventlog.MemberLost,
+	membership.Left:     eventlog.MemberLeft,
 }
 
 func (m *memberDuty) changed(a membership.Changed) {
-	m.r.journal.Record(journal.Event{
+	m.r.journal.Record(eventlog.Event{
 		Kind:   changedKinds[a.To],
 		Cause:  string(a.Cause),
 		Router: a.Member.Name,
-		Fields: []journal.Field{journal.F("from", a.From.String()), journal.F("to", a.To.String()), journal.F("by", a.By)},
+		Fields: []eventlog.Field{eventlog.F("from", a.From.String()), eventlog.F("to", a.To.String()), eventlog.F("by", a.By)},
 	})
 	if a.To == membership.Lost {
 		m.r.peers.Drop(a.Member.Name)
@@ -211,14 +211,14 @@
 }
 
 func (m *memberDuty) linkChanged(a membership.LinkChanged) {
-	kind := journal.DataCentreCutOff
+	kind := eventlog.DataCentreCutOff
 	if a.Up {
-		kind = journal.DataCentreBack
+		kind = eventlog.DataCentreBack
 	} else {
 		m.r.isolation.suspect(a.DataCentre)
 		m.silentDataCentre(a.DataCentre)
 	}
-	m.r.journal.Record(journal.Event{Kind: kind, Fields: []journal.Field{journal.F("data_centre", a.DataCentre)}})
+	m.r.journal.Record(eventlog.Event{Kind: kind, Fields: []eventlog.Field{eventlog.F("data_centre", a.DataCentre)}})
 }
 
 // silentDataCentre counts the units of a data centre that is cut off as not served, from
--- a/router/observe.go
+++ b/router/observe.go
@@ -6,7 +6,7 @@
 	"tarragongw/caller"
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/telemetry"
 )
 
@@ -28,7 +28,7 @@
 		return
 	}
 	last := lastAttempt(out.Meta)
-	o.r.journal.Refused(journal.Request{
+	o.r.journal.Refused(eventlog.Request{
 		ID:       out.Meta.ID,
 		Unit:     last.Unit,
 		Target:   last.Target,
@@ -54,11 +54,11 @@
 }
 
 // trail words the attempts for the journal.
-func trail(meta *request.Meta) []journal.Attempt {
-	out := make([]journal.Attempt, 0, len(meta.Attempts))
+func trail(meta *request.Meta) []eventlog.Attempt {
+	out := make([]eventlog.Attempt, 0, len(meta.Attempts))
 	for i := range meta.Attempts {
 		a := &meta.Attempts[i]
-		out = append(out, journal.Attempt{
+		out = append(out, eventlog.Attempt{
 			Number: a.Number, After: a.After, Took: a.Took, Unit: a.Unit, Target: a.Target, Router: a.Router,
 			Code: a.Fault.Kind.String(), Ran: a.Fault.Ran.String(), Cause: a.Fault.Detail,
 		})
--- a/router/options.go
+++ b/router/options.go
@@ -12,8 +12,8 @@
 	"tarragongw/clock"
 	"tarragongw/config"
 	"tarragongw/keys"
+	"tarragongw/kv"
 	"tarragongw/peer"
-	"tarragongw/platform"
 )
 
 // Dial opens a raw connection, as net.Dialer.DialContext does.
@@ -24,8 +24,8 @@
 	// Settings are the checked settings of the process.
 	Settings *config.Router
 	// Store and Directory reach the platform.
-	Store     platform.Store
-	Directory platform.Directory
+	Store     kv.Store
+	Directory kv.Directory
 	// Logger receives one key=value line for each event; nil discards them.
 	Logger *slog.Logger
 	// CallerTLS, OperatorTLS and PeerTLS take the place of the files that Settings.TLS
--- a/router/owndelay.go
+++ b/router/owndelay.go
@@ -10,7 +10,7 @@
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
 	"tarragongw/core/shed"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 const (
@@ -163,17 +163,17 @@
 	switch {
 	case d.since.IsZero() && admitted < 1:
 		d.since = now
-		d.record(journal.RouterSaturated, "work waits longer than limits.own_delay for this router's own processor",
-			journal.F("delay", d.delay.String()), journal.F("admitted", percent(admitted)))
+		d.record(eventlog.RouterSaturated, "work waits longer than limits.own_delay for this router's own processor",
+			eventlog.F("delay", d.delay.String()), eventlog.F("admitted", percent(admitted)))
 	case !d.since.IsZero() && now.Sub(d.refusedAt) >= relievedAfter:
-		d.record(journal.RouterRelieved, "nothing was refused for its own delay for "+relievedAfter.String(),
-			journal.F("lasted", now.Sub(d.since).Round(time.Millisecond).String()))
+		d.record(eventlog.RouterRelieved, "nothing was refused for its own delay for "+relievedAfter.String(),
+			eventlog.F("lasted", now.Sub(d.since).Round(time.Millisecond).String()))
 		d.since = time.Time{}
 	}
 }
 
-func (d *ownDelay) record(kind journal.Kind, cause string, fields ...journal.Field) {
-	d.r.journal.Record(journal.Event{Kind: kind, Cause: cause, Router: d.r.self.Name, Fields: fields})
+func (d *ownDelay) record(kind eventlog.Kind, cause string, fields ...eventlog.Field) {
+	d.r.journal.Record(eventlog.Event{Kind: kind, Cause: cause, Router: d.r.self.Name, Fields: fields})
 }
 
 func percent(share float64) string { return fmt.Sprintf("%.0f%%", 100*share) }
--- a/router/ownercalls.go
+++ b/router/ownercalls.go
@@ -10,7 +10,7 @@
 	"tarragongw/core/model"
 	"tarragongw/core/ownership"
 	"tarragongw/core/routing"
-	"tarragongw/platform"
+	"tarragongw/kv"
 	"tarragongw/target"
 )
 
@@ -49,8 +49,8 @@
 func (o *ownerDuty) readList(prefix string, reads []ownership.Read) {
 	ctx, cancel := o.r.alarms.limit(o.r.lifetime, o.r.opts.Settings.Store.Timeout)
 	defer cancel()
-	records, _, err := o.r.platform.For(platform.Ownership).List(ctx, prefix)
-	found := make(map[string]platform.Record, len(records))
+	records, _, err := o.r.platform.For(kv.Ownership).List(ctx, prefix)
+	found := make(map[string]kv.Record, len(records))
 	for _, rec := range records {
 		found[rec.Key] = rec
 	}
@@ -63,14 +63,14 @@
 func (o *ownerDuty) read(a ownership.Read) {
 	ctx, cancel := o.r.alarms.limit(o.r.lifetime, o.r.opts.Settings.Store.Timeout)
 	defer cancel()
-	rec, err := o.r.platform.For(platform.Ownership).Get(ctx, a.Key)
-	if errors.Is(err, platform.ErrNotFound) {
-		rec, err = platform.Record{}, nil
+	rec, err := o.r.platform.For(kv.Ownership).Get(ctx, a.Key)
+	if errors.Is(err, kv.ErrNotFound) {
+		rec, err = kv.Record{}, nil
 	}
 	o.tellRead(a, rec, err)
 }
 
-func (o *ownerDuty) tellRead(a ownership.Read, rec platform.Record, err error) {
+func (o *ownerDuty) tellRead(a ownership.Read, rec kv.Record, err error) {
 	if err == nil {
 		o.r.members.witness()
 	}
@@ -88,7 +88,7 @@
 func (o *ownerDuty) compareAndSwap(a ownership.CAS) {
 	ctx, cancel := o.r.alarms.limit(o.r.lifetime, o.r.opts.Settings.Store.Timeout)
 	defer cancel()
-	revision, err := o.r.platform.For(platform.Ownership).CompareAndSwap(ctx, a.Key, platform.Revision(a.Expect), a.Value)
+	revision, err := o.r.platform.For(kv.Ownership).CompareAndSwap(ctx, a.Key, kv.Revision(a.Expect), a.Value)
 	o.duty.tellHere(ownership.CASResult{Key: a.Key, Op: a.Op, Outcome: storeOutcome(err), Revision: uint64(revision)})
 }
 
@@ -97,9 +97,9 @@
 	switch {
 	case err == nil:
 		return ownership.Landed
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, kv.ErrConflict):
 		return ownership.Conflict
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrOverBudget):
+	case errors.Is(err, kv.ErrUnavailable), errors.Is(err, kv.ErrOverBudget):
 		return ownership.Unavailable
 	default:
 		return ownership.Unknown
--- a/router/ownerduty.go
+++ b/router/ownerduty.go
@@ -9,7 +9,7 @@
 	"tarragongw/core/model"
 	"tarragongw/core/ownership"
 	"tarragongw/core/ownership/ownershippb"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/peer"
 )
 
@@ -195,32 +195,32 @@
 
 // reportKinds maps the core's reports to kinds of events and their causes.
 var reportKinds = map[ownership.ReportKind]struct {
-	kind  journal.Kind
+	kind  eventlog.Kind
 	cause string
 }{
-	ownership.TookOver:             {journal.GrantorChanged, "this router took the target over"},
-	ownership.TookOverWithoutStore: {journal.GrantorChanged, "this router took the target over as its successor, without the store"},
-	ownership.Superseded:           {journal.GrantorLost, "another router is the target's grantor"},
-	ownership.HandedOver:           {journal.GrantorChanged, "this router handed the target over"},
-	ownership.TargetLost:           {journal.TargetEjected, "the target is silent; its units move away"},
-	ownership.Unprovable:           {journal.UnitUnserved, "grantor and successor are lost and nothing proves that they stopped"},
-	ownership.PromisesOnly:         {journal.StoreUnavailable, "the grantor goes on by promises of its successor"},
-	ownership.LossHeld: {journal.TargetLossHeld,
+	ownership.TookOver:             {eventlog.GrantorChanged, "this router took the target over"},
+	ownership.TookOverWithoutStore: {eventlog.GrantorChanged, "this router took the target over as its successor, without the store"},
+	ownership.Superseded:           {eventlog.GrantorLost, "another router is the target's grantor"},
+	ownership.HandedOver:           {eventlog.GrantorChanged, "this router handed the target over"},
+	ownership.TargetLost:           {eventlog.TargetEjected, "the target is silent; its units move away"},
+	ownership.Unprovable:           {eventlog.UnitUnserved, "grantor and successor are lost and nothing proves that they stopped"},
+	ownership.PromisesOnly:         {eventlog.StoreUnavailable, "the grantor goes on by promises of its successor"},
+	ownership.LossHeld: {eventlog.TargetLossHeld,
 		"the target is silent, as too many are at once, or this router may be cut off; its units stay"},
-	ownership.LossDismissed: {journal.TargetReadmitted, "the target answers, or another router has taken it over"},
-	ownership.ClaimedElsewhere: {journal.GrantorChanged,
+	ownership.LossDismissed: {eventlog.TargetReadmitted, "the target answers, or another router has taken it over"},
+	ownership.ClaimedElsewhere: {eventlog.GrantorChanged,
 		"the target's data centre is cut off; this router takes the target over once nobody there can send to it"},
-	ownership.StaleUnits: {journal.UnitUnserved, "the successor does not know the units that the grantor served"},
+	ownership.StaleUnits: {eventlog.UnitUnserved, "the successor does not know the units that the grantor served"},
 }
 
 func (o *ownerDuty) report(a ownership.Report) {
 	row := reportKinds[a.Kind]
-	o.r.journal.Record(journal.Event{
+	o.r.journal.Record(eventlog.Event{
 		Kind:   row.kind,
 		Cause:  row.cause,
 		Target: a.Target,
 		Router: o.r.self.Name,
-		Fields: []journal.Field{journal.F("term", uintText(a.Term)), journal.F("report", a.Kind.String())},
+		Fields: []eventlog.Field{eventlog.F("term", uintText(a.Term)), eventlog.F("report", a.Kind.String())},
 	})
 	switch a.Kind {
 	case ownership.LossHeld:
--- a/router/ownerevents.go
+++ b/router/ownerevents.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"tarragongw/core/ownership"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 // maxUnitsNamed bounds the units that one event about several names.
@@ -45,21 +45,21 @@
 	return out
 }
 
-func assignedEvent(t transfer, all []ownership.Assigned) journal.Event {
-	e := journal.Event{
-		Kind:    journal.OwnerChanged,
+func assignedEvent(t transfer, all []ownership.Assigned) eventlog.Event {
+	e := eventlog.Event{
+		Kind:    eventlog.OwnerChanged,
 		Cause:   "the assignment is durable",
 		Service: t.service,
 		Target:  t.to,
-		Fields:  []journal.Field{journal.F("from", t.from), journal.F("units", uintText(uint64(len(all))))},
+		Fields:  []eventlog.Field{eventlog.F("from", t.from), eventlog.F("units", uintText(uint64(len(all))))},
 	}
 	if len(all) == 1 {
 		e.Unit = all[0].Unit.String()
-		e.Fields = append(e.Fields, journal.F("token", uintText(all[0].Token)))
+		e.Fields = append(e.Fields, eventlog.F("token", uintText(all[0].Token)))
 		return e
 	}
 	for _, a := range all[:min(len(all), maxUnitsNamed)] {
-		e.Fields = append(e.Fields, journal.F("unit", a.Unit.String()))
+		e.Fields = append(e.Fields, eventlog.F("unit", a.Unit.String()))
 	}
 	return e
 }
--- a/router/passon.go
+++ b/router/passon.go
@@ -10,7 +10,7 @@
 
 	"tarragongw/core/fault"
 	"tarragongw/core/membership"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/operator"
 	"tarragongw/peer"
 )
@@ -49,7 +49,7 @@
 // Events implements operator.Backend.
 func (b *backend) Events(_ context.Context, query operator.EventQuery) (*operator.EventPage, error) {
 	life := b.r.self.Incarnation
-	after, filter := query.After, journal.Filter{}
+	after, filter := query.After, eventlog.Filter{}
 	switch {
 	case query.Life == 0:
 		after, filter.After = 0, query.Since
@@ -58,7 +58,7 @@
 	}
 	page := b.r.journal.Events(after, filter)
 	if page.Events == nil {
-		page.Events = []journal.Event{}
+		page.Events = []eventlog.Event{}
 	}
 	out := &operator.EventPage{Router: b.r.self.Name, Life: life, Events: page.Events, Next: page.Next}
 	if query.Life != 0 {
--- a/router/rebalanceplan.go
+++ b/router/rebalanceplan.go
@@ -11,7 +11,7 @@
 	"tarragongw/core/balance"
 	"tarragongw/core/model"
 	"tarragongw/core/routing"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/peer/peerpb"
 	"tarragongw/telemetry"
 )
@@ -248,15 +248,15 @@
 		return
 	}
 	e.proposed = now
-	b.r.journal.Record(journal.Event{
-		Kind:    journal.HotKeyFound,
+	b.r.journal.Record(eventlog.Event{
+		Kind:    eventlog.HotKeyFound,
 		Cause:   "one key makes up most of its unit; a range of this key alone could move by itself",
 		Service: service,
 		Unit:    split.Unit,
 		Router:  b.r.self.Name,
-		Fields: []journal.Field{
-			journal.F("hash", split.Key),
-			journal.F("slots_used", strconv.FormatFloat(split.Load, 'f', 2, 64)),
+		Fields: []eventlog.Field{
+			eventlog.F("hash", split.Key),
+			eventlog.F("slots_used", strconv.FormatFloat(split.Load, 'f', 2, 64)),
 		},
 	})
 }
--- a/router/recordduty.go
+++ b/router/recordduty.go
@@ -11,7 +11,7 @@
 	"tarragongw/core/membership"
 	"tarragongw/core/ownership"
 	"tarragongw/core/spread"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
 )
@@ -183,11 +183,11 @@
 	case spread.Unpatched:
 		d.r.patchDropped(a)
 	case spread.Refused:
-		d.r.journal.Record(journal.Event{
-			Kind:   journal.ConfigRefused,
+		d.r.journal.Record(eventlog.Event{
+			Kind:   eventlog.ConfigRefused,
 			Cause:  "the record exceeds the bounds on memory",
 			Router: d.r.self.Name,
-			Fields: []journal.Field{journal.F("key", a.Key), journal.F("bytes", uintText(uint64(a.Size)))},
+			Fields: []eventlog.Field{eventlog.F("key", a.Key), eventlog.F("bytes", uintText(uint64(a.Size)))},
 		})
 	}
 }
--- a/router/refusal.go
+++ b/router/refusal.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 	"tarragongw/operator"
 )
 
@@ -51,23 +51,23 @@
 func (r *Router) operatorRefused(refused operator.Refusal) {
 	cause := string(refused.Cause)
 	r.tel.Scope().Tagged(map[string]string{"cause": cause}).Counter("operator_refused_total").Inc(1)
-	r.tellRefusal(journal.OperatorRefused, "operator "+cause, refused.Detail,
-		journal.F("reason", cause), journal.F("name", refused.Name), journal.F("from", refused.Remote),
-		journal.F("call", refused.Method+" "+refused.Path))
+	r.tellRefusal(eventlog.OperatorRefused, "operator "+cause, refused.Detail,
+		eventlog.F("reason", cause), eventlog.F("name", refused.Name), eventlog.F("from", refused.Remote),
+		eventlog.F("call", refused.Method+" "+refused.Path))
 }
 
 // tellRefusal records a refusal, of those with one label as many as r.refusals admits; the
 // last field says how many came untold before it.
-func (r *Router) tellRefusal(kind journal.Kind, label, cause string, fields ...journal.Field) {
+func (r *Router) tellRefusal(kind eventlog.Kind, label, cause string, fields ...eventlog.Field) {
 	untold, ok := r.refusals.admit(label, time.Now())
 	if !ok {
 		return
 	}
-	r.journal.Record(journal.Event{
+	r.journal.Record(eventlog.Event{
 		Kind:   kind,
 		Cause:  cause,
 		Router: r.opts.Settings.Name,
-		Fields: append(fields, journal.F("untold", strconv.Itoa(untold))),
+		Fields: append(fields, eventlog.F("untold", strconv.Itoa(untold))),
 	})
 }
 
@@ -75,7 +75,7 @@
 func (r *Router) peerRefused(address string, cause error) {
 	reason := string(peerCauseOf(cause))
 	r.tel.Scope().Tagged(map[string]string{"cause": reason}).Counter("peer_refused_total").Inc(1)
-	r.tellRefusal(journal.PeerRefused, "peer "+reason, cause.Error(), journal.F("reason", reason), journal.F("from", address))
+	r.tellRefusal(eventlog.PeerRefused, "peer "+reason, cause.Error(), eventlog.F("reason", reason), eventlog.F("from", address))
 }
 
 // peerDialFailed tells of a router whose certificate or version this one refuses. The
@@ -99,6 +99,6 @@
 func (r *Router) connectionRefused(side, name string, cause error) {
 	reason := string(peerCauseOf(cause))
 	r.tel.Scope().Tagged(map[string]string{"side": side, "cause": reason}).Counter("certificate_connections_refused_total").Inc(1)
-	r.tellRefusal(journal.CertRefused, side+" "+reason, cause.Error(),
-		journal.F("reason", reason), journal.F("side", side), journal.F("name", name))
+	r.tellRefusal(eventlog.CertRefused, side+" "+reason, cause.Error(),
+		eventlog.F("reason", reason), eventlog.F("side", side), eventlog.F("name", name))
 }
--- a/router/router.go
+++ b/router/router.go
@@ -18,10 +18,10 @@
 	"tarragongw/clock"
 	"tarragongw/confstore"
 	"tarragongw/core/ownership"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
+	"tarragongw/kv"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
-	"tarragongw/platform"
 	"tarragongw/telemetry"
 )
 
@@ -34,7 +34,7 @@
 
 	tel     *telemetry.Telemetry
 	admin   *telemetry.Admin
-	journal *journal.Journal
+	journal *eventlog.Journal
 	// retriers holds the *retrier of each service by name.
 	retriers sync.Map
 
@@ -52,7 +52,7 @@
 	security *security
 	refusals refusals
 
-	platform *platform.Budget
+	platform *kv.Budget
 	history  *confstore.History
 	editor   *confstore.Editor
 
--- a/router/stop.go
+++ b/router/stop.go
@@ -6,7 +6,7 @@
 
 	"tarragongw/core/membership"
 	"tarragongw/core/ownership"
-	"tarragongw/journal"
+	"tarragongw/eventlog"
 )
 
 // StopReport says how a stop went.
@@ -34,7 +34,7 @@
 
 func (r *Router) stop(ctx context.Context) StopReport {
 	r.stopping.Store(true)
-	r.journal.Record(journal.Event{Kind: journal.RouterStopping, Cause: "asked to stop", Router: r.self.Name})
+	r.journal.Record(eventlog.Event{Kind: eventlog.RouterStopping, Cause: "asked to stop", Router: r.self.Name})
 	r.members.duty.tell(membership.Leave{Leaving: true})
 	sleep(ctx, r.opts.Settings.Drain.NotReady)
 	var report StopReport
--- a/router/storewatch.go
+++ b/router/storewatch.go
@@ -7,8 +7,8 @@
 
 	"tarragongw/confstore"
 	"tarragongw/core/spread"
-	"tarragongw/journal"
-	"tarragongw/platform"
+	"tarragongw/eventlog"
+	"tarragongw/kv"
 )
 
 // storeWatch follows the store on behalf of the data centre's routers.
@@ -16,7 +16,7 @@
 	d      *recordDuty
 	ctx    context.Context
 	cancel context.CancelFunc
-	store  platform.Store
+	store  kv.Store
 	up     bool
 	asked  bool
 }
@@ -33,7 +33,7 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(d.r.lifetime)
-	w := &storeWatch{d: d, ctx: ctx, cancel: cancel, store: d.r.platform.For(platform.Ownership)}
+	w := &storeWatch{d: d, ctx: ctx, cancel: cancel, store: d.r.platform.For(kv.Ownership)}
 	d.watch = w
 	d.r.run(w.follow)
 }
@@ -42,7 +42,7 @@
 func (w *storeWatch) follow() {
 	for w.ctx.Err() == nil {
 		err := w.round()
-		if err == nil || errors.Is(err, platform.ErrCompacted) {
+		if err == nil || errors.Is(err, kv.ErrCompacted) {
 			continue
 		}
 		w.reached(false)
@@ -88,7 +88,7 @@
 // is up. Each call is bounded: a watch whose other end has forgotten it would else
 // stay silent for good while changes pass by. The next call begins at the same
 // revision and, as this one was given up, on another connection.
-func (w *storeWatch) next(since platform.Revision) ([]platform.Record, platform.Revision, error) {
+func (w *storeWatch) next(since kv.Revision) ([]kv.Record, kv.Revision, error) {
 	ctx, cancel := context.WithTimeout(w.ctx, w.d.r.opts.Settings.Timers.Watch)
 	defer cancel()
 	changed, revision, err := w.store.Watch(ctx, "", since)
@@ -123,14 +123,14 @@
 	w.asked, w.up = true, up
 	w.d.r.storeUp.Store(up)
 	w.d.duty.tell(spread.StoreReached{Up: up})
-	kind := journal.StoreUnavailable
+	kind := eventlog.StoreUnavailable
 	if up {
-		kind = journal.StoreAvailable
+		kind = eventlog.StoreAvailable
 	}
-	w.d.r.journal.Record(journal.Event{Kind: kind, Cause: "seen by the store watch", Router: w.d.r.self.Name})
+	w.d.r.journal.Record(eventlog.Event{Kind: kind, Cause: "seen by the store watch", Router: w.d.r.self.Name})
 }
 
-func entriesOf(records []platform.Record) []spread.Entry {
+func entriesOf(records []kv.Record) []spread.Entry {
 	entries := make([]spread.Entry, len(records))
 	for i, rec := range records {
 		entries[i] = entryOf(rec.Key, uint64(rec.Revision), rec.Value)
--- a/router/vmlist.go
+++ b/router/vmlist.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"tarragongw/core/membership"
+	"tarragongw/kv"
 	"tarragongw/peer/wire"
-	"tarragongw/platform"
 )
 
 // The platform's list of VMs is a hint to join and to leave. Only the routers that watch
@@ -67,7 +67,7 @@
 
 // followList reads the platform's list of VMs as often as is needed.
 func (m *memberDuty) followList() {
-	directory := m.r.platform.For(platform.Rest)
+	directory := m.r.platform.For(kv.Rest)
 	every := m.r.opts.Settings.VMs.Every
 	read, jitter := time.Duration(-1), rand.N(slowList*every)
 	for {
@@ -116,7 +116,7 @@
 	return -1
 }
 
-func listed(vms []platform.VM) membership.Listed {
+func listed(vms []kv.VM) membership.Listed {
 	var e membership.Listed
 	for _, vm := range vms {
 		e.VMs = append(e.VMs, membership.ListedVM{
