Move keys for differences that chance doesn't make

Cause: moves were decided at a difference of 0.12 of two targets' utilisation. Change: the difference must also be twice its standard deviation by chance.

Targets that change while a new leader reads the division don't end it.

--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -14,6 +15,8 @@
 	// moveGap is the difference of two targets' utilisation above which keys are moved;
 	// below it the difference is mostly chance.
 	moveGap = 0.12
+	// sureGap is that difference in parts of its standard deviation by chance.
+	sureGap = 2.0
 	// moveShare is the part of half the difference that one move takes, less than all of
 	// it so that what was chance is not moved back.
 	moveShare = 0.8
@@ -180,7 +183,7 @@
 	cool := busiest[len(busiest)-1]
 	for _, hot := range busiest {
 		gap := hot.utilisation() - cool.utilisation()
-		if gap*rate < moveGap {
+		if gap*rate < moveGap || gap < sureGap*noise(hot, cool) {
 			return Move{}, false
 		}
 		want := moveShare * gap / (hot.cost + cool.cost)
@@ -195,6 +198,12 @@
 	return Move{}, false
 }
 
+// noise is the standard deviation of the difference of two targets' utilisation if requests
+// come by chance.
+func noise(a, b *place) float64 {
+	return math.Sqrt(a.load*a.cost*a.cost + b.load*b.cost*b.cost)
+}
+
 // bestRange returns the smallest range of the holder's keys, at an end of one of its
 // segments, whose load is near the wanted one, or the one with the most load below it. Of ranges of one load the one with fewer
 // keys has the hot ones; the others would be moved for nothing.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -26,7 +26,8 @@
 	tablesPause = 15 * time.Millisecond
 	// restingWait is how long a watch waits for what changes seldom. A store that stopped
 	// answering is noticed sooner, by the renewals of this router's own record.
-	restingWait = 8 * time.Second
+	// The store waits for at most 30 s; with 24 s two watches cost a router 5 calls a minute.
+	restingWait = 24 * time.Second
 	// targetsWait is shorter: the leader must know whether it still hears from the store.
 	targetsWait = 400 * time.Millisecond
 	// freshFor is how long ago the store may have answered for the leader to tell others
@@ -34,6 +35,10 @@
 	freshFor = targetsPause + targetsWait + 150*time.Millisecond
 	// feedPatience is how long a router waits for its first feed before it asks the store.
 	feedPatience = 1500 * time.Millisecond
+	// feedGrace is how long a router that was fed goes without before it asks the store. The
+	// next leader is there sooner where one stopped in an orderly way; without the grace each
+	// such stop has all routers list all targets at once.
+	feedGrace = 600 * time.Millisecond
 	// configPatience is how long a watch may take to bring a configuration that the leader
 	// has: 200 kB take 0.2 s on a link of 10 Mbit/s, and the store may be busy with all routers.
 	configPatience = 900 * time.Millisecond
@@ -58,6 +63,10 @@
 	term     *term
 	standing []*watcher
 	direct   []*watcher
+	// fed says that the leader tells this router what the store knows.
+	fed bool
+	// asking says that the store is asked after a grace unless a leader feeds this router.
+	asking bool
 	// directTables says that the tables are among what direct watches.
 	directTables bool
 	// backs is the term of the leader that this router backs, until backsUntil.
@@ -99,6 +108,13 @@
 	}
 }
 
+// sees reports whether a router is known to lead.
+func (f *follow) sees() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader.present
+}
+
 // set tells who leads.
 func (f *follow) set(leader leaderSeen) {
 	f.mu.Lock()
@@ -126,7 +142,7 @@
 
 // run follows one leader after the other until the router ends.
 func (f *follow) run() {
-	began := time.Now()
+	f.unfed(feedPatience)
 	for f.g.lifetime.Err() == nil {
 		f.mu.Lock()
 		leader, leads, moved := f.leader, f.term != nil, f.moved
@@ -137,9 +153,9 @@
 		case leader.present && leader.name != f.g.opts.Name && leader.address != "":
 			err := f.followOnce(leader, moved)
 			f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
-			f.askStore(true)
-		case time.Since(began) > feedPatience:
-			f.askStore(true)
+			f.unfed(feedGrace)
+		default:
+			f.unfed(feedGrace)
 		}
 		f.pause(moved, leads)
 	}
@@ -182,7 +198,7 @@
 					f.g.log.Info("leader doesn't hear from the store", "leader", leader.name, "term", leader.revision)
 				}
 				fed = false
-				f.askStore(true)
+				f.unfed(0)
 				if len(u.Tables) > 0 {
 					f.g.beliefs.duty.Tell(u)
 				}
@@ -287,10 +303,33 @@
 	}
 }
 
-// leaveStore ends what askStore began.
+// unfed notes that no leader tells this router what the store knows. It asks the store
+// itself unless one does again within the grace.
+func (f *follow) unfed(grace time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fed = false
+	if !f.asking && !(f.stopDirect != nil && f.directTables) {
+		f.asking = true
+		time.AfterFunc(grace, f.askUnlessFed)
+	}
+}
+
+func (f *follow) askUnlessFed() {
+	f.mu.Lock()
+	f.asking = false
+	needless := f.fed || f.term != nil
+	f.mu.Unlock()
+	if !needless && f.g.lifetime.Err() == nil {
+		f.askStore(true)
+	}
+}
+
+// leaveStore ends what askStore began, because a leader tells it all.
 func (f *follow) leaveStore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.fed = true
 	if f.stopDirect != nil {
 		f.stopDirect()
 		f.stopDirect, f.direct = nil, nil
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tarragongw/core/assign"
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
@@ -33,9 +35,11 @@
 	// storeDoubt is how long after the last good renewal of the lease the store counts as
 	// away: two renewals were lost.
 	storeDoubt = 1100 * time.Millisecond
-	// campaignSpread is the longest pause before a router asks for the lead, drawn at
-	// random: all routers see at once that there is none.
-	campaignSpread = 60 * time.Millisecond
+	// campaignSpread is the longest pause for each router that there is before one asks for
+	// the lead, and mostSpread the longest of all, drawn at random: all see at once that there
+	// is none. The first of many draws a short one, and the others hear of it before they ask.
+	campaignSpread = 5 * time.Millisecond
+	mostSpread     = 400 * time.Millisecond
 	// weakShare is the part of a core below which a router leaves the lead to others, and
 	// weakPause by how much later it asks for it. With 0.16 of a core and a link of 10 Mbit/s
 	// the first round of grants to 148 targets took a router longer than it waits for each:
@@ -218,7 +222,9 @@
 		return
 	}
 	for _, p := range l.term.post {
-		p.assigner.SetTargets(time.Now(), targets)
+		if p.assigner != nil { // its division is being read
+			p.assigner.SetTargets(time.Now(), targets)
+		}
 	}
 }
 
@@ -271,17 +277,25 @@
 func (l *leader) campaign() {
 	l.campaigning = true
 	l.g.workers.Run(func() {
-		duty.Sleep(l.g.lifetime, campaignAfter(l.g.opts.CPUShare))
+		duty.Sleep(l.g.lifetime, campaignAfter(l.g.opts.CPUShare, l.g.routerCount()))
 		l.g.gate.wait(l.g.lifetime)
+		if l.g.follow.sees() {
+			l.duty.Tell(&campaigned{nil, errLed})
+			return
+		}
 		t, err := l.acquire()
 		l.duty.Tell(&campaigned{t, err})
 	})
 }
 
-// campaignAfter is the pause before a router with the part of a core asks for the lead;
-// zero is a whole core.
-func campaignAfter(share float64) time.Duration {
-	pause := time.Duration(rand.Int64N(int64(campaignSpread)))
+// errLed ends a try for the lead that became needless.
+var errLed = errors.New("another router leads")
+
+// campaignAfter is the pause before one of so many routers, with the part of a core, asks
+// for the lead; zero is a whole core.
+func campaignAfter(share float64, routers int) time.Duration {
+	spread := min(campaignSpread*time.Duration(max(routers, 1)), mostSpread)
+	pause := time.Duration(rand.Int64N(int64(spread)))
 	if share > 0 && share < weakShare {
 		pause += weakPause
 	}
