--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -25,9 +25,6 @@
 	// movePatience is how long a request waits for a key that is being handed over; the
 	// work that runs on it has to end first.
 	movePatience = 800 * time.Millisecond
-	// latePatience is how long a request that would be late waits for a target that nobody
-	// waits for: queues of chance are over within a service time, those of overload are not.
-	latePatience = 120 * time.Millisecond
 	// lapseRetryAfter is the advice where a key's holder is lost and its grant has to lapse.
 	lapseRetryAfter = 700 * time.Millisecond
 	// emptyRetryAfter is the advice where no target is there at all.
@@ -297,11 +294,13 @@
 	return !now.Add(stay).After(r.Due)
 }
 
-// tooLate says that a request waits for a time at which nobody else does.
+// tooLate refuses a request at once that is to come back when nobody waits for the target.
+// Kept for 120 ms, most were refused in the end, and late.
 func (s *Service) tooLate(now time.Time, l *Load) *block {
-	b := &block{kind: fault.QueueFull, detail: "target " + l.ID + ", too late for its objective", target: l, patience: latePatience}
-	b.advice = max(time.Duration(l.wait(now, s.mean)*float64(time.Second)), minRetryAfter)
-	return b
+	return &block{
+		kind: fault.QueueFull, detail: "target " + l.ID + ", too late for its objective", target: l, wait: -1,
+		advice: max(time.Duration(l.wait(now, s.mean)*float64(time.Second)), minRetryAfter),
+	}
 }
 
 // behind sets the wait of a request that so many others go before.
