--- a/core/fault/page.go
+++ b/core/fault/page.go
@@ -32,6 +32,26 @@
 |---|---|---|---|---|---|---|
 `
 
+const pageFoot = `
+## By what happened and the kind of route
+
+What a router of ` + "`tarragongw serve`" + ` does and says. "Again" is another send of its own, at most four in all and but for the first row within the retry budget that all routers share; to another target, or, where the key binds, to its holder, after a 421 once a newer division of the keys is known. Tests: TestWhatMayHaveRunIsNotRepeatedUnlessItMayBe, TestRefusalsOfTargetsGoElsewhereOrBack, TestSecondAnswerIsPassedOver, TestUnsignedSuccessIsNoAnswer, TestBrokenAnswerDoesNotLookWhole (gateway), TestUnknownKindRunsAtMostOnce (platform).
+
+| what happened | may run more than once | at most once | said in the end |
+|---|---|---|---|
+| no connection could be opened | again | again | 503, not-run, come back |
+| no place, no holder, key on the move | waits while it helps | waits while it helps | 503, not-run, come back |
+| the target refused, or holds another key | again | again | 503, not-run, come back |
+| sent, and the connection ended without an answer | again | no | 502, unknown |
+| the answer is malformed or has no signature | again | no | 502, unknown |
+| the target answered 5xx of its own | again, unless the key binds | no | the target's answer |
+| the answer broke off after it began | no | no | the connection is aborted |
+| a second answer on the connection | passed over | passed over | the request's own answer |
+| time up before it was sent | no | no | 503, not-run |
+| time up after it was sent | no | no | 504, unknown |
+| the caller left | no; the send is cut | no; the send is cut | nothing (499 in logs) |
+`
+
 // Page returns the page of errors as Markdown, generated from the table.
 func Page() string {
 	var page strings.Builder
@@ -41,6 +61,7 @@
 		fmt.Fprintf(&page, "| `%s` | %d | `%s` | %s | %s | %s | %s |\n",
 			row.Code, row.Status, row.Ran, row.Proof, yesNo(row.Retryable), wait(row.RetryAfter), row.Text)
 	}
+	page.WriteString(pageFoot)
 	return page.String()
 }
 
