Tell callers whose requests outlast a planned stop

Change: at the end of that time requests that still wait are answered 504 as if their own time were over, within 0.3 s, before connections are cut.

A shorter time for requests in flight (0.88 of the grace, was 0.93) leaves room for it.

--- a/caller/conns.go
+++ b/caller/conns.go
@@ -149,6 +149,17 @@
 	}
 }
 
+// expire ends the requests that wait for an answer as if their time were over.
+func (l *connLimits) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if ctx := c.request.Load(); ctx != nil {
+			go ctx.Expire()
+		}
+	}
+}
+
 func (l *connLimits) unused() []*callerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/caller/server.go
+++ b/caller/server.go
@@ -15,12 +15,18 @@
 // connection: a request that is on its way must not be cut.
 const unusedGrace = 500 * time.Millisecond
 
+// lastWords is how long a stopping server that cuts requests off has to tell their callers.
+// Without it a caller finds its connection reset and knows nothing.
+const lastWords = 300 * time.Millisecond
+
 // Server serves callers over HTTP/1.1 and HTTP/2, in clear text or over TLS.
 type Server struct {
 	*Handler
 	cfg    Config
 	http   *http.Server
 	limits *connLimits
+	// expire ends all requests with a cause.
+	expire context.CancelCauseFunc
 }
 
 // NewServer returns a server around the handler. tlsConfig is nil for clear
@@ -42,8 +48,11 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(tlsConfig != nil)
 	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	base, expire := context.WithCancelCause(context.Background())
+	s.expire = expire
 	s.http = &http.Server{
 		Handler:           handler,
+		BaseContext:       func(net.Listener) context.Context { return base },
 		TLSConfig:         tlsConfig,
 		Protocols:         &protocols,
 		ReadHeaderTimeout: cfg.ReadHeaderTimeout,
@@ -85,8 +94,9 @@
 
 // Shutdown accepts no more connections and waits for the requests in flight:
 // HTTP/1.1 answers carry "Connection: close" from now on and HTTP/2 connections
-// get GOAWAY. When ctx ends first, it cuts what is left and returns how many
-// requests that were.
+// get GOAWAY. When ctx ends first, requests that still wait for their answer are told that
+// their time is over, and what is left after lastWords is cut. It returns how many requests
+// were not answered otherwise.
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
 	done := make(chan error, 1)
 	go func() { done <- s.http.Shutdown(ctx) }()
@@ -104,7 +114,13 @@
 		}
 	}
 	cut = int(s.InFlight())
-	_ = s.http.Close()
+	s.limits.expire()
+	s.expire(context.DeadlineExceeded)
+	last, cancel := context.WithTimeout(context.Background(), lastWords)
+	defer cancel()
+	if s.http.Shutdown(last) != nil {
+		_ = s.http.Close()
+	}
 	return cut
 }
 
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -197,6 +198,27 @@
 	assert.Equal(t, <-stopped, 0)
 }
 
+// Symptom: in a planned stop callers find their connections reset without a word.
+// Sequence: a request comes shortly before the router stops listening, and takes longer than
+// what is left of the grace.
+func TestRequestsThatOutlastTheGraceAreAnswered(t *testing.T) {
+	f := newFleet(t, 1, strings.ReplaceAll(plainConfig, `"timeout":"1000ms"`, `"timeout":"60000ms"`), plainTarget("a"))
+	g := f.gateways[0]
+	f.targets["a"].SetWork(5 * time.Second)
+	answers := make(chan answer, 2)
+	for _, c := range []call{{method: "GET", path: "/read/1", key: -1}, {method: "POST", path: "/pay/1", key: -1, body: "x"}} {
+		c.left = time.Minute
+		go func() { answers <- f.sendAs(g, c, "id-"+c.method) }()
+	}
+	waittest.Until(t, "both run", func() bool { return len(f.targets["a"].Runs()) == 2 })
+	assert.Equal(t, g.Stop(), 2)
+	for range 2 {
+		got := <-answers
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusGatewayTimeout, "%s", got.id)
+	}
+}
+
 // The leader that stops gives the lead up at once.
 func TestStoppingLeaderHandsTheLeadOver(t *testing.T) {
 	f := newFleet(t, 2, keyedConfig, keyedTarget("a"))
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -9,8 +9,9 @@
 	// leaveShare is the part of the grace after which no connection is accepted any more:
 	// by then the platform has asked twice whether this router is ready, and sends no more.
 	leaveShare = 0.5
-	// cutShare is the part of the grace that requests in flight have to end.
-	cutShare = 0.93
+	// cutShare is the part of the grace that requests in flight have to end. The others are
+	// told so in the rest of it; of the usual grace of 6 s that is 0.7 s.
+	cutShare = 0.88
 )
 
 // Stop ends the router gracefully: it is not ready from now on, gives the lead up, answers
--- a/reqctx/reqctx.go
+++ b/reqctx/reqctx.go
@@ -57,7 +57,13 @@
 }
 
 // follow ends the context because its parent ended.
-func (c *Context) follow() { c.cancel(c.parent.Err()) }
+func (c *Context) follow() {
+	if context.Cause(c.parent) == context.DeadlineExceeded {
+		c.cancel(context.DeadlineExceeded)
+		return
+	}
+	c.cancel(c.parent.Err())
+}
 
 // Limit sets when the context ends, with context.DeadlineExceeded, unless Begin is
 // called before; left is the time until then. It may be called once.
@@ -71,6 +77,9 @@
 	c.timer = time.AfterFunc(left, c.expire)
 }
 
+// Expire ends the context as its limit does, unless the answer began.
+func (c *Context) Expire() { c.expire() }
+
 func (c *Context) expire() {
 	c.mu.Lock()
 	begun := c.begun
