Watch the store only once the router is whole

A store that answers first had its configuration handled with a nil pointer and lost; such a router never becomes ready. Change: they begin with the duty that follows the leader. The new test fails without it (nil pointer) and passes with it.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -86,9 +86,6 @@
 	f.standing = []*watcher{
 		f.watcher(a.ConfigPrefix, configPause, restingWait), f.watcher(leaderPrefix, leaderPause, restingWait),
 	}
-	for _, w := range f.standing {
-		g.goRun(func() { w.run(g.lifetime) })
-	}
 	return f
 }
 
@@ -142,7 +139,13 @@
 }
 
 // run follows one leader after the other until the router ends.
+//
+// The watches begin here and not with the follow itself: a store that answers before the
+// router has it finds beliefs that rest on nothing, and its first configuration is lost.
 func (f *follow) run() {
+	for _, w := range f.standing {
+		f.g.goRun(func() { w.run(f.g.lifetime) })
+	}
 	f.unfed(feedPatience)
 	for f.g.lifetime.Err() == nil {
 		f.mu.Lock()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -10,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"tarragongw/core/routes"
+	"tarragongw/platform"
+	"tarragongw/platform/platformtest"
 )
 
 // Symptom: a configuration of a thousand routes is not in force after four seconds, and each
@@ -38,3 +40,21 @@
 		assert.Equal(t, cuts, 1)
 	})
 }
+
+// Symptom: a router that has just started never becomes ready.
+// Sequence: the store answers the first watch before the router has put together what its
+// answer is told to; the configuration that it brings is lost.
+func TestNothingIsAskedBeforeTheRouterIsWhole(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	client := platform.NewStore(store.Address())
+	defer client.Close()
+	g := &Gateway{log: slog.New(slog.DiscardHandler), opts: Options{Store: client}}
+	g.lifetime, g.cancel = context.WithCancel(t.Context())
+	defer g.running.Wait()
+	defer g.cancel()
+	g.members = newMembers(g)
+	newFollow(g)
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, len(store.Calls()), 0)
+}
