Say once what was said twice in the routers

No behaviour changes. A sync.Once beside a flag that already lets one pass goes, as does a comparison of pointers that meant the first time.

--- a/caller/conns.go
+++ b/caller/conns.go
@@ -155,7 +155,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if ctx := c.request.Load(); ctx != nil {
-			go ctx.Expire()
+			ctx.Expire()
 		}
 	}
 }
--- a/gateway/backing.go
+++ b/gateway/backing.go
@@ -57,7 +57,7 @@
 func (b *backing) backedFor(now time.Duration, routers int) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ends := slices.SortedFunc(maps.Values(b.until), func(x, y time.Duration) int { return cmp.Compare(y, x) })
+	ends := latestFirst(b.until)
 	for others := range len(ends) + 1 {
 		if !enough(others, routers) {
 			continue
@@ -70,6 +70,10 @@
 	return 0
 }
 
+func latestFirst(ends map[string]time.Duration) []time.Duration {
+	return slices.SortedFunc(maps.Values(ends), func(x, y time.Duration) int { return cmp.Compare(y, x) })
+}
+
 // join notes that a router follows this leader, which backs another one until a time. It
 // reports whether enough follow, and when no older leader is backed any more.
 //
@@ -85,7 +89,7 @@
 	if !enough(len(b.joined)-1, routers) {
 		return false, 0
 	}
-	ends := slices.SortedFunc(maps.Values(b.joined), func(x, y time.Duration) int { return cmp.Compare(y, x) })
+	ends := latestFirst(b.joined)
 	common := len(ends) - int(backingShare*float64(routers))
 	return true, ends[min(max(common, 1), len(ends))-1]
 }
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -170,14 +170,9 @@
 	for _, r := range c.records {
 		if r.Deleted {
 			changed = b.directory.Remove(c.at, a.TargetID(r.Key)) || changed
-			continue
+		} else if t, ok := b.readTarget(r); ok {
+			changed = b.directory.Put(c.at, t) || changed
 		}
-		t, err := a.DecodeTarget(r.Key, r.Value)
-		if err != nil {
-			b.g.log.Warn("entry of a target passed over", "key", r.Key, "err", err)
-			continue
-		}
-		changed = b.directory.Put(c.at, t) || changed
 	}
 	b.settle(changed)
 }
@@ -185,16 +180,22 @@
 func (b *beliefs) readTargets(records []kv.Record) []directory.Target {
 	var all []directory.Target
 	for _, r := range records {
-		t, err := b.g.opts.Adapter.DecodeTarget(r.Key, r.Value)
-		if err != nil {
-			b.g.log.Warn("entry of a target passed over", "key", r.Key, "err", err)
-			continue
+		if t, ok := b.readTarget(r); ok {
+			all = append(all, t)
 		}
-		all = append(all, t)
 	}
 	return all
 }
 
+// readTarget reads an entry; one that can't be read names no target.
+func (b *beliefs) readTarget(r kv.Record) (directory.Target, bool) {
+	t, err := b.g.opts.Adapter.DecodeTarget(r.Key, r.Value)
+	if err != nil {
+		b.g.log.Warn("entry of a target passed over", "key", r.Key, "err", err)
+	}
+	return t, err == nil
+}
+
 // settle hands the targets out where they have changed, and sees to it that what becomes
 // due later is looked at.
 func (b *beliefs) settle(changed bool) {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -151,14 +151,13 @@
 		f.mu.Lock()
 		leader, leads, moved := f.leader, f.term != nil, f.moved
 		f.mu.Unlock()
-		switch {
-		case leads:
+		if leads {
 			f.askStore(false)
-		case leader.present && leader.name != f.g.opts.Name && leader.address != "":
-			err := f.followOnce(leader, moved)
-			f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
-			f.unfed(feedGrace)
-		default:
+		} else {
+			if leader.present && leader.name != f.g.opts.Name && leader.address != "" {
+				err := f.followOnce(leader, moved)
+				f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
+			}
 			f.unfed(feedGrace)
 		}
 		f.pause(moved, leads)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -57,30 +57,18 @@
 		return f
 	}
 	x.s.counted()
-	x.rewind()
+	x.body.RewindInto(x.r)
 	for {
 		f := x.attempt()
 		if f == nil {
 			return nil
 		}
-		if !x.rewind() || !x.again(f) {
+		if !x.body.RewindInto(x.r) || !x.again(f) {
 			return final(f)
 		}
 	}
 }
 
-// rewind gives the next send the whole body and reports whether it can.
-func (x *exchange) rewind() bool {
-	if x.body == nil {
-		return true
-	}
-	body, ok := x.body.Rewind()
-	if ok {
-		x.r.Body = body
-	}
-	return ok
-}
-
 // open finds out where the request goes.
 func (g *Gateway) open(w http.ResponseWriter, r *http.Request, meta *request.Meta) (*exchange, *fault.Fault) {
 	v := g.view.Load()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,7 +50,6 @@
 	// process is to stop.
 	known, leaving atomic.Bool
 	firstKnown     chan struct{}
-	once           sync.Once
 
 	callerListener, readyListener, metricsListener, peerListener net.Listener
 	readyServer, metricsServer                                   *http.Server
@@ -172,7 +171,7 @@
 	if !known || g.known.Swap(true) {
 		return
 	}
-	g.once.Do(func() { close(g.firstKnown) })
+	close(g.firstKnown)
 	g.log.Info("ready")
 }
 
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -162,11 +162,11 @@
 		return
 	}
 	stops := oldLeaderStops(time.Now(), promised-now)
-	if t.oldStops == nil {
-		t.oldStops = stops
+	if t.oldStops != nil {
+		stops.usual = t.oldStops.usual // known since the first time
 	}
-	if stops.long.Before(t.oldStops.long) || stops == t.oldStops { // the more follow, the more is known
-		t.oldStops.long = stops.long
+	if t.oldStops == nil || stops.long.Before(t.oldStops.long) { // the more follow, the more is known
+		t.oldStops = stops
 		l.g.log.Info("old leader stops", "alone_in", time.Until(t.oldStops.usual), "backed_in", promised-now, "term", t.revision)
 	}
 	for _, p := range t.post {
--- a/replay/body.go
+++ b/replay/body.go
@@ -65,6 +65,19 @@
 	return b.current, true
 }
 
+// RewindInto gives the request's next attempt the whole body and reports whether it can. A
+// request without a body has none to give.
+func (b *Body) RewindInto(r *http.Request) bool {
+	if b == nil {
+		return true
+	}
+	attempt, ok := b.Rewind()
+	if ok {
+		r.Body = attempt
+	}
+	return ok
+}
+
 // Read implements io.Reader.
 func (a *Attempt) Read(p []byte) (int, error) {
 	for {
--- a/reqctx/reqctx.go
+++ b/reqctx/reqctx.go
@@ -74,13 +74,11 @@
 		return
 	}
 	c.limit = limit
-	c.timer = time.AfterFunc(left, c.expire)
+	c.timer = time.AfterFunc(left, c.Expire)
 }
 
 // Expire ends the context as its limit does, unless the answer began.
-func (c *Context) Expire() { c.expire() }
-
-func (c *Context) expire() {
+func (c *Context) Expire() {
 	c.mu.Lock()
 	begun := c.begun
 	c.mu.Unlock()
--- a/router/forward.go
+++ b/router/forward.go
@@ -59,7 +59,7 @@
 	if f := x.awaitBody(); f != nil {
 		return f
 	}
-	x.rewind()
+	x.body.RewindInto(x.r)
 	x.began = time.Now()
 	for start := time.Duration(0); ; start = time.Since(x.began) {
 		x.attempt++
@@ -69,7 +69,7 @@
 			return nil
 		}
 		x.failed(start, f)
-		if !x.rewind() || !r.again(x, f) {
+		if !x.body.RewindInto(x.r) || !r.again(x, f) {
 			return f
 		}
 		r.tel.Retry(meta.Service, f.Kind.String())
@@ -90,18 +90,6 @@
 	})
 }
 
-// rewind gives the next attempt the whole body and reports whether it can.
-func (x *exchange) rewind() bool {
-	if x.body == nil {
-		return true
-	}
-	body, ok := x.body.Rewind()
-	if ok {
-		x.r.Body = body
-	}
-	return ok
-}
-
 // again decides on a further attempt after f and waits until it is due.
 func (r *Router) again(x *exchange, f *fault.Fault) bool {
 	if routeMayBeOld(f) {
--- a/router/prefetch_test.go
+++ b/router/prefetch_test.go
@@ -29,7 +29,7 @@
 		x := uploadOf(t.Context(), t, strings.NewReader(text), int64(length))
 		assert.Assert(t, x.awaitBody() == nil)
 		for range 2 {
-			assert.Assert(t, x.rewind())
+			assert.Assert(t, x.body.RewindInto(x.r))
 			got, err := io.ReadAll(x.r.Body)
 			assert.NilError(t, err)
 			assert.Equal(t, string(got), text)
