Keep targets' connections whose callers end their own

Cause: a caller that keeps no connection says so; net/http keeps that apart from the header, and writes it again on the way to the target, which closes a connection that the pool would have kept.

Change: the request that goes out doesn't say whether the caller's connection ends.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -125,6 +125,9 @@
 		x.ctx.Limit(x.meta.Deadline, left)
 	}
 	out := r.WithContext(x.ctx)
+	// Whether the caller ends its own connection is nothing to the target's: passed on, it
+	// cost a new connection to a target for each second request of callers without kept ones.
+	out.Close = false
 	rule.strip(out, rest)
 	x.prepareHeader(out)
 	x.prepareBody(out)
--- a/caller/headers_test.go
+++ b/caller/headers_test.go
@@ -69,6 +69,23 @@
 	assert.Equal(t, len(header.Get("Traceparent")), 55)
 }
 
+// Symptom: half of the connections to targets are opened for one request only.
+// Sequence: callers that keep no connection say so; the request goes out with the same
+// word, and the target closes the connection that a pool would have kept.
+// Cause: net/http keeps a connection's end apart from the header, so that removing the
+// header left it in force for the way to the target.
+func TestEndOfTheCallersConnectionIsNotPassedOn(t *testing.T) {
+	var passedOn bool
+	b := start(t, Config{}, func(w http.ResponseWriter, r *http.Request, m *request.Meta) *fault.Fault {
+		passedOn = r.Close
+		return answered(w, r, m)
+	})
+	resp := do(t, client(t, 1), "GET", b.url+"/x", nil, "Connection", "close")
+	assert.Equal(t, text(t, resp), "whole")
+	assert.Assert(t, resp.Close, "the caller's own connection ends as it asked")
+	assert.Assert(t, !passedOn)
+}
+
 func TestTunnelsAreRefused(t *testing.T) {
 	b := start(t, Config{}, answered)
 	for _, head := range []string{
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -34,6 +34,23 @@
 	assert.Assert(t, runs[0].DeadlineMillis > 0 && runs[0].DeadlineMillis <= 1000, "the route's timeout bounds what is left")
 }
 
+// Symptom: more connections to targets than callers open to the router.
+// Sequence: callers that keep no connection send one request after the other.
+// Cause: each took the target's connection with it, see the same test of caller.
+func TestCallersWithoutKeptConnectionsShareTheTargets(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	from := map[string]bool{}
+	f.targets["a"].Answer(func(_ http.ResponseWriter, r *http.Request) bool {
+		from[r.RemoteAddr] = true
+		return false
+	})
+	f.client.Transport = &http.Transport{DisableKeepAlives: true}
+	for range 5 {
+		assert.Equal(t, f.send(f.gateways[0], call{method: "POST", path: "/pay/1", key: -1, body: "x"}).status, http.StatusOK)
+	}
+	assert.Equal(t, len(from), 1)
+}
+
 func TestUnknownRouteAndMissingConfiguration(t *testing.T) {
 	f := newFleet(t, 1, "")
 	waittest.Until(t, "the server answers", func() bool {
