Begin requests that a caller sends behind another at once

Change: while a request is served, what comes behind it is read, and up to six requests of the connection that may run more than once and have no body begin early; answers wait for their turn. net/http still parses each request in its turn. A caller's end is now noticed also where it had sent more, and ends all. A planned stop begins none early and closes a connection only behind the last that was begun.

--- a/caller/config.go
+++ b/caller/config.go
@@ -62,6 +62,9 @@
 	// ClosesAfter says whether the caller's connection is to end after the answer, which is
 	// then announced; nil keeps all.
 	ClosesAfter func() bool
+	// LookAhead is how many requests of one connection in clear text are served before their
+	// turn, see lookAhead; zero serves one after the other.
+	LookAhead int
 	// Admit refuses a request of the class for reasons of the router's own, at once; nil
 	// refuses none.
 	Admit func(class request.Class) *fault.Fault
--- a/caller/conns.go
+++ b/caller/conns.go
@@ -25,11 +25,13 @@
 	request atomic.Pointer[reqctx.Context]
 	once    sync.Once
 	trust   trust
+	// ahead begins requests before their turn; nil where none are.
+	ahead *lookAhead
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.read(p)
 	if n > 0 && !c.active.Load() {
 		c.active.Store(true)
 	}
@@ -39,9 +41,20 @@
 	return n, err
 }
 
-// end cancels the request under way, and any that is attached later.
+func (c *callerConn) read(p []byte) (int, error) {
+	if c.ahead != nil {
+		return c.ahead.Read(p)
+	}
+	return c.Conn.Read(p)
+}
+
+// end cancels the request under way, those that were begun before their turn, and any that
+// is attached later.
 func (c *callerConn) end() {
 	c.ended.Store(true)
+	if c.ahead != nil {
+		c.ahead.end()
+	}
 	if ctx := c.request.Load(); ctx != nil {
 		ctx.Cancel()
 	}
@@ -67,8 +80,7 @@
 	if r.ProtoMajor != 1 || r.TLS != nil || r.Body != http.NoBody {
 		return nil
 	}
-	c, _ := r.Context().Value(connKey{}).(*callerConn)
-	return c
+	return connOf(r)
 }
 
 // Close implements net.Conn.
@@ -83,7 +95,9 @@
 // taken when a connection opens or closes, not for a request.
 type connLimits struct {
 	most, mostPerIP int
-	refused         atomic.Int64
+	// lookAhead returns what begins a connection's requests early, or nil.
+	lookAhead func(c *callerConn) *lookAhead
+	refused   atomic.Int64
 	// round counts the calls of Server.Recheck; it begins with one, so that each
 	// connection is asked for once after its handshake.
 	round atomic.Uint64
@@ -113,6 +127,9 @@
 		return nil
 	}
 	c := &callerConn{Conn: conn, limits: l, ip: ip}
+	if l.lookAhead != nil {
+		c.ahead = l.lookAhead(c)
+	}
 	l.conns[c] = struct{}{}
 	l.perIP[ip]++
 	return c
@@ -140,6 +157,17 @@
 	return len(l.conns)
 }
 
+// early returns the number of requests that were begun and whose turn has not come.
+func (l *connLimits) early() int {
+	n := 0
+	for _, c := range l.all() {
+		if c.ahead != nil {
+			n += c.ahead.outstanding()
+		}
+	}
+	return n
+}
+
 // closeUnused closes the connections on which no request has come yet. A
 // balancer opens connections ahead of need, and net/http's Shutdown would wait
 // five seconds for each.
--- a/caller/server.go
+++ b/caller/server.go
@@ -50,6 +50,9 @@
 	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
 	base, expire := context.WithCancelCause(context.Background())
 	s.expire = expire
+	if cfg.LookAhead > 0 && tlsConfig == nil {
+		s.limits.lookAhead = func(c *callerConn) *lookAhead { return newLookAhead(c, base, cfg.LookAhead, handler.beginEarly) }
+	}
 	s.http = &http.Server{
 		Handler:           handler,
 		BaseContext:       func(net.Listener) context.Context { return base },
@@ -98,6 +101,7 @@
 // their time is over, and what is left after lastWords is cut. It returns how many requests
 // were not answered otherwise.
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
+	s.awaitEarly(ctx)
 	done := make(chan error, 1)
 	go func() { done <- s.http.Shutdown(ctx) }()
 	grace := time.NewTimer(unusedGrace)
@@ -124,6 +128,23 @@
 	return cut
 }
 
+// awaitEarly waits until no answer is left that waits for its turn: net/http closes each
+// connection after the answer that is under way, and those behind it would be lost.
+func (s *Server) awaitEarly(ctx context.Context) {
+	ticker := time.NewTicker(earlyPoll)
+	defer ticker.Stop()
+	for s.limits.early() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// earlyPoll is how often a stopping server looks whether answers wait for their turn.
+const earlyPoll = 10 * time.Millisecond
+
 // Conns returns the number of callers' open connections and how many were
 // refused by the limits since the start.
 func (s *Server) Conns() (open int, refused int64) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,7 @@
 	c := caller.Config{
 		RequestIDHeader: http.CanonicalHeaderKey(g.opts.Adapter.Headers.RequestID),
 		Untraced:        true, FractionalWaits: true, Promises: true, ClosesAfter: g.leaving.Load, Logger: g.log,
+		LookAhead: lookAhead,
 	}
 	if limits != nil {
 		c.ReadHeaderTimeout, c.IdleTimeout, c.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
@@ -92,6 +93,10 @@
 	return c
 }
 
+// lookAhead is how many requests of a caller are served beside the one whose turn it is:
+// about as many as a target works on at once, so that one caller doesn't fill it.
+const lookAhead = 6
+
 func (g *Gateway) listen() error {
 	for _, l := range []struct {
 		address string
