Serve in its turn what finds no place before it

A refusal could be given no sooner than in its turn.

Change: such a request, if it was sent to no target, is served anew when its turn has come.

--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -225,6 +225,45 @@
 	assert.Equal(t, len(f.names(&f.begun)), len("a b c"), "what was not begun is the caller's to send again")
 }
 
+// Symptom: reads of one caller are refused while the router has nothing else to do.
+// Sequence: they come at once; those that begin before their turn fill the places.
+// Cause: what finds no place before its turn is refused, though a refusal could be given
+// no sooner than in its turn, when there is one.
+func TestRefusedBeforeItsTurnIsServedInIt(t *testing.T) {
+	gate := make(chan struct{})
+	var mu sync.Mutex
+	tries := map[string]int{}
+	b := start(t, Config{LookAhead: 3}, func(w http.ResponseWriter, r *http.Request, m *request.Meta) *fault.Fault {
+		mu.Lock()
+		tries[m.ID]++
+		first := tries[m.ID] == 1
+		mu.Unlock()
+		if m.ID == "id-a" {
+			<-gate
+		} else if first {
+			f := fault.New(fault.QueueFull, "")
+			if m.ID == "id-c" {
+				m.AddAttempt(request.Attempt{Number: 1, Fault: f})
+			}
+			return f
+		}
+		_, _ = io.WriteString(w, "whole")
+		return nil
+	})
+	p := newPipe(t, b)
+	p.get("a", "b", "c")
+	waittest.Until(t, "all have begun", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(tries) == 3
+	})
+	close(gate)
+	for _, status := range []int{http.StatusOK, http.StatusOK, http.StatusServiceUnavailable} {
+		got, _ := p.answer()
+		assert.Equal(t, got, status)
+	}
+}
+
 // An answer that breaks off doesn't look whole, and what is larger than what is kept of it
 // comes whole all the same.
 func TestAnswersBeforeTheirTurnStayWhole(t *testing.T) {
--- a/caller/early.go
+++ b/caller/early.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"tarragongw/core/fault"
 )
 
 // earlyBytes bounds what is kept of an answer whose turn has not come; its target waits
@@ -34,6 +36,8 @@
 	ended, aborted bool
 	// left says that nobody waits for the answer any more.
 	left bool
+	// refused says that there was no place for the request before its turn.
+	refused bool
 }
 
 // beginEarly serves a request before its turn, unless it may run once at most or this
@@ -135,9 +139,13 @@
 func (e *earlyAnswer) SetWriteDeadline(time.Time) error { return nil }
 
 // deliver sends the answer, whose turn has come, as it comes.
-func (e *earlyAnswer) deliver(x *exchange) {
+// It reports false where the request is to be served now instead.
+func (e *earlyAnswer) deliver(x *exchange) bool {
 	defer e.leave()
 	status := e.await()
+	if e.refused {
+		return false
+	}
 	if status == 0 {
 		abort(x.r) // the caller left, or there is no answer that could be given
 	}
@@ -159,6 +167,21 @@
 	maps.Copy(x.Header(), e.header) // trailers come after the body
 	x.writes.close()
 	x.armEnd()
+	return true
+}
+
+// refuse notes that the request found no place, and reports whether it will be served in
+// its turn: a refusal could be given no sooner, and by then there may be a place. One
+// that was sent already is not sent as if it were new.
+func (x *exchange) refuse(f *fault.Fault) bool {
+	e, before := x.w.(*earlyAnswer)
+	if !before || f.Ran != fault.NotRun || f.Kind.Row().Status != http.StatusServiceUnavailable || len(x.meta.Attempts) > 0 {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refused = true
+	return true
 }
 
 // await returns the answer's status once it is known, or zero where there is none.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -43,8 +43,7 @@
 	x := &exchange{
 		handler: h, w: w, r: r, ctl: *http.NewResponseController(w), declared: -1, began: time.Now(),
 	}
-	if e := early(r); e != nil {
-		e.deliver(x)
+	if e := early(r); e != nil && e.deliver(x) {
 		return
 	}
 	x.expects = len(r.Header["Expect"]) > 0
@@ -258,6 +257,9 @@
 	if x.status != 0 {
 		return true
 	}
+	if x.refuse(f) {
+		return false
+	}
 	if f.Kind == fault.CallerGone {
 		x.status = f.Kind.Row().Status
 		return true
