--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -78,6 +78,38 @@
 	assert.Equal(t, s.Offer(start, Request{ID: 2, Bytes: 600}).Target.ID, "far")
 }
 
+// However long a body is, it doesn't stay where its answer comes much later.
+func TestLongBodiesLeaveAFullDataCentre(t *testing.T) {
+	s := newService(target("near", "here"), target("far", "there"))
+	learn(s, "near", 400*time.Millisecond)
+	learn(s, "far", 100*time.Millisecond)
+	assert.Equal(t, s.Offer(start, Request{ID: 1, Bytes: 500_000}).Target.ID, "far")
+}
+
+// Symptom: half as many connections to targets are opened as requests sent, and what a
+// router knows of a target's work is seconds old.
+// Sequence: nine routers share a load of 60 requests a second to eight targets that look
+// alike; each sends to all of them in turn, one request to each in a second.
+// Cause: a target with a resting connection is worth no more than one without.
+func TestRouterStaysWithFewTargetsAtLowLoad(t *testing.T) {
+	var targets []directory.Target
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		targets = append(targets, target(id, "here"))
+	}
+	s := newService(targets...)
+	used := map[string]bool{}
+	for i := range 60 {
+		now := at(i * 150)
+		d := s.Offer(now, Request{ID: uint64(i), Deadline: now.Add(time.Second)})
+		assert.Equal(t, d.Verdict, Send)
+		used[d.Target.ID] = true
+		s.Done(now.Add(100*time.Millisecond), d.Target.ID, Answered, 100*time.Millisecond, d.Turns)
+	}
+	assert.Assert(t, len(used) <= 2, "%v", used)
+	// More at once than its slots goes on to others.
+	assert.Assert(t, len(spread(s, 8)) >= 4)
+}
+
 // Symptom: some targets of a service break connections off while others have room.
 // Sequence: many routers send to the one that was idle when they last heard of it.
 // Cause: the others' work is not reckoned with.
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -39,6 +39,9 @@
 	// off, and raise it by a part of a request with each answer.
 	depthCut  = 0.5
 	depthGain = 0.05
+	// RestTime is how long a connection without work is kept; targets close theirs after
+	// ten seconds.
+	RestTime = 8 * time.Second
 	// minUnreached and maxUnreached bound for how long a target that can't be reached is
 	// left alone; the second is about what a broken way takes to be found anyway.
 	minUnreached = 200 * time.Millisecond
@@ -55,6 +58,10 @@
 	directory.Target
 	// inFlight is this router's own work at the target.
 	inFlight int
+	// conns is how many connections to the target this router is taken to have, the most work
+	// in flight since it was at rest for RestTime; usedAt is when work last came or ended.
+	conns  int
+	usedAt time.Time
 	// others is the mean of the other routers' work; lastOthers is what the last report
 	// said of it, at lastReport.
 	others, lastOthers float64
@@ -97,6 +104,28 @@
 // work is all that is to be expected at the target.
 func (l *Load) work(now time.Time) float64 { return float64(l.inFlight) + l.othersNow(now) }
 
+// send notes that work is sent.
+func (l *Load) send(now time.Time) {
+	if l.cold(now) {
+		l.conns = 0
+	}
+	l.usedAt = now
+	l.inFlight++
+	l.conns = max(l.conns, l.inFlight)
+}
+
+// end notes that work has ended.
+func (l *Load) end(now time.Time) {
+	l.inFlight = max(l.inFlight-1, 0)
+	l.usedAt = now
+}
+
+// cold reports whether no connection to the target is left.
+func (l *Load) cold(now time.Time) bool { return l.inFlight == 0 && now.Sub(l.usedAt) >= RestTime }
+
+// opens reports whether work that is sent now needs a new connection.
+func (l *Load) opens(now time.Time) bool { return l.cold(now) || l.inFlight >= l.conns }
+
 // hasRoom reports whether one more request may be sent. A router that has none in flight
 // may always send one: it would else never learn that the others' work has ended.
 func (l *Load) hasRoom(now time.Time) bool {
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -14,14 +14,6 @@
 	initialService = 0.15
 	// meanGain is the weight of a new answer in the service's mean.
 	meanGain = 0.02
-	// candidates is how many targets of a large service are compared for one request,
-	// beside those of the own data centre: comparing all costs a router with hundreds of
-	// targets more than the better choice brings.
-	candidates = 8
-	// crossingPerByte is the time that a byte to or from another data centre counts for in
-	// the choice of a target. At 2.5 us, 60 kB are worth 150 ms of waiting, a tenth of a
-	// second less than what makes them late.
-	crossingPerByte = 2500 * time.Nanosecond
 	// movePatience is how long a request waits for a key that is being handed over; the
 	// work that runs on it has to end first.
 	movePatience = 800 * time.Millisecond
@@ -205,7 +197,7 @@
 	if l == nil {
 		return
 	}
-	l.inFlight = max(l.inFlight-1, 0)
+	l.end(now)
 	switch result {
 	case Answered:
 		l.outcome(now, 0)
@@ -269,7 +261,7 @@
 	if !l.lastReport.IsZero() {
 		d.ReportAge = now.Sub(l.lastReport)
 	}
-	l.inFlight++
+	l.send(now)
 	return d, nil
 }
 
@@ -357,60 +349,6 @@
 	return l, nil
 }
 
-// best returns the target from which the answer is expected first, or nil.
-//
-// It answers load that many routers put on few slots: the least expected time prefers
-// fast targets in proportion, passes by those that fail or have just started, and leaves
-// the own data centre where the way costs less than the wait.
-func (s *Service) best(now time.Time, r *Request) *Load {
-	var best *Load
-	var least float64
-	crossing := time.Duration(r.Bytes) * crossingPerByte
-	for _, l := range s.sample() {
-		if l.Draining || l.away(now) || l.ID == r.Avoid && len(s.order) > 1 {
-			continue
-		}
-		cost := l.expected(now, s.mean) * (1 + tieBreak*s.random.Float64())
-		if l.DataCentre != s.dataCentre {
-			cost += crossing.Seconds()
-		}
-		if !l.hasRoom(now) {
-			cost += noRoomPenalty.Seconds()
-		}
-		if best == nil || cost < least {
-			best, least = l, cost
-		}
-	}
-	return best
-}
-
-const (
-	// tieBreak spreads routers over targets that look alike, in parts of the cost.
-	tieBreak = 0.2
-	// noRoomPenalty puts full targets behind all that have room.
-	noRoomPenalty = 10 * time.Second
-)
-
-// sample returns the targets to compare.
-func (s *Service) sample() []*Load {
-	if len(s.order) <= 2*candidates {
-		return s.order
-	}
-	chosen := make([]*Load, 0, 2*candidates)
-	chosen = s.draw(chosen, s.order[:s.near])
-	return s.draw(chosen, s.order[s.near:])
-}
-
-func (s *Service) draw(chosen, from []*Load) []*Load {
-	if len(from) <= candidates {
-		return append(chosen, from...)
-	}
-	for range candidates {
-		chosen = append(chosen, from[s.random.IntN(len(from))])
-	}
-	return chosen
-}
-
 // hopeless refuses a request whose answer can't be in time any more. Refused at once it
 // may be back while there is time left; kept, it would take the place of one that can.
 func (s *Service) hopeless(now time.Time, r *Request, b *block) (Decision, bool) {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/core/directory"
+	"tarragongw/core/dispatch"
 	"tarragongw/target"
 )
 
@@ -19,7 +20,7 @@
 	// are shorter. It only ends what has none.
 	progressTimeout = 60 * time.Second
 	// maxIdle closes connections that rested, before most targets would.
-	maxIdle = 8 * time.Second
+	maxIdle = dispatch.RestTime
 	// connShare is the part of a target's connections that the routers share out; the rest
 	// is for grants, checks, and routers that come and go.
 	connShare = 0.8
