--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,7 +70,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
-	g.pools = newPools(opts.Adapter.Dialect, g.hear)
+	g.pools = newPools(opts.Adapter.Dialect, g.hear, g.countOpened)
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
 	if err := g.listen(); err != nil {
 		g.cancel()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"tarragongw/target"
 )
 
 // MetricsPath is where the metrics are served.
@@ -21,6 +23,15 @@
 	g.goRun(func() { g.serveOwn(g.metricsServer, g.metricsListener) })
 }
 
+// countOpened counts a connection to a target of the service that is opened for the cause.
+func (g *Gateway) countOpened(service string, cause target.OpenCause) {
+	if g.opts.Telemetry == nil {
+		return
+	}
+	tags := map[string]string{"service": service, "cause": string(cause)}
+	g.opts.Telemetry.Scope().Tagged(tags).Counter("target_connections_opened_total").Inc(1)
+}
+
 // serveOwn serves until the process ends.
 func (g *Gateway) serveOwn(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && g.lifetime.Err() == nil {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -33,13 +33,17 @@
 	dialect target.Dialect
 	// heard is told the header of each answer of a target.
 	heard func(t *directory.Target, h http.Header)
+	// opening is told of each connection that is opened, and why.
+	opening func(service string, cause target.OpenCause)
 
 	mu  sync.Mutex
 	all map[directory.Target]*target.Pool
 }
 
-func newPools(dialect target.Dialect, heard func(*directory.Target, http.Header)) *pools {
-	return &pools{dialect: dialect, heard: heard, all: map[directory.Target]*target.Pool{}}
+func newPools(
+	dialect target.Dialect, heard func(*directory.Target, http.Header), opening func(string, target.OpenCause),
+) *pools {
+	return &pools{dialect: dialect, heard: heard, opening: opening, all: map[directory.Target]*target.Pool{}}
 }
 
 // identity is what a pool belongs to: one life of a target at one address.
@@ -60,6 +64,7 @@
 	pool, err := target.New(target.PoolConfig{
 		Address: t.Address, MaxConns: max(maxConns, minConns), ControlConns: -1, MaxIdle: maxIdle,
 		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Wait: -1,
+		Opening: func(cause target.OpenCause) { p.opening(key.Service, cause) },
 	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "connections to target %s", t.ID)
--- a/target/acquire.go
+++ b/target/acquire.go
@@ -29,9 +29,13 @@
 			continue
 		}
 		if p.open < p.max {
+			cause := p.opening()
 			p.open++
 			p.inUse++
 			p.mu.Unlock()
+			if p.cfg.Opening != nil {
+				p.cfg.Opening(cause)
+			}
 			return p.dial(ctx)
 		}
 		if p.cfg.Wait == 0 {
@@ -54,6 +58,20 @@
 	}
 }
 
+// opening says why a connection has to be opened now; the lock is held.
+func (p *Pool) opening() OpenCause {
+	switch {
+	case p.inUse > 0:
+		return OpenedBeside
+	case p.counts.Dials == 0:
+		return OpenedFirst
+	case p.lost == "":
+		return OpenedBroken // the one before could not be opened
+	default:
+		return p.lost
+	}
+}
+
 // pop takes the connection that rested last and counts it in use.
 func (p *Pool) pop() *conn {
 	n := len(p.idle)
@@ -72,10 +90,10 @@
 	now := p.cfg.Now()
 	switch {
 	case p.expired(c, now):
-		p.drop(c, &p.counts.Aged)
+		p.drop(c, &p.counts.Aged, OpenedRested)
 		return false
 	case !c.alive():
-		p.drop(c, &p.counts.Stale)
+		p.drop(c, &p.counts.Stale, OpenedStale)
 		return false
 	}
 	p.mu.Lock()
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -333,15 +333,16 @@
 // discard frees the place of a closed connection and counts why.
 func (x *exchange) discard(kind fault.Kind) {
 	p := x.pool
-	count := &p.counts.Broken
+	count, cause := &p.counts.Broken, OpenedBroken
 	switch {
 	case x.conn.silent.Load():
 		count = &p.counts.Silent
 	case kind == fault.CallerGone || kind == fault.DeadlineExceeded:
-		count = &p.counts.Cancelled
+		count, cause = &p.counts.Cancelled, OpenedCancelled
 	case kind == fault.TargetRefused || kind == fault.Internal:
-		count = nil
+		count, cause = nil, OpenedEnded
 	}
+	p.lose(cause)
 	if x.upload.done() {
 		x.conn.detach()
 	}
--- a/target/config.go
+++ b/target/config.go
@@ -63,6 +63,8 @@
 	Dialect Dialect
 	// Dial opens raw connections; nil means a net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Opening is told why a connection is about to be opened; nil tells nobody.
+	Opening func(cause OpenCause)
 	// Now tells the time; nil means time.Now. Only rest, age and the
 	// ends of certificates are taken from it.
 	Now func() time.Time
--- a/target/pool.go
+++ b/target/pool.go
@@ -35,8 +35,28 @@
 	closed  bool
 	drained chan struct{}
 	counts  Counts
+	// lost says why the last connection was closed.
+	lost OpenCause
 }
 
+// OpenCause says why a connection is opened.
+type OpenCause string
+
+// The causes.
+const (
+	// OpenedFirst is the first connection to a target, OpenedBeside one beside others in use.
+	OpenedFirst  OpenCause = "first"
+	OpenedBeside OpenCause = "beside"
+	// The others follow one that rested for too long, that the target had closed, that was
+	// closed after an answer because the target said so or had not read the request, that an
+	// exchange had broken, or on which one was cut off for its caller or its time.
+	OpenedRested    OpenCause = "rested"
+	OpenedStale     OpenCause = "stale"
+	OpenedEnded     OpenCause = "ended"
+	OpenedBroken    OpenCause = "broken"
+	OpenedCancelled OpenCause = "cancelled"
+)
+
 // Counts are the running totals of a pool.
 type Counts struct {
 	// Dials and DialErrors count attempts to open a connection and those that failed.
--- a/target/pool_test.go
+++ b/target/pool_test.go
@@ -64,3 +64,39 @@
 	assert.Equal(t, s.Idle, 1)
 	assert.Equal(t, s.InUse, 0)
 }
+
+// Whoever reads the metrics can tell why connections are opened: first, beside one in use,
+// after an answer that ended one, and after an exchange that was cut off.
+func TestOpeningsTellTheirCause(t *testing.T) {
+	gate := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Header.Get("Then") {
+		case "close":
+			w.Header().Set("Connection", "close")
+		case "wait":
+			<-gate
+		}
+	}))
+	defer server.Close()
+	var causes []OpenCause
+	p := newPool(t, server.Listener.Addr().String(), func(c *PoolConfig) {
+		c.Opening = func(cause OpenCause) { causes = append(causes, cause) }
+	})
+	send := func(then string) *http.Response {
+		r := newRequest(t, "GET", nil)
+		r.Header.Set("Then", then)
+		return attempt(t, p, t.Context(), r)
+	}
+	send("").Body.Close()
+	send("close").Body.Close()
+	send("").Body.Close()
+	r := newRequest(t, "GET", nil)
+	r.Header.Set("Then", "wait")
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, f := p.Attempt(ctx, r)
+	assert.Assert(t, f != nil)
+	close(gate)
+	send("").Body.Close()
+	assert.DeepEqual(t, causes, []OpenCause{OpenedFirst, OpenedEnded, OpenedCancelled})
+}
--- a/target/rest.go
+++ b/target/rest.go
@@ -6,7 +6,7 @@
 func (p *Pool) release(c *conn) {
 	now := p.cfg.Now()
 	if now.Sub(c.born) >= p.cfg.MaxAge || !p.trusts(c, now) {
-		p.drop(c, &p.counts.Aged)
+		p.drop(c, &p.counts.Aged, OpenedRested)
 		return
 	}
 	c.rested = now
@@ -29,12 +29,20 @@
 	p.mu.Unlock()
 }
 
-// drop closes a connection in use, counts why and frees its place.
-func (p *Pool) drop(c *conn, count *uint64) {
+// drop closes a connection in use, counts why and frees its place. The next one that is
+// opened is opened for the cause.
+func (p *Pool) drop(c *conn, count *uint64, cause OpenCause) {
 	c.raw.Close()
+	p.lose(cause)
 	p.vacate(count)
 }
 
+func (p *Pool) lose(cause OpenCause) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lost = cause
+}
+
 // vacate gives the place of a connection in use to a waiter or back to the budget.
 func (p *Pool) vacate(count *uint64) {
 	p.mu.Lock()
@@ -95,6 +103,9 @@
 	p.idle = kept
 	p.open -= len(old)
 	p.counts.Aged += uint64(len(old))
+	if len(old) > 0 {
+		p.lost = OpenedRested
+	}
 	p.mu.Unlock()
 	closeAll(old)
 }
