End an answer that waits for room when its caller leaves

Cause, found on reading: an answer before its turn waits once 64 kB of it are kept, and what writes it heard nothing of its caller's end, so that its goroutine and the target's slot stayed taken for ever (TestCallersEndEndsAnAnswerThatWaitsForRoom fails without the change).

--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -190,6 +190,38 @@
 	waittest.Until(t, "all three were given up", func() bool { return len(f.names(&f.gone)) == len("a b c") })
 }
 
+// Symptom: a target's slot is taken for ever by an answer of which 64 kB have come.
+// Sequence: a caller sends reads at once and leaves while the second, long answer waits for
+// its turn.
+// Cause: what writes the answer waits for room and doesn't hear of the caller's end.
+func TestCallersEndEndsAnAnswerThatWaitsForRoom(t *testing.T) {
+	ended := make(chan struct{})
+	full := make(chan struct{})
+	b := start(t, Config{LookAhead: 3}, func(w http.ResponseWriter, r *http.Request, _ *request.Meta) *fault.Fault {
+		if strings.HasSuffix(r.URL.Path, "a") {
+			<-r.Context().Done()
+			return fault.New(fault.CallerGone, "")
+		}
+		defer close(ended)
+		part := make([]byte, earlyBytes)
+		if _, err := w.Write(part); err == nil {
+			close(full)
+			_, err = w.Write(part)
+			assert.Check(t, err != nil)
+		}
+		return fault.New(fault.CallerGone, "")
+	})
+	p := newPipe(t, b)
+	p.get("a", "b")
+	<-full
+	p.conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the answer still waits")
+	}
+}
+
 // Symptom: a planned stop cuts off reads that were at work.
 // Sequence: a caller has sent reads at once; the router stops and closes the connection
 // after the answer whose turn it is.
--- a/caller/early.go
+++ b/caller/early.go
@@ -52,6 +52,8 @@
 		cancel: cancel, header: http.Header{},
 	}
 	e.changed = sync.NewCond(&e.mu)
+	// A target's answer that waits for room would else wait for ever for a caller that left.
+	context.AfterFunc(ctx, e.abandon)
 	go e.serve(h, r.WithContext(ctx))
 	return e
 }
@@ -90,8 +92,10 @@
 }
 
 // leave ends the request, whose answer nobody waits for.
-func (e *earlyAnswer) leave() {
-	e.cancel()
+func (e *earlyAnswer) leave() { e.cancel() }
+
+// abandon lets nothing more of the answer in.
+func (e *earlyAnswer) abandon() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.left = true
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -22,8 +22,12 @@
 // answers of all routers count; it remembers about the last thirty.
 const sharedGain = 0.03
 
-// note remembers an answer's service time for TakePaces.
+// note remembers an answer's service time for TakePaces, where the speeds decide who holds
+// which keys.
 func (s *Service) note(id string, sample float64) {
+	if !s.byKey {
+		return
+	}
 	p := s.paces[id]
 	if p == nil {
 		p = &Pace{Target: id}
--- a/core/dispatch/pace_test.go
+++ b/core/dispatch/pace_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"tarragongw/core/directory"
 )
 
 // served has a router get answers of the target, each after the time.
@@ -43,6 +45,17 @@
 	assert.Equal(t, len(newcomer.TakePaces()), 0, "what was heard is not reported as an answer")
 }
 
+// What answers of targets that are gone told is not kept, however many come and go.
+func TestPacesOfGoneTargetsAreForgotten(t *testing.T) {
+	s, _ := keyed("a", target("a", "here"), target("b", "here"))
+	served(s, "a", 1, time.Second)
+	served(s, "b", 1, time.Second)
+	s.SetTargets([]directory.Target{target("b", "here")})
+	paces := s.TakePaces()
+	assert.Equal(t, len(paces), 1)
+	assert.Equal(t, paces[0].Target, "b")
+}
+
 // Symptom: a target of which a third of the requests end without an answer keeps its keys.
 // Sequence: its queue is longer than the time that requests have, so that none is answered.
 // Cause: only answers tell of its speed; it stays what was assumed of it.
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -136,6 +136,11 @@
 		}
 	}
 	s.loads = loads
+	for id := range s.paces {
+		if loads[id] == nil {
+			delete(s.paces, id)
+		}
+	}
 }
 
 // SetTable puts the division of the keys in force.
