--- a/caller/early.go
+++ b/caller/early.go
@@ -211,8 +211,8 @@
 	return part, e.ended
 }
 
-// early returns the answer to the request if it was begun before its turn.
-func early(r *http.Request) *earlyAnswer {
+// begunEarly returns the answer to the request if it was begun before its turn.
+func begunEarly(r *http.Request) *earlyAnswer {
 	if c := connOf(r); c != nil && c.ahead != nil {
 		return c.ahead.take(r)
 	}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -43,7 +43,7 @@
 	x := &exchange{
 		handler: h, w: w, r: r, ctl: *http.NewResponseController(w), declared: -1, began: time.Now(),
 	}
-	if e := early(r); e != nil && e.deliver(x) {
+	if e := begunEarly(r); e != nil && e.deliver(x) {
 		return
 	}
 	x.expects = len(r.Header["Expect"]) > 0
