--- a/caller/ahead_test.go
+++ b/caller/ahead_test.go
@@ -222,6 +222,31 @@
 	}
 }
 
+// Symptom: reads that are at work are cut off, and their callers left without an answer.
+// Sequence: a caller sends reads at once; the first is still unanswered when its time is
+// over, and the caller ends the connection with all that it sent behind it.
+// Cause: the router tells it that the time is over just when the caller leaves.
+func TestCallerIsToldBeforeItLeaves(t *testing.T) {
+	const patience = 400 * time.Millisecond
+	b := start(t, Config{LookAhead: 3, AnswerBefore: patience / 4}, func(w http.ResponseWriter, r *http.Request, _ *request.Meta) *fault.Fault {
+		if strings.HasSuffix(r.URL.Path, "a") {
+			<-r.Context().Done()
+			return fault.New(fault.DeadlineExceeded, "")
+		}
+		_, _ = io.WriteString(w, "whole")
+		return nil
+	})
+	p := newPipe(t, b)
+	sent := time.Now()
+	p.send(fmt.Sprintf("GET /faq/k/a HTTP/1.1\r\nHost: h\r\nX-Deadline: %d\r\n\r\n", patience.Milliseconds()))
+	p.get("b")
+	status, _ := p.answer()
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(sent) < patience, "%v", time.Since(sent))
+	_, body := p.answer()
+	assert.Equal(t, body, "whole")
+}
+
 // Symptom: a planned stop cuts off reads that were at work.
 // Sequence: a caller has sent reads at once; the router stops and closes the connection
 // after the answer whose turn it is.
--- a/caller/config.go
+++ b/caller/config.go
@@ -62,6 +62,10 @@
 	// ClosesAfter says whether the caller's connection is to end after the answer, which is
 	// then announced; nil keeps all.
 	ClosesAfter func() bool
+	// AnswerBefore is by how much sooner than the caller leaves it is told that its time is
+	// over. A caller that leaves ends its connection, and with it what it sent behind that
+	// request. Not applied to requests with less than twice as much left.
+	AnswerBefore time.Duration
 	// LookAhead is how many requests of one connection in clear text are served before their
 	// turn, see lookAhead; zero serves one after the other.
 	LookAhead int
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -120,6 +120,9 @@
 	if f != nil {
 		return nil, f
 	}
+	if before := x.handler.cfg.AnswerBefore; left > 2*before {
+		left -= before
+	}
 	if left > 0 {
 		x.meta.Deadline = x.began.Add(left)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,7 +85,7 @@
 	c := caller.Config{
 		RequestIDHeader: http.CanonicalHeaderKey(g.opts.Adapter.Headers.RequestID),
 		Untraced:        true, FractionalWaits: true, Promises: true, ClosesAfter: g.leaving.Load, Logger: g.log,
-		LookAhead: lookAhead,
+		LookAhead: lookAhead, AnswerBefore: answerBefore,
 	}
 	if limits != nil {
 		c.ReadHeaderTimeout, c.IdleTimeout, c.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
@@ -97,6 +97,10 @@
 // about as many as a target works on at once, so that one caller doesn't fill it.
 const lookAhead = 6
 
+// answerBefore covers the way to a caller in another region and a short wait for this
+// router's processor.
+const answerBefore = 40 * time.Millisecond
+
 func (g *Gateway) listen() error {
 	for _, l := range []struct {
 		address string
