Say once what requests begun early and answers' times said again

The look-up of a request's rule and fields stood in prepare and in repeatable (ruleSet.match serves both), whether callers' connections are to end in two places (Config.closing), and an answer's service time was reckoned three times in Service.Done. No behaviour changes.

--- a/caller/config.go
+++ b/caller/config.go
@@ -89,6 +89,9 @@
 	mebibyte = 1 << 20
 )
 
+// closing reports whether callers' connections are to end after their answers.
+func (c *Config) closing() bool { return c.ClosesAfter != nil && c.ClosesAfter() }
+
 func (c Config) withDefaults() Config {
 	orDefault(&c.ReadHeaderTimeout, 10*time.Second)
 	orDefault(&c.MaxHeaderBytes, 64*kibibyte)
--- a/caller/early.go
+++ b/caller/early.go
@@ -43,7 +43,7 @@
 // beginEarly serves a request before its turn, unless it may run once at most or this
 // router closes connections.
 func (h *Handler) beginEarly(ctx context.Context, r *http.Request) *earlyAnswer {
-	if closes := h.cfg.ClosesAfter; closes != nil && closes() || !h.repeatable(r) {
+	if h.cfg.closing() || !h.repeatable(r) {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -64,11 +64,10 @@
 	if rules == nil || hasDotSegments(r.URL) {
 		return false
 	}
-	rule, rest := rules.find(r.Host, r.URL)
+	rule, src := rules.match(r)
 	if rule == nil {
 		return false
 	}
-	src := source{header: r.Header, host: r.Host, rest: rest, escaped: r.URL.RawPath != "", query: r.URL.RawQuery}
 	repeatable, f := src.repeatable(&rule.repeatable, r.Method)
 	return f == nil && repeatable
 }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -66,7 +66,7 @@
 
 func (x *exchange) begin(status int) {
 	x.status = status
-	if closes := x.handler.cfg.ClosesAfter; closes != nil && x.r.ProtoMajor < 2 && closes() && x.mayClose() {
+	if x.r.ProtoMajor < 2 && x.handler.cfg.closing() && x.mayClose() {
 		x.w.Header().Set("Connection", "close")
 	}
 	x.declared = declaredLength(x.w.Header())
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -102,11 +102,10 @@
 		return nil, errDots
 	}
 	dropListed(r.Header)
-	rule, rest := rules.find(r.Host, r.URL)
+	rule, src := rules.match(r)
 	if rule == nil {
 		return nil, errNoRoute
 	}
-	src := source{header: r.Header, host: r.Host, rest: rest, escaped: r.URL.RawPath != "", query: r.URL.RawQuery}
 	if f := rule.identify(&src, r.Method, x.handler.cfg.MaxKeyBytes, &x.meta); f != nil {
 		return nil, f
 	}
@@ -134,7 +133,7 @@
 	// Whether the caller ends its own connection is nothing to the target's: passed on, it
 	// cost a new connection to a target for each second request of callers without kept ones.
 	out.Close = false
-	rule.strip(out, rest)
+	rule.strip(out, src.rest)
 	x.prepareHeader(out)
 	x.prepareBody(out)
 	return out, nil
--- a/caller/rules.go
+++ b/caller/rules.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"net/http"
 	"net/textproto"
 	"net/url"
 	"sort"
@@ -90,6 +91,12 @@
 	return longest(s.anyHost, u)
 }
 
+// match returns the rule of the request, or nil, and what its fields are read from.
+func (s *ruleSet) match(r *http.Request) (*rule, source) {
+	found, rest := s.find(r.Host, r.URL)
+	return found, source{header: r.Header, host: r.Host, rest: rest, escaped: r.URL.RawPath != "", query: r.URL.RawQuery}
+}
+
 func longest(rules []*rule, u *url.URL) (*rule, string) {
 	for _, r := range rules {
 		if rest, ok := r.match(u); ok {
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -196,13 +196,13 @@
 // turns is how many service times a new request stays at the target.
 func (l *Load) turns(now time.Time) float64 { return 1 + l.waiting(now)/l.slots() }
 
-// answered notes the time that an answer took, of a request that was expected to stay for
-// so many turns. Answers that waited count as well: a target that is always full would else
-// be known by the few that did not, or by its first alone.
-func (l *Load) answered(took time.Duration, turns, mean float64) {
+// answered notes an answer's service time in seconds. Answers that waited count as well: a
+// target that is always full would else be known by the few that did not, or by its first
+// alone.
+func (l *Load) answered(sample, mean float64) {
 	l.depth = math.Min(l.depth+depthGain, l.maxDepth())
 	l.unreached, l.triedAgain = 0, time.Time{}
-	l.learn(1, took.Seconds()/math.Max(turns, 1), mean, serviceGain)
+	l.learn(1, sample, mean, serviceGain)
 }
 
 // learn takes in the mean service time of so many answers, in seconds. mean is the
@@ -214,12 +214,11 @@
 	l.service += (sample - l.service) * (1 - math.Pow(1-gain, float64(answers)))
 }
 
-// overran notes that a request had no answer after so long, which says the least that an
-// answer would have taken. Without it a target that is so slow, or so full, that nothing
+// overran notes that a request had no answer in time, which says the least service time that
+// an answer would have had. Without it a target that is so slow, or so full, that nothing
 // ends in time is taken to be as fast as the others, and keeps its keys: 14 of 40 requests
 // to one ended so in six seconds after a restart of all routers.
-func (l *Load) overran(took time.Duration, turns, mean float64) bool {
-	least := took.Seconds() / math.Max(turns, 1)
+func (l *Load) overran(least, mean float64) bool {
 	if least <= math.Max(l.service, mean) {
 		return false
 	}
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -203,18 +203,18 @@
 		return
 	}
 	l.end(now)
+	sample := took.Seconds() / max(turns, 1)
 	switch result {
 	case Answered:
 		l.outcome(now, 0)
-		l.answered(took, turns, s.mean)
-		sample := took.Seconds() / max(turns, 1)
+		l.answered(sample, s.mean)
 		s.mean += (sample - s.mean) * meanGain
 		s.note(id, sample)
 	case TimedOut:
 		l.outcome(now, 1)
 		l.full()
-		if l.overran(took, turns, s.mean) {
-			s.note(id, took.Seconds()/max(turns, 1))
+		if l.overran(sample, s.mean) {
+			s.note(id, sample)
 		}
 	case Failed:
 		l.outcome(now, 1)
