Log the steps of a stop and each request's number on its connection

A `request` line now has its number on its connection, and a stop logs when it begins to let callers go and when it closes their connections, with what is under way at both.

--- a/caller/conns.go
+++ b/caller/conns.go
@@ -21,6 +21,8 @@
 	ip     string
 	// active is set once a byte arrived, ended once a read failed for good.
 	active, ended atomic.Bool
+	// served counts the requests whose turn has come.
+	served atomic.Int64
 	// request is what ends with the connection; nil where there is none.
 	request atomic.Pointer[reqctx.Context]
 	once    sync.Once
@@ -70,6 +72,14 @@
 	}
 }
 
+// countTurn counts a request whose turn has come and returns its number on its connection.
+func countTurn(r *http.Request) int64 {
+	if c := connOf(r); c != nil {
+		return c.served.Add(1)
+	}
+	return 0
+}
+
 // detach is called when the request's handler returns.
 func (c *callerConn) detach() { c.request.Store(nil) }
 
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -32,6 +32,8 @@
 	// outcome is what the observer is told.
 	outcome Outcome
 	began   time.Time
+	// nth is the request's number on its connection, see Outcome.Nth.
+	nth int64
 	// expects says that the caller waits for an interim answer before its body.
 	expects bool
 	// distrusts says that the connection is closed after the answer, see distrusted.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -46,6 +46,7 @@
 	if e := begunEarly(r); e != nil && e.deliver(x) {
 		return
 	}
+	x.nth = countTurn(r)
 	x.expects = len(r.Header["Expect"]) > 0
 	x.allowDuplex()
 	inFlight := h.inFlight.Add(1)
@@ -287,7 +288,7 @@
 func (h *Handler) observe(x *exchange, f *fault.Fault, aborted bool) {
 	x.outcome = Outcome{
 		Meta: &x.meta, Method: x.r.Method, Status: x.status, Fault: f, Aborted: aborted,
-		Began: x.began, Duration: time.Since(x.began), BytesOut: x.written,
+		Began: x.began, Duration: time.Since(x.began), Nth: x.nth, BytesOut: x.written,
 	}
 	o := &x.outcome
 	if f == nil || f.Ran == fault.RanFully {
--- a/caller/observer.go
+++ b/caller/observer.go
@@ -32,6 +32,9 @@
 	Began     time.Time
 	Duration  time.Duration
 	FirstByte time.Duration
+	// Nth counts the requests that were served in their turn on the caller's
+	// connection, from 1; it is zero for one that was served before its turn.
+	Nth int64
 	// BytesIn and BytesOut count bodies.
 	BytesIn  int64
 	BytesOut int64
--- a/caller/server.go
+++ b/caller/server.go
@@ -101,7 +101,9 @@
 // their time is over, and what is left after lastWords is cut. It returns how many requests
 // were not answered otherwise.
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
+	s.logStop("callers are let go")
 	s.awaitEarly(ctx)
+	s.logStop("callers' connections are closed")
 	done := make(chan error, 1)
 	go func() { done <- s.http.Shutdown(ctx) }()
 	grace := time.NewTimer(unusedGrace)
@@ -128,6 +130,11 @@
 	return cut
 }
 
+// logStop logs a step of the shutdown with what is open and under way.
+func (s *Server) logStop(step string) {
+	s.cfg.Logger.Info(step, "open", s.limits.open(), "in_flight", s.InFlight(), "before_their_turn", s.limits.early())
+}
+
 // awaitEarly waits until no answer is left that waits for its turn: net/http closes each
 // connection after the answer that is under way, and those behind it would be lost.
 func (s *Server) awaitEarly(ctx context.Context) {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -23,7 +23,8 @@
 	}
 	o.g.log.Info("request", "id", out.Meta.ID, "route", out.Meta.Service, "method", out.Method, "status", out.Status,
 		"code", code, "ran", ran, "failed_attempts", len(out.Meta.Attempts), "took", out.Duration,
-		"first_byte", out.FirstByte, "bytes_in", out.BytesIn, "bytes_out", out.BytesOut, "aborted", out.Aborted)
+		"first_byte", out.FirstByte, "bytes_in", out.BytesIn, "bytes_out", out.BytesOut, "aborted", out.Aborted,
+		"nth", out.Nth)
 }
 
 // logPlaced logs where a request is sent and what that rests on.
