Test planned stops with callers that keep their connections busy (failing)

Symptom: requests sent after a router let its callers go are passed on and end with its own 504. The tests of stops that were there send no request behind another, or only to connections that are closed with it.

--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,181 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/internal/waittest"
+	"tarragongw/platform"
+)
+
+// persistent is a caller that keeps its connection as long as it may, and then opens another.
+type persistent struct {
+	fleet *fleet
+	g     *Gateway
+	name  string
+	// depth is how many requests it sends before it reads the answers.
+	depth int
+	conn  net.Conn
+	in    *bufio.Reader
+	sent  int
+}
+
+// sentRequest is a request that a caller sent and what became of it.
+type sentRequest struct {
+	id     string
+	at     time.Time
+	status int
+}
+
+func (p *persistent) connect() bool {
+	conn, err := net.Dial("tcp", p.g.callerListener.Addr().String())
+	if err != nil {
+		return false
+	}
+	p.fleet.t.Cleanup(func() { conn.Close() })
+	p.conn, p.in = conn, bufio.NewReader(conn)
+	return true
+}
+
+// round sends depth requests at once and reads their answers; status zero is none. It
+// reports whether the connection may be used further.
+func (p *persistent) round(path string) ([]sentRequest, bool) {
+	var sent []sentRequest
+	var text strings.Builder
+	for range p.depth {
+		p.sent++
+		id := fmt.Sprintf("%s-%d", p.name, p.sent)
+		fmt.Fprintf(&text, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 60000\r\n\r\n",
+			path, host, platform.HeaderRequestID, id, platform.HeaderDeadline)
+		sent = append(sent, sentRequest{id: id, at: time.Now()})
+	}
+	if _, err := io.WriteString(p.conn, text.String()); err != nil {
+		return sent, false
+	}
+	for i := range sent {
+		resp, err := http.ReadResponse(p.in, nil)
+		if err != nil {
+			return sent, false
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			return sent, false
+		}
+		sent[i].status = resp.StatusCode
+		if resp.Close {
+			return sent, false
+		}
+	}
+	return sent, true
+}
+
+// Symptom: in a planned stop requests that targets are at work on end with the router's own
+// 504, though they were sent seconds after the stop had begun.
+// Sequence: one caller has a read under way that outlasts the grace, and others behind it.
+// Callers whose connections rested when the stop began, and callers that send one request
+// behind the other all the while, go on; what they send after the router let its callers go
+// is passed on, and cut off at the end of the grace.
+// Cause: the stop waits for the answers that wait for their turn before it closes listeners
+// and connections; see caller.Server.Shutdown. "request" lines of that time had nth above 1
+// and code=deadline_exceeded, between "callers are let go" and "callers' connections are
+// closed".
+func TestStopTakesNothingOnThatItCannotAnswer(t *testing.T) {
+	f := newFleet(t, 1, strings.ReplaceAll(plainConfig, `"timeout":"1000ms"`, `"timeout":"60000ms"`), plainTarget("a"), plainTarget("b"))
+	g := f.gateways[0]
+	for _, target := range f.targets {
+		target.Slots = 64
+		target.Register(f.store)
+	}
+	waittest.Until(t, "the slots are known", func() bool {
+		g.mu.RLock()
+		defer g.mu.RUnlock()
+		return len(g.targets) == 2 && g.targets[0].Slots == 64 && g.targets[1].Slots == 64
+	})
+	var long atomic.Int64
+	slow := func(_ http.ResponseWriter, r *http.Request) bool {
+		if strings.HasPrefix(r.URL.Path, "/read/long") {
+			long.Add(1)
+			time.Sleep(2 * g.opts.Grace)
+		}
+		return false
+	}
+	for _, target := range f.targets {
+		target.SetWork(300 * time.Millisecond)
+		target.Answer(slow)
+	}
+	var mu sync.Mutex
+	var all []sentRequest
+	note := func(sent []sentRequest) {
+		mu.Lock()
+		defer mu.Unlock()
+		all = append(all, sent...)
+	}
+	var callers sync.WaitGroup
+	stopped := make(chan struct{})
+
+	blocker := &persistent{fleet: f, g: g, name: "blocker", depth: 3}
+	assert.Assert(t, blocker.connect())
+	callers.Go(func() { blocker.round("/read/long") })
+	waittest.Until(t, "the long read and those behind it are at work", func() bool { return long.Load() == int64(blocker.depth) })
+	var rested []*persistent
+	for i := range 4 {
+		p := &persistent{fleet: f, g: g, name: fmt.Sprintf("rested-%d", i), depth: 1}
+		assert.Assert(t, p.connect())
+		sent, kept := p.round("/read/first")
+		assert.Assert(t, kept && sent[0].status == http.StatusOK)
+		rested = append(rested, p)
+	}
+	for i := range 6 {
+		p := &persistent{fleet: f, g: g, name: fmt.Sprintf("busy-%d", i), depth: 1 + i%3}
+		callers.Go(func() {
+			for p.connect() {
+				for kept := true; kept; {
+					var sent []sentRequest
+					sent, kept = p.round("/read/next")
+					note(sent)
+				}
+				select {
+				case <-stopped:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		})
+	}
+	began := time.Now()
+	for i, p := range rested {
+		// From shortly before the last call to shortly before the end.
+		callers.Go(func() {
+			time.Sleep(time.Until(began.Add(part(g.opts.Grace, leaveShare) + time.Duration(i-1)*300*time.Millisecond)))
+			sent, _ := p.round("/read/late")
+			note(sent)
+		})
+	}
+	g.Stop()
+	close(stopped)
+	callers.Wait()
+	lastCall := began.Add(part(g.opts.Grace, leaveShare))
+	served := 0
+	for _, r := range all {
+		if r.status == http.StatusOK {
+			served++
+		}
+		assert.Check(t, r.status != http.StatusGatewayTimeout, "%s was sent %v after the last call and cut off", r.id, r.at.Sub(lastCall))
+		if r.status == http.StatusServiceUnavailable {
+			assert.Check(t, f.runsOf(r.id) == 0, "%s was said not to have run", r.id)
+		}
+		if r.status == 0 {
+			assert.Check(t, f.runsOf(r.id) == 0, "%s ran and its caller got no answer", r.id)
+		}
+	}
+	assert.Assert(t, served > 0)
+}
