Take nothing on in a planned stop that can't be answered

What callers saw: requests sent 3.5 to 5 s after a router's SIGTERM ended with its own 504 while targets were at work on them.

Cause: a stop first waits for requests that began before their turn, and only then closes the listener and resting connections; meanwhile callers send on.

Why this holds: from the last call on no connection is accepted and no request is passed on; one that crosses it is refused as not run. Resting connections are closed while the stop waits. What was begun before it has its answer, or outlasts the grace.

Also: HTTP/2 callers are told to leave with the first answer, and beginning early excludes the moment in which a stop finds nothing outstanding.

--- a/caller/ahead.go
+++ b/caller/ahead.go
@@ -155,18 +155,28 @@
 			return
 		}
 		r.RemoteAddr = a.conn.RemoteAddr().String()
-		answer := a.begin(a.ctx, r)
-		if answer == nil {
+		if !a.beginNow(r) {
 			a.stuck = true
 			return
 		}
 		a.begun += whole
-		a.mu.Lock()
-		a.early = append(a.early, answer)
-		a.mu.Unlock()
 	}
 }
 
+// beginNow begins a request unless it may not be. It holds the lock throughout: a stop that
+// begins meanwhile would else find nothing outstanding and announce the end of the
+// connection, which would cut this request off.
+func (a *lookAhead) beginNow(r *http.Request) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	answer := a.begin(a.ctx, r)
+	if answer == nil {
+		return false
+	}
+	a.early = append(a.early, answer)
+	return true
+}
+
 // outstanding is the number of requests that were begun and whose turn has not come.
 func (a *lookAhead) outstanding() int {
 	a.mu.Lock()
--- a/caller/conns.go
+++ b/caller/conns.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -21,8 +22,13 @@
 	ip     string
 	// active is set once a byte arrived, ended once a read failed for good.
 	active, ended atomic.Bool
-	// served counts the requests whose turn has come.
-	served atomic.Int64
+	// served counts the requests whose turn has come; streams says that they come on HTTP/2.
+	served  atomic.Int64
+	streams atomic.Bool
+	// opened is when the connection was accepted, and restsSince how long after that it came
+	// to rest; zero while a request is under way.
+	opened     time.Time
+	restsSince atomic.Int64
 	// request is what ends with the connection; nil where there is none.
 	request atomic.Pointer[reqctx.Context]
 	once    sync.Once
@@ -74,10 +80,14 @@
 
 // countTurn counts a request whose turn has come and returns its number on its connection.
 func countTurn(r *http.Request) int64 {
-	if c := connOf(r); c != nil {
-		return c.served.Add(1)
+	c := connOf(r)
+	if c == nil {
+		return 0
 	}
-	return 0
+	if r.ProtoMajor >= 2 {
+		c.streams.Store(true)
+	}
+	return c.served.Add(1)
 }
 
 // detach is called when the request's handler returns.
@@ -136,7 +146,7 @@
 		l.refused.Add(1)
 		return nil
 	}
-	c := &callerConn{Conn: conn, limits: l, ip: ip}
+	c := &callerConn{Conn: conn, limits: l, ip: ip, opened: time.Now()}
 	if l.lookAhead != nil {
 		c.ahead = l.lookAhead(c)
 	}
--- a/caller/early.go
+++ b/caller/early.go
@@ -43,7 +43,7 @@
 // beginEarly serves a request before its turn, unless it may run once at most or this
 // router closes connections.
 func (h *Handler) beginEarly(ctx context.Context, r *http.Request) *earlyAnswer {
-	if h.cfg.closing() || !h.repeatable(r) {
+	if h.closing() || !h.repeatable(r) {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -68,7 +68,8 @@
 
 func (x *exchange) begin(status int) {
 	x.status = status
-	if x.r.ProtoMajor < 2 && x.handler.cfg.closing() && x.mayClose() {
+	if x.handler.closing() && x.mayClose() {
+		// With HTTP/2 net/http sends GOAWAY in place of the header.
 		x.w.Header().Set("Connection", "close")
 	}
 	x.declared = declaredLength(x.w.Header())
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -20,6 +20,8 @@
 	observer  Observer
 	rules     atomic.Pointer[ruleSet]
 	inFlight  atomic.Int64
+	// stopping says that requests which come from now on are refused.
+	stopping atomic.Bool
 }
 
 // NewHandler returns a handler that answers NotReady until SetModel is called.
@@ -35,6 +37,9 @@
 // must not be changed afterwards.
 func (h *Handler) SetModel(m *model.Model) { h.rules.Store(compile(m)) }
 
+// closing reports whether callers' connections are to end after their answers.
+func (h *Handler) closing() bool { return h.stopping.Load() || h.cfg.closing() }
+
 // InFlight returns the number of requests being worked on.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -76,6 +81,9 @@
 	if inFlight > int64(h.cfg.MaxRequests) {
 		return fault.New(fault.RouterBusy, "")
 	}
+	if h.stopping.Load() {
+		return fault.New(fault.Stopping, "")
+	}
 	if wantsTunnel(x.r) {
 		return fault.New(fault.Unsupported, "")
 	}
--- a/caller/recheck.go
+++ b/caller/recheck.go
@@ -37,11 +37,10 @@
 	}
 }
 
-// changed is the server's ConnState hook.
-func (s *Server) changed(conn net.Conn, state http.ConnState) {
-	c := unwrapConn(conn)
+// recheck checks a connection that has come to rest or left it.
+func (s *Server) recheck(c *callerConn, conn net.Conn, state http.ConnState) {
 	secure, ok := conn.(*tls.Conn)
-	if c == nil || !ok || state != http.StateActive && state != http.StateIdle {
+	if !ok || state != http.StateActive && state != http.StateIdle {
 		return
 	}
 	c.trust.secure.Store(secure)
@@ -59,7 +58,7 @@
 		s.ask(t)
 	}
 	if t.barred.Load() && t.resting() {
-		c.closeRested()
+		c.closeAtRest()
 	}
 }
 
@@ -70,8 +69,8 @@
 // which would be cut off.
 const flushWithin = time.Second
 
-// closeRested closes the connection unless another request comes.
-func (c *callerConn) closeRested() {
+// closeAtRest closes the connection unless another request comes.
+func (c *callerConn) closeAtRest() {
 	rest := c.trust.rests.Load()
 	time.AfterFunc(flushWithin, func() {
 		if c.trust.rests.Load() == rest {
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,19 +6,11 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"time"
+	"sync"
 
 	"github.com/pkg/errors"
 )
 
-// unusedGrace is how long a stopping server waits for the first byte on a fresh
-// connection: a request that is on its way must not be cut.
-const unusedGrace = 500 * time.Millisecond
-
-// lastWords is how long a stopping server that cuts requests off has to tell their callers.
-// Without it a caller finds its connection reset and knows nothing.
-const lastWords = 300 * time.Millisecond
-
 // Server serves callers over HTTP/1.1 and HTTP/2, in clear text or over TLS.
 type Server struct {
 	*Handler
@@ -27,6 +19,10 @@
 	limits *connLimits
 	// expire ends all requests with a cause.
 	expire context.CancelCauseFunc
+
+	// mu guards listeners, which is nil once no caller is accepted any more.
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
 }
 
 // NewServer returns a server around the handler. tlsConfig is nil for clear
@@ -42,7 +38,7 @@
 }
 
 func newServer(handler *Handler, cfg Config, tlsConfig *tls.Config) *Server {
-	s := &Server{Handler: handler, cfg: cfg, limits: newConnLimits(cfg)}
+	s := &Server{Handler: handler, cfg: cfg, limits: newConnLimits(cfg), listeners: map[net.Listener]struct{}{}}
 	s.limits.round.Store(1)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
@@ -70,9 +66,7 @@
 			WriteByteTimeout:     cfg.AnswerWindow,
 		},
 	}
-	if cfg.Accepts != nil {
-		s.http.ConnState = s.changed
-	}
+	s.http.ConnState = s.changed
 	if cfg.ErrorLog != nil {
 		s.http.ErrorLog = cfg.ErrorLog
 	}
@@ -83,75 +77,21 @@
 // listener; after Shutdown it returns nil.
 func (s *Server) Serve(l net.Listener) error {
 	limited := &limitListener{Listener: l, limits: s.limits}
+	if !s.accepting(l) {
+		return nil
+	}
 	var err error
 	if s.http.TLSConfig != nil {
 		err = s.http.ServeTLS(limited, "", "")
 	} else {
 		err = s.http.Serve(limited)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if s.stopping.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "serve callers")
 }
 
-// Shutdown accepts no more connections and waits for the requests in flight:
-// HTTP/1.1 answers carry "Connection: close" from now on and HTTP/2 connections
-// get GOAWAY. When ctx ends first, requests that still wait for their answer are told that
-// their time is over, and what is left after lastWords is cut. It returns how many requests
-// were not answered otherwise.
-func (s *Server) Shutdown(ctx context.Context) (cut int) {
-	s.logStop("callers are let go")
-	s.awaitEarly(ctx)
-	s.logStop("callers' connections are closed")
-	done := make(chan error, 1)
-	go func() { done <- s.http.Shutdown(ctx) }()
-	grace := time.NewTimer(unusedGrace)
-	defer grace.Stop()
-	for waiting := true; waiting; {
-		select {
-		case err := <-done:
-			if err == nil {
-				return 0
-			}
-			waiting = false
-		case <-grace.C:
-			s.limits.closeUnused()
-		}
-	}
-	cut = int(s.InFlight())
-	s.limits.expire()
-	s.expire(context.DeadlineExceeded)
-	last, cancel := context.WithTimeout(context.Background(), lastWords)
-	defer cancel()
-	if s.http.Shutdown(last) != nil {
-		_ = s.http.Close()
-	}
-	return cut
-}
-
-// logStop logs a step of the shutdown with what is open and under way.
-func (s *Server) logStop(step string) {
-	s.cfg.Logger.Info(step, "open", s.limits.open(), "in_flight", s.InFlight(), "before_their_turn", s.limits.early())
-}
-
-// awaitEarly waits until no answer is left that waits for its turn: net/http closes each
-// connection after the answer that is under way, and those behind it would be lost.
-func (s *Server) awaitEarly(ctx context.Context) {
-	ticker := time.NewTicker(earlyPoll)
-	defer ticker.Stop()
-	for s.limits.early() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// earlyPoll is how often a stopping server looks whether answers wait for their turn.
-const earlyPoll = 10 * time.Millisecond
-
 // Conns returns the number of callers' open connections and how many were
 // refused by the limits since the start.
 func (s *Server) Conns() (open int, refused int64) {
--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -137,6 +137,7 @@
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 		assert.Equal(t, resp.Header.Get(HeaderRan), "not-run")
 		assert.Assert(t, resp.Header.Get("Retry-After") != "")
+		awaitOpen(b, 1) // its caller is told to leave, and that of the two reads is not
 		for _, name := range []string{"a", "b"} {
 			close(f.gate(name))
 			_, body := busy.answer()
