Test uploads whose callers leave while they wait for a place (failing)

TestUploadWhoseCallerLeavesWhileItWaitsIsNotSentOn: the caller leaves 50 ms after its upload was read; the upload is placed 1.44 s later, and with its whole body sent it runs. The log has waited=1.439547369s in the placed line, then code=caller_gone.

--- /dev/null
+++ b/gateway/gone_test.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/internal/waittest"
+	"tarragongw/platform"
+)
+
+// upload opens a connection and sends a request with the body, of which length bytes are announced.
+func (f *fleet) upload(g *Gateway, id, body string, length int) net.Conn {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", g.callerListener.Addr().String())
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /pay/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 60000\r\nContent-Length: %d\r\n\r\n%s",
+		host, platform.HeaderRequestID, id, platform.HeaderDeadline, length, body)
+	assert.NilError(f.t, err)
+	return conn
+}
+
+// patientConfig is plainConfig with a minute for each request.
+var patientConfig = strings.NewReplacer(`"timeout":"1000ms"`, `"timeout":"60000ms"`, `"target_latency":"400ms"`, `"target_latency":"60000ms"`).Replace(plainConfig)
+
+// busyFleet has one target that works on one request at a time, and on a read for work.
+func busyFleet(t *testing.T, work time.Duration) (*fleet, *Gateway) {
+	f := newFleet(t, 1, patientConfig, plainTarget("a"))
+	g, target := f.gateways[0], f.targets["a"]
+	target.Slots = 1
+	target.Answer(func(w http.ResponseWriter, r *http.Request) bool {
+		if r.Method != http.MethodGet {
+			return false
+		}
+		time.Sleep(work)
+		w.Header().Set(platform.HeaderStamp, "stamp")
+		return true
+	})
+	target.Register(f.store)
+	waittest.Until(t, "the slots are known", func() bool {
+		g.mu.RLock()
+		defer g.mu.RUnlock()
+		return len(g.targets) == 1 && g.targets[0].Slots == 1
+	})
+	return f, g
+}
+
+// fill sends reads until one waits for a place.
+func (f *fleet) fill(g *Gateway) {
+	f.t.Helper()
+	for i := range 50 {
+		if g.service("any").waiters() > 0 {
+			return
+		}
+		go func() {
+			_ = f.sendAs(g, call{method: "GET", path: "/read/1", key: -1, left: 50 * time.Second}, fmt.Sprintf("taken-%d", i))
+		}()
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatal("nothing waits")
+}
+
+// logged reports whether there is a line of the kind for the request.
+func (f *fleet) logged(kind, id string) bool {
+	for line := range strings.Lines(f.log.String()) {
+		if strings.Contains(line, "msg="+kind+" ") && strings.Contains(line, " id="+id+" ") {
+			return true
+		}
+	}
+	return false
+}
+
+// Symptom: targets work on uploads whose callers left up to a second before they were sent on.
+// Sequence: all places of a service are taken; an upload waits for one; its caller leaves,
+// with the whole body sent or in the midst of it; a place becomes free, and the upload is
+// sent there.
+// Cause: net/http notices the end of a caller's connection only once the request's body has
+// been read to its end, and an upload that waits for a place has not been read.
+func TestUploadWhoseCallerLeavesWhileItWaitsIsNotSentOn(t *testing.T) {
+	for name, length := range map[string]int{"whole": 5, "midway": 500} {
+		t.Run(name, func(t *testing.T) {
+			f, g := busyFleet(t, 1500*time.Millisecond)
+			f.fill(g)
+			before := g.handler.InFlight()
+			conn := f.upload(g, "left", "whole", length)
+			waittest.Until(t, "the upload is read", func() bool { return g.handler.InFlight() > before })
+			time.Sleep(50 * time.Millisecond)
+			assert.NilError(t, conn.Close())
+			waittest.Until(t, "it has ended", func() bool { return f.logged("request", "left") })
+			assert.Equal(t, f.runsOf("left"), 0)
+			assert.Assert(t, !f.logged("placed", "left"))
+		})
+	}
+}
+
+// An upload that waits is sent whole, also one that is longer than what is read ahead.
+func TestUploadThatWaitsIsSentWhole(t *testing.T) {
+	f, g := busyFleet(t, 300*time.Millisecond)
+	f.fill(g)
+	for _, size := range []int{1, (64 << 10) - 1, (64 << 10), 5 * (64 << 10)} {
+		body := strings.Repeat("0123456789", size/10+1)[:size]
+		id := fmt.Sprintf("size-%d", size)
+		conn := f.upload(g, id, "", size)
+		go func() { _, _ = io.WriteString(conn, body) }()
+		waittest.Until(t, "it has run", func() bool { return f.runsOf(id) == 1 })
+		for _, run := range f.targets["a"].Runs() {
+			if run.ID == id {
+				assert.Assert(t, run.Body == body, "%d bytes of %d", len(run.Body), size)
+			}
+		}
+	}
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -199,6 +199,13 @@
 	return nil
 }
 
+// waiters is how many requests wait for a place.
+func (s *service) waiters() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting)
+}
+
 // runsOf counts how often targets ran the request.
 func (f *fleet) runsOf(id string) int {
 	n := 0
