Read uploads while they wait, so that their callers' end is noticed

What callers and targets saw: targets ran uploads up to a second after their callers had left.

Cause: net/http notices the end of a caller's connection only by a read, and an upload that waits for a place is not read.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -123,7 +123,7 @@
 func (x *exchange) attempt() *fault.Fault {
 	x.table, _ = x.s.currentTable()
 	asked := time.Now()
-	d, f := x.s.acquire(x.r.Context(), x.ask())
+	d, f := x.place()
 	if f != nil {
 		x.g.log.Info("refused", "id", x.meta.ID, "service", x.s.name, "config", x.route.version, "waited", time.Since(asked),
 			"kind", f.Kind, "detail", f.Detail, "retry_after", f.Wait())
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -73,8 +73,9 @@
 	return s.table, s.changed
 }
 
-// acquire waits for a place. Its work counts until done.
-func (s *service) acquire(ctx context.Context, r dispatch.Request) (dispatch.Decision, *fault.Fault) {
+// acquire waits for a place, and calls waits first where there is none yet. Its work counts
+// until done.
+func (s *service) acquire(ctx context.Context, r dispatch.Request, waits func()) (dispatch.Decision, *fault.Fault) {
 	s.mu.Lock()
 	s.lastID++
 	r.ID = s.lastID
@@ -89,6 +90,7 @@
 	if answer == nil {
 		return d, refusalOf(&d)
 	}
+	waits()
 	select {
 	case d = <-answer:
 		return d, refusalOf(&d)
