Hold short answers back that have others behind them

What callers saw: reads that began behind another were cut off with their connection.

Cause: an answer that breaks off after its header is on the way can only be told by the end of the connection, with all that was sent behind it.

--- a/caller/early.go
+++ b/caller/early.go
@@ -152,6 +152,7 @@
 	if status == 0 {
 		abort(x.r) // the caller left, or there is no answer that could be given
 	}
+	x.direct = true
 	maps.Copy(x.Header(), e.sent)
 	x.WriteHeader(status)
 	for {
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -41,7 +41,12 @@
 
 	// status is zero until a final header was written; declared is the answer's
 	// Content-Length, or -1.
-	status    int
+	status int
+	// held is the answer where it is held back until it is whole, see heldAnswer.
+	held *heldAnswer
+	// direct says that nothing is held back: the answer is the router's own, or was held
+	// back before its turn.
+	direct    bool
 	declared  int64
 	written   int64
 	firstByte time.Duration
@@ -61,6 +66,11 @@
 		return
 	}
 	if status >= 200 {
+		x.declared = declaredLength(x.w.Header())
+		if x.holdsBack() {
+			x.status, x.held = status, &heldAnswer{status: status}
+			return
+		}
 		x.begin(status)
 	}
 	x.w.WriteHeader(status)
@@ -72,7 +82,6 @@
 		// With HTTP/2 net/http sends GOAWAY in place of the header.
 		x.w.Header().Set("Connection", "close")
 	}
-	x.declared = declaredLength(x.w.Header())
 	x.firstByte = time.Since(x.began)
 	if x.ctx != nil {
 		x.ctx.Begin()
@@ -120,6 +129,11 @@
 	if x.status == 0 {
 		x.WriteHeader(http.StatusOK)
 	}
+	if x.held != nil {
+		x.held.body = append(x.held.body, p...)
+		x.written += int64(len(p))
+		return len(p), nil
+	}
 	if !x.buffered(len(p)) {
 		x.watchWrite()
 		defer x.writes.stop()
@@ -137,6 +151,9 @@
 	if x.status == 0 {
 		x.WriteHeader(http.StatusOK)
 	}
+	if x.held != nil {
+		return nil
+	}
 	x.watchWrite()
 	err := x.ctl.Flush()
 	x.writes.stop()
@@ -161,6 +178,9 @@
 // settle holds the forwarder's outcome against what was seen on the caller's
 // side.
 func (x *exchange) settle(f *fault.Fault) *fault.Fault {
+	if x.held != nil {
+		f = x.settleHeld(f)
+	}
 	switch {
 	case f == nil && x.status == 0:
 		f = fault.New(fault.Internal, "the forwarder wrote no answer")
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -275,6 +275,7 @@
 		x.status = f.Kind.Row().Status
 		return true
 	}
+	x.direct = true
 	x.forgetHeader()
 	x.closeAfterUnread()
 	if x.distrusts {
