Look at the right to send again before each write

In serve an order's gap is a dial and two goroutines, bounded by a timer alone.

Why this holds: the right is looked at before each write of a request, for what has begun only for a lapse by the clock, as orderly moves wait for it; of an order likewise.

--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -46,15 +46,7 @@
 	closing.Store(true)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	stopped := make(chan int, 1)
-	go func() { stopped <- b.server.Shutdown(ctx) }()
-	waittest.Until(t, "no new caller is accepted", func() bool {
-		conn, err := net.Dial("tcp", b.address)
-		if err == nil {
-			conn.Close()
-		}
-		return err != nil
-	})
+	stopped := stopping(b, ctx)
 	if _, err := io.WriteString(rested.conn, "GET /x/late HTTP/1.1\r\nHost: h\r\n\r\n"); err == nil {
 		resp, err := http.ReadResponse(rested.in, nil)
 		assert.Assert(t, err != nil || resp.StatusCode == http.StatusServiceUnavailable && resp.Close, "%+v", resp)
@@ -81,15 +73,7 @@
 	waittest.Until(t, "the third is at work", func() bool { return len(f.names(&f.begun)) == len("a b c") })
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	stopped := make(chan int, 1)
-	go func() { stopped <- b.server.Shutdown(ctx) }()
-	waittest.Until(t, "no new caller is accepted", func() bool {
-		conn, err := net.Dial("tcp", b.address)
-		if err == nil {
-			conn.Close()
-		}
-		return err != nil
-	})
+	stopped := stopping(b, ctx)
 	// The end isn't announced: the answer is as one that began before the stop.
 	assert.Assert(t, !closing.Load())
 	close(f.gate("c"))
@@ -122,15 +106,7 @@
 		awaitOpen(b, 2)
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		stopped := make(chan int, 1)
-		go func() { stopped <- b.server.Shutdown(ctx) }()
-		waittest.Until(t, "no new caller is accepted", func() bool {
-			other, err := net.Dial("tcp", b.address)
-			if err == nil {
-				other.Close()
-			}
-			return err != nil
-		})
+		stopped := stopping(b, ctx)
 		resp, err := c.Get(b.url + "/x/late")
 		assert.NilError(t, err)
 		resp.Body.Close()
--- a/core/ownership/gate.go
+++ b/core/ownership/gate.go
@@ -57,6 +57,17 @@
 // Table returns the ownership that the gate checks against.
 func (g *Gate) Table() *Table { return g.table }
 
+// Lapsed reports whether the right to send to the target has run out by this router's clock
+// and was neither renewed nor given up in order. That is what a router finds that was
+// suspended: it has not come to the end of its right yet.
+func (g *Gate) Lapsed(now time.Duration, target string) bool {
+	if g == nil {
+		return false
+	}
+	h, ok := g.held[target]
+	return ok && now >= h.until
+}
+
 // Holds reports whether this router may send to the target now, whatever the unit;
 // it is the check for services that are not divided by key.
 func (g *Gate) Holds(now time.Duration, target string) bool {
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -117,7 +117,8 @@
 // how long the new leader has to wait.
 func (l *leader) order(t *term, service string, o assign.Order) *ordered {
 	m := &ordered{term: t, service: service, order: o, outcome: assign.Unanswered}
-	left, err := l.mayOrder(t)
+	now := l.g.opts.Clock.Now()
+	left, err := l.mayOrder(t, now)
 	if err != nil {
 		m.err, m.outcome = err, assign.NotSent
 		duty.Sleep(t.ctx, leaderKeep)
@@ -126,15 +127,16 @@
 	// What is begun in time must not go out late.
 	ctx, cancel := context.WithTimeout(t.ctx, left)
 	defer cancel()
+	may := func() bool { return l.g.opts.Clock.Now() < now+left }
 	began := time.Now()
-	m.outcome, m.handover, m.err = l.g.opts.Adapter.SendOrder(ctx, &o)
+	m.outcome, m.handover, m.err = l.g.opts.Adapter.SendOrder(ctx, &o, may)
 	m.took = time.Since(began)
 	return m
 }
 
-// mayOrder returns for how long this router may give orders, or why it may not any more.
-func (l *leader) mayOrder(t *term) (time.Duration, error) {
-	now := l.g.opts.Clock.Now()
+// mayOrder returns for how long from now on this router may give orders, or why it may not
+// any more.
+func (l *leader) mayOrder(t *term, now time.Duration) (time.Duration, error) {
 	age := t.age(now)
 	switch {
 	case age >= oldLeaderBound:
--- a/router/serve.go
+++ b/router/serve.go
@@ -61,6 +61,7 @@
 	defer u.flights.leave(&job.flight)
 	resp, f := u.pool.AttemptOn(req.Context(), r.outgoing(req, u, job), target.Terms{
 		Allowed: func() *fault.Fault { return r.maySend(u, job) },
+		Still:   func(begun bool) *fault.Fault { return r.stillSends(u, job, begun) },
 		Cut:     &job.flight.cut,
 	})
 	if f != nil {
@@ -86,7 +87,7 @@
 	return nil
 }
 
-// maySend asks the ownership gate; it is the last step before the first byte.
+// maySend asks the ownership gate; it is asked last right before the first byte.
 func (r *Router) maySend(u *upstream, job *work) *fault.Fault {
 	gate := r.gate.Load()
 	now := r.clock.Now()
@@ -102,6 +103,18 @@
 	return fault.New(fault.StaleRoute, "this router may not send to "+u.spec.Name)
 }
 
+// stillSends asks the ownership gate again as bytes of the request go out. Once some have,
+// only the lapse of this router's right counts: an orderly move waits for what has begun.
+func (r *Router) stillSends(u *upstream, job *work, begun bool) *fault.Fault {
+	if !begun {
+		return r.maySend(u, job)
+	}
+	if r.gate.Load().Lapsed(r.clock.Now(), u.spec.Name) {
+		return fault.New(fault.StaleRoute, "this router's right to send to "+u.spec.Name+" has lapsed")
+	}
+	return nil
+}
+
 // outgoing puts the order into the request, whose header belongs to this request
 // alone. The context of the attempt goes beside it, which saves a copy. A body is
 // written beside the attempt and may outlast it, so that a request with one gets a
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -74,6 +74,16 @@
 	// waiting for a connection and opening it may take longer than the right has left,
 	// and the target would get work from a router that may no longer send it.
 	Allowed func() *fault.Fault
+	// Still is asked in the moment in which bytes of the request are handed to the kernel;
+	// begun says that some have been already. Where it returns a fault, nothing more is sent,
+	// the connection is closed, and the attempt ends with that fault or, once begun, as lost.
+	//
+	// Allowed isn't enough where the process may be suspended: after it the header is put
+	// together, for a request with a body in a goroutine that has to be scheduled first, and
+	// the body follows in a write of its own. A process that is suspended in between would
+	// act on a right that has lapsed when it goes on; one would notice a request that runs
+	// at a key's former owner.
+	Still func(begun bool) *fault.Fault
 	// Cut ends the attempt from outside.
 	Cut *Cut
 }
@@ -94,6 +104,7 @@
 		}
 	}
 	c.attach()
+	c.guard(terms.Still)
 	x := &exchange{pool: p, conn: c, ctx: ctx, cut: terms.Cut, sentBefore: c.sent.Load()}
 	x.watch()
 	resp, err := x.run(r)
--- a/target/conn.go
+++ b/target/conn.go
@@ -11,10 +11,13 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"tarragongw/core/fault"
 )
 
 var (
 	errSealed         = errors.New("target: connection sealed")
+	errLapsed         = errors.New("target: the right to send has lapsed")
 	errHeaderTooLarge = errors.New("target: header of the answer is too large")
 )
 
@@ -54,6 +57,11 @@
 
 	writeMu sync.Mutex
 	sealed  bool
+	// still is asked before each write of an exchange, begun says that one has been made, and
+	// refused is what still has answered. All are guarded by writeMu.
+	still   func(begun bool) *fault.Fault
+	begun   bool
+	refused *fault.Fault
 	abort   func()
 
 	br *bufio.Reader
@@ -117,6 +125,9 @@
 	for {
 		received := c.received.Load()
 		c.rearm(&c.writeUntil, c.raw.SetWriteDeadline)
+		if !c.mayWrite() { // last, so that as little as can be lies between the look and the bytes
+			return total, errLapsed
+		}
 		n, err := c.raw.Write(b[total:])
 		total += n
 		c.sent.Add(int64(n))
@@ -136,6 +147,37 @@
 	}
 }
 
+// guard has still asked before each write of an exchange, see Terms.Still.
+func (c *conn) guard(still func(begun bool) *fault.Fault) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	c.still, c.begun = still, false
+}
+
+// mayWrite asks what guard has set; where that refuses, the connection ends. The lock is held.
+func (c *conn) mayWrite() bool {
+	if c.still == nil {
+		return true
+	}
+	if c.refused = c.still(c.begun); c.refused != nil {
+		c.sealed = true
+		c.raw.Close()
+		return false
+	}
+	c.begun = true
+	return true
+}
+
+// refusal returns what refused a write of the exchange; nil where none was refused.
+func (c *conn) refusal() *fault.Fault {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if c.refused != nil && c.begun {
+		return fault.Wrap(fault.TargetLost, c.refused, "the right to send lapsed before the whole request was written")
+	}
+	return c.refused
+}
+
 func (c *conn) rearm(until *time.Time, set func(time.Time) error) {
 	if c.progress <= 0 {
 		return
--- a/target/limits_test.go
+++ b/target/limits_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -244,6 +245,60 @@
 	assert.Equal(t, p.Stats().Dials, uint64(1))
 }
 
+// Symptom: a key's former owner runs a request that a router sent after its right to send
+// had lapsed.
+// Sequence: the router looks at its right and finds it in force; before the first byte goes
+// out, or between the header and the body, its process is suspended, and the right lapses;
+// the process goes on.
+// Cause: the look and the first byte are apart by the time that it takes to put the header
+// together, with a body also by the start of a goroutine, and the body is written apart
+// from the header.
+func TestRightIsLookedAtAgainBeforeBytesGoOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		method string
+		// looks is how often the right is found in force.
+		looks int64
+		kind  fault.Kind
+		ran   fault.Ran
+	}{
+		"before the header":               {"GET", 1, fault.StaleRoute, fault.NotRun},
+		"before the header, with a body":  {"POST", 1, fault.StaleRoute, fault.NotRun},
+		"between the header and the body": {"POST", 2, fault.TargetLost, fault.RanUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := play(t, always(okAnswer))
+			p := newPool(t, s.addr(), nil)
+			lapsed := fault.New(fault.StaleRoute, "lapsed")
+			var looks atomic.Int64
+			right := func() *fault.Fault {
+				if looks.Add(1) <= c.looks {
+					return nil
+				}
+				return lapsed
+			}
+			body := func() io.Reader {
+				if c.method == "GET" {
+					return nil
+				}
+				return io.NopCloser(strings.NewReader("x"))
+			}
+			r := newRequest(t, c.method, body())
+			if c.method == "POST" {
+				r.ContentLength = 1
+			}
+			_, f := p.AttemptOn(background, r, Terms{Allowed: right, Still: func(bool) *fault.Fault { return right() }})
+			assert.Assert(t, f != nil, "the request was sent")
+			assert.Equal(t, f.Kind, c.kind)
+			assert.Equal(t, f.Ran, c.ran)
+			assert.Equal(t, p.Stats().Open, 0)
+			resp, f := p.AttemptOn(background, newRequest(t, c.method, body()), Terms{})
+			assert.Assert(t, f == nil)
+			_, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+		})
+	}
+}
+
 func TestDialTimeoutIsNotRun(t *testing.T) {
 	p := newPool(t, "127.0.0.1:1", func(cfg *PoolConfig) {
 		cfg.DialTimeout = 10 * time.Millisecond
--- a/target/verdict.go
+++ b/target/verdict.go
@@ -39,6 +39,9 @@
 	if c.sent.Load() == x.sentBefore {
 		ran = fault.NotRun
 	}
+	if f := c.refusal(); f != nil {
+		return f
+	}
 	bodyErr := x.upload.callerError()
 	switch {
 	case x.ctx.Err() != nil:
