--- a/caller/shutdown.go
+++ b/caller/shutdown.go
@@ -29,11 +29,11 @@
 // their time is over, and what is left after lastWords is cut. It returns how many requests
 // were not answered otherwise.
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
-	s.lastCall()
+	s.stopAccepting()
 	unused := time.AfterFunc(unusedGrace, s.limits.closeUnused)
 	defer unused.Stop()
 	s.awaitEarly(ctx)
-	s.logStop("callers' connections are closed")
+	s.logStop("closing connections")
 	if s.http.Shutdown(ctx) == nil {
 		return 0
 	}
@@ -48,11 +48,11 @@
 	return cut
 }
 
-// lastCall keeps new work away: no connection is accepted, and a request that still comes on
+// stopAccepting keeps new work away: no connection is accepted, and a request that still comes on
 // an open one is refused as not run. What is passed on so late in a stop may be cut off at
 // its end; callers would find the router's own 504 in place of an answer.
-func (s *Server) lastCall() {
-	s.logStop("callers are let go")
+func (s *Server) stopAccepting() {
+	s.logStop("no more requests accepted")
 	s.stopping.Store(true)
 	s.mu.Lock()
 	listeners := s.listeners
--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -26,8 +26,8 @@
 // Sequence: a caller has a slow read under way and another behind it, which began early. The
 // stop waits for both before it closes anything. Meanwhile a caller whose connection rested
 // since before the stop, and a new one, send requests; these are passed on and cut off at the
-// end of the grace. The log showed it: "callers are let go" with before_their_turn above
-// zero, "callers' connections are closed" up to two seconds later, and between them
+// end of the grace. The log showed it: "no more requests accepted" with before_their_turn above
+// zero, "closing connections" up to two seconds later, and between them
 // "request" lines with code=deadline_exceeded whose work began in that time.
 // Cause: net/http closes a connection after the answer that is under way, so its shutdown has
 // to wait for answers that wait for their turn; with it waited what keeps new work away.
@@ -91,7 +91,7 @@
 
 // A request that comes on a connection which the stop has not closed yet is refused as not
 // run, on HTTP/1.1 and on HTTP/2: what is passed on so late may be cut off.
-func TestRequestsThatComeAfterTheLastCallAreRefused(t *testing.T) {
+func TestRequestsThatComeAfterAcceptingEndedAreRefused(t *testing.T) {
 	onBoth(t, func(t *testing.T, c *http.Client) {
 		f := newHeld()
 		b, _ := stoppingAhead(t, f)
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -82,11 +82,11 @@
 // 504, though they were sent seconds after the stop had begun.
 // Sequence: one caller has a read under way that outlasts the grace, and others behind it.
 // Callers whose connections rested when the stop began, and callers that send one request
-// behind the other all the while, go on; what they send after the router let its callers go
+// behind the other all the while, go on; what they send after the router accepts no more
 // is passed on, and cut off at the end of the grace.
 // Cause: the stop waits for the answers that wait for their turn before it closes listeners
 // and connections; see caller.Server.Shutdown. "request" lines of that time had nth above 1
-// and code=deadline_exceeded, between "callers are let go" and "callers' connections are
+// and code=deadline_exceeded, between "no more requests accepted" and "callers' connections are
 // closed".
 func TestStopTakesNothingOnThatItCannotAnswer(t *testing.T) {
 	f := newFleet(t, 1, strings.ReplaceAll(plainConfig, `"timeout":"1000ms"`, `"timeout":"60000ms"`), plainTarget("a"), plainTarget("b"))
@@ -153,7 +153,7 @@
 	}
 	began := time.Now()
 	for i, p := range rested {
-		// From shortly before the last call to shortly before the end.
+		// From shortly before accepting ends to shortly before the end.
 		callers.Go(func() {
 			time.Sleep(time.Until(began.Add(part(g.opts.Grace, leaveShare) + time.Duration(i-1)*300*time.Millisecond)))
 			sent, _ := p.round("/read/late")
@@ -163,13 +163,13 @@
 	g.Stop()
 	close(stopped)
 	callers.Wait()
-	lastCall := began.Add(part(g.opts.Grace, leaveShare))
+	notAccepted := began.Add(part(g.opts.Grace, leaveShare))
 	served := 0
 	for _, r := range all {
 		if r.status == http.StatusOK {
 			served++
 		}
-		assert.Check(t, r.status != http.StatusGatewayTimeout, "%s was sent %v after the last call and cut off", r.id, r.at.Sub(lastCall))
+		assert.Check(t, r.status != http.StatusGatewayTimeout, "%s was sent %v after accepting ended and cut off", r.id, r.at.Sub(notAccepted))
 		if r.status == http.StatusServiceUnavailable {
 			assert.Check(t, f.runsOf(r.id) == 0, "%s was said not to have run", r.id)
 		}
