Deliver answers that are ready at the end of a stop

What callers saw: in a planned stop a connection was closed without the answer to a read that its target had given seconds before.

Cause: the answer waits for its turn behind one that outlasts the grace. At the end of the grace net/http's shutdown is begun before that one is told, and ends the connection after it.

Why this holds: net/http's shutdown begins only once no answer waits for its turn, or lastWords after the requests under way were told that their time is over; an answer that expires before its turn is let in, where it was dropped before and broke the connection off.

--- a/caller/early.go
+++ b/caller/early.go
@@ -34,8 +34,9 @@
 	body   []byte
 	// ended says that nothing more comes, and aborted that the answer is not whole.
 	ended, aborted bool
-	// left says that nobody waits for the answer any more.
-	left bool
+	// left says that nobody waits for the answer any more, expired that the server ends all
+	// requests: what is said then is short, and nothing waits for room.
+	left, expired bool
 	// refused says that there was no place for the request before its turn.
 	refused bool
 }
@@ -53,7 +54,7 @@
 	}
 	e.changed = sync.NewCond(&e.mu)
 	// A target's answer that waits for room would else wait for ever for a caller that left.
-	context.AfterFunc(ctx, e.abandon)
+	context.AfterFunc(ctx, func() { e.abandon(context.Cause(ctx) == context.DeadlineExceeded) })
 	go e.serve(h, r.WithContext(ctx))
 	return e
 }
@@ -93,11 +94,12 @@
 // leave ends the request, whose answer nobody waits for.
 func (e *earlyAnswer) leave() { e.cancel() }
 
-// abandon lets nothing more of the answer in.
-func (e *earlyAnswer) abandon() {
+// abandon lets nothing more of the answer in, or, where the request has expired, no more than
+// there is room for: its caller is still to be told.
+func (e *earlyAnswer) abandon(expired bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.left = true
+	e.expired, e.left = expired, !expired
 	e.changed.Broadcast()
 }
 
@@ -120,10 +122,10 @@
 	e.WriteHeader(http.StatusOK)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for len(e.body) >= earlyBytes && !e.left {
+	for len(e.body) >= earlyBytes && !e.left && !e.expired {
 		e.changed.Wait()
 	}
-	if e.left {
+	if e.left || len(e.body) >= earlyBytes {
 		return 0, errEarlyLeft
 	}
 	e.body = append(e.body, p...)
--- a/caller/shutdown.go
+++ b/caller/shutdown.go
@@ -26,15 +26,16 @@
 // Shutdown accepts no more connections and no more requests, and waits for the requests in
 // flight: HTTP/1.1 answers carry "Connection: close" from now on and HTTP/2 connections
 // get GOAWAY. When ctx ends first, requests that still wait for their answer are told that
-// their time is over, and what is left after lastWords is cut. It returns how many requests
-// were not answered otherwise.
+// their time is over, those behind them get the answers that are ready, and what is left
+// after lastWords is cut. It returns how many requests were not answered otherwise.
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
 	s.stopAccepting()
 	unused := time.AfterFunc(unusedGrace, s.limits.closeUnused)
 	defer unused.Stop()
 	s.awaitEarly(ctx)
 	s.logStop("closing connections")
-	if s.http.Shutdown(ctx) == nil {
+	// Not before: net/http would end connections on which answers wait for their turn.
+	if ctx.Err() == nil && s.http.Shutdown(ctx) == nil {
 		return 0
 	}
 	cut = int(s.InFlight())
@@ -42,6 +43,7 @@
 	s.expire(context.DeadlineExceeded)
 	last, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
+	s.awaitEarly(last)
 	if s.http.Shutdown(last) != nil {
 		_ = s.http.Close()
 	}
