Give the keys of targets that have ended to others at once

Cause: a leader that too few routers follow waits for the longest grant that an older one may have given to targets that are gone. 11,132 of 14,021 refusals named six targets whose address had answered orders with status 400: targets of another service had them by then.

Why this holds: an address is given anew only after its target's end. A target that is gone and whose address another has, which was not there yet when it was heard of last (and began later, where both say so), has ended and holds nothing; its keys are free.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -5,8 +5,8 @@
 // How it keeps a key from having two holders:
 //
 //   - A key leaves its holder only by a release that the holder has answered, by the
-//     holder's next life, which knows of nothing, or once every grant that may have
-//     reached it has lapsed.
+//     holder's next life, which knows of nothing, once the holder is known to have ended,
+//     or once every grant that may have reached it has lapsed.
 //   - A release carries a token above that of the grant, so that an older renewal that is
 //     still on its way is refused after it; the next grant carries a token above that.
 //   - A leader that takes over first grants everything again, to the same holders, under
@@ -227,7 +227,9 @@
 	nextToken uint64
 	spans     []span
 	seats     map[string]*seat
-	heat      *Heat
+	// ended has the lives of targets that are over for certain.
+	ended map[keyspace.Holder]bool
+	heat  *Heat
 
 	// generation counts changes to the table, sent and written those in the store.
 	generation, sent, written uint64
--- a/core/assign/seats.go
+++ b/core/assign/seats.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragongw/core/directory"
+	"tarragongw/core/keyspace"
 )
 
 // seat is what the leader knows of one target.
@@ -34,6 +35,14 @@
 	a.seats = seats
 }
 
+// SetEnded tells which lives of targets have ended for certain; they hold nothing any more.
+func (a *Assigner) SetEnded(ended []keyspace.Holder) {
+	a.ended = make(map[keyspace.Holder]bool, len(ended))
+	for _, h := range ended {
+		a.ended[h] = true
+	}
+}
+
 // OldLeaderStops tells when the last grant of the usual length and the last long one of the
 // leaders before may arrive: targets that don't answer this one need not be waited for any
 // longer than those last, and those that do only for the long ones that they took before.
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -119,7 +119,7 @@
 func (a *Assigner) freeLapsed(now time.Time) {
 	for i := range a.spans {
 		s := &a.spans[i]
-		if s.Moving && !s.busy && !s.lapsed().After(now) {
+		if s.Moving && !s.busy && (a.ended[s.Holder] || !s.lapsed().After(now)) {
 			a.free(s, "")
 		}
 	}
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -45,6 +45,9 @@
 // entry is a target with the router's own belief.
 type entry struct {
 	target Target
+	// since is when this router heard first of the target's life at its address, and heard
+	// when it heard something new of it last.
+	since, heard time.Time
 	// goneAt is when the target is taken for gone unless it is heard of; zero where it
 	// stands in the store.
 	goneAt time.Time
@@ -53,13 +56,17 @@
 // Directory is the router's belief about all targets. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*entry
+	// former are targets that are gone, see Ended.
+	former map[string]formerTarget
 	// away says that the store is not reached; back is when it was reached again last.
 	away bool
 	back time.Time
 }
 
 // New returns a directory that knows no target.
-func New() *Directory { return &Directory{entries: map[string]*entry{}} }
+func New() *Directory {
+	return &Directory{entries: map[string]*entry{}, former: map[string]formerTarget{}}
+}
 
 // Put notes what a target said. It reports whether something changed beyond its count
 // of reports.
@@ -70,7 +77,8 @@
 		return false
 	}
 	t.ColdUntil = now.Add(t.ColdFor)
-	d.entries[t.ID] = &entry{target: t}
+	delete(d.former, t.ID)
+	d.entries[t.ID] = succeed(old, now, t)
 	if !known || !old.goneAt.IsZero() {
 		return true
 	}
@@ -79,6 +87,19 @@
 	return before != after
 }
 
+// succeed is the entry of what a target says now, after old, which may be nil.
+func succeed(old *entry, now time.Time, t Target) *entry {
+	e := &entry{target: t, since: now, heard: now}
+	if old == nil || old.target.Born != t.Born || old.target.Address != t.Address {
+		return e
+	}
+	e.since = old.since
+	if old.target.Seq == t.Seq && old.target.Draining == t.Draining {
+		e.heard = old.heard // the same record, in another listing
+	}
+	return e
+}
+
 // Remove notes that the target's entry is gone from the store. Where the store was away
 // until just now, the entry may have lapsed for that alone, and the target is believed
 // until it has had the time to write it again.
@@ -132,7 +153,7 @@
 	}
 	for _, id := range gone {
 		if _, known := d.entries[id]; known {
-			delete(d.entries, id)
+			d.forget(now, id)
 			changed = true
 		}
 	}
@@ -164,7 +185,7 @@
 	}
 	for id, e := range d.entries {
 		if !e.goneAt.IsZero() && !now.Before(e.goneAt) {
-			delete(d.entries, id)
+			d.forget(now, id)
 			changed = true
 		}
 	}
--- a/gateway/backing_test.go
+++ b/gateway/backing_test.go
@@ -141,6 +141,6 @@
 // the division of the keys.
 func TestTargetsMayChangeWhileTheDivisionIsRead(t *testing.T) {
 	l := &leader{term: &term{post: map[string]*post{"s": {}}}}
-	l.setTargets([]directory.Target{{ID: "a", Service: "s"}})
-	assert.Equal(t, len(l.targets), 1)
+	l.setTargets(&targetsSeen{targets: []directory.Target{{ID: "a", Service: "s"}}})
+	assert.Equal(t, len(l.targets.targets), 1)
 }
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -203,7 +203,7 @@
 		targets := b.directory.Targets()
 		b.g.setTargets(targets)
 		b.g.follow.source.SetTargets(targets)
-		b.g.leader.duty.Tell(targets)
+		b.g.leader.duty.Tell(&targetsSeen{targets, b.directory.Ended()})
 		b.g.log.Info("targets changed", "known", len(targets))
 	}
 	next := b.directory.Next()
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -126,6 +126,19 @@
 	}
 )
 
+// targetsSeen is what the store says of the targets.
+type targetsSeen struct {
+	targets []directory.Target
+	// ended are lives of targets that are over for certain.
+	ended []keyspace.Holder
+}
+
+// tell tells an assigner what is known of the targets.
+func (m *targetsSeen) tell(a *assign.Assigner) {
+	a.SetTargets(time.Now(), m.targets)
+	a.SetEnded(m.ended)
+}
+
 // term is the time for which this router leads.
 type term struct {
 	revision kv.Revision
@@ -170,7 +183,7 @@
 	// pause each router asks a store that refuses at once some thirty times a second.
 	notBefore time.Time
 	term      *term
-	targets   []directory.Target
+	targets   *targetsSeen
 	stopping  bool
 	away      bool
 	timer     *time.Timer
@@ -180,7 +193,7 @@
 }
 
 func newLeader(g *Gateway) *leader {
-	l := &leader{g: g}
+	l := &leader{g: g, targets: &targetsSeen{}}
 	l.duty = g.startDuty(l.handle)
 	return l
 }
@@ -189,7 +202,7 @@
 	switch m := message.(type) {
 	case *leaderSeen:
 		l.see(m)
-	case []directory.Target:
+	case *targetsSeen:
 		l.setTargets(m)
 	case *absence, tick:
 	case *campaigned:
@@ -225,14 +238,14 @@
 	}
 }
 
-func (l *leader) setTargets(targets []directory.Target) {
-	l.targets = targets
+func (l *leader) setTargets(m *targetsSeen) {
+	l.targets = m
 	if l.term == nil {
 		return
 	}
 	for _, p := range l.term.post {
 		if p.assigner != nil { // its division is being read
-			p.assigner.SetTargets(time.Now(), targets)
+			m.tell(p.assigner)
 		}
 	}
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -89,7 +89,7 @@
 	}
 	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound}
 	a := assign.TakeOver(time.Now(), cfg, m.service, m.table)
-	a.SetTargets(time.Now(), l.targets)
+	l.targets.tell(a)
 	if m.term.oldStops != nil {
 		a.OldLeaderStops(m.term.oldStops.usual, m.term.oldStops.long)
 	}
