--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -130,8 +130,8 @@
 // answered meanwhile and waits for its turn; at the end of the grace the first is told that
 // its time is over, and the connection is closed.
 // Cause: net/http's shutdown has begun by then, which ends a connection after the answer
-// under way. The bench's line of one: sent 0.34 s before SIGTERM, its run ended 1.8 s after
-// it, "the connection is closed with no answer" 5.3 s after it.
+// under way. One such read was sent 0.34 s before SIGTERM and had run to its end 1.8 s after
+// it; its connection was closed 5.3 s after it, at the end of the grace.
 func TestStopDeliversAnswersThatAreReady(t *testing.T) {
 	f := newHeld()
 	b, closing := stoppingAhead(t, f)
