Keep one record of a connection's rest, and one of a held answer's status

The check of certificates counted when a connection came to rest and left it; the stop notes since when it rests, which tells both. A held answer kept the status that its exchange has.

No behaviour changes. The package's tests pass with the race detector.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -68,7 +68,7 @@
 	if status >= 200 {
 		x.declared = declaredLength(x.w.Header())
 		if x.holdsBack() {
-			x.status, x.held = status, &heldAnswer{status: status}
+			x.status, x.held = status, &heldAnswer{}
 			return
 		}
 		x.begin(status)
--- a/caller/hold.go
+++ b/caller/hold.go
@@ -16,10 +16,7 @@
 // notices several aborted requests of one connection at one moment. Held back, it is
 // replaced by the router's own answer, and those behind it are answered. Nothing is lost by
 // that: a target sends a short answer in one piece.
-type heldAnswer struct {
-	status int
-	body   []byte
-}
+type heldAnswer struct{ body []byte }
 
 // holdsBack reports whether the answer is to be held back: a short one of known length that
 // has others behind it, or is itself one that was begun before its turn.
@@ -55,8 +52,8 @@
 }
 
 func (x *exchange) sendHeld(held *heldAnswer) {
-	x.begin(held.status)
-	x.w.WriteHeader(held.status)
+	x.begin(x.status)
+	x.w.WriteHeader(x.status)
 	if len(held.body) == 0 {
 		return
 	}
--- a/caller/recheck.go
+++ b/caller/recheck.go
@@ -16,10 +16,8 @@
 	// round is that of the last Recheck that the connection has passed; zero before the
 	// first, which follows the handshake.
 	round atomic.Uint64
-	// open says that the handshake is over. rests counts the times that the connection came
-	// to rest or left it; it is odd at rest.
-	open  atomic.Bool
-	rests atomic.Uint64
+	// open says that the handshake is over.
+	open atomic.Bool
 	// ends is when the certificate does; nil where none was shown.
 	ends   atomic.Pointer[time.Time]
 	barred atomic.Bool
@@ -44,9 +42,6 @@
 		return
 	}
 	c.trust.secure.Store(secure)
-	if resting := state == http.StateIdle; resting != c.trust.resting() {
-		c.trust.rests.Add(1)
-	}
 	c.trust.open.Store(true)
 	s.check(c)
 }
@@ -57,13 +52,11 @@
 	if round := s.limits.round.Load(); t.round.Swap(round) != round {
 		s.ask(t)
 	}
-	if t.barred.Load() && t.resting() {
+	if t.barred.Load() && c.restsSince.Load() != 0 {
 		c.closeAtRest()
 	}
 }
 
-func (t *trust) resting() bool { return t.rests.Load()%2 == 1 }
-
 // flushWithin is how long a connection must have rested before it is closed: with HTTP/2
 // net/http says that a connection rests before it has sent the end of the last answer,
 // which would be cut off.
@@ -71,9 +64,9 @@
 
 // closeAtRest closes the connection unless another request comes.
 func (c *callerConn) closeAtRest() {
-	rest := c.trust.rests.Load()
+	since := c.restsSince.Load()
 	time.AfterFunc(flushWithin, func() {
-		if c.trust.rests.Load() == rest {
+		if since != 0 && c.restsSince.Load() == since {
 			_ = c.Close()
 		}
 	})
--- a/caller/shutdown.go
+++ b/caller/shutdown.go
@@ -114,11 +114,11 @@
 
 // noteState notes since when the connection rests, if it does.
 func (c *callerConn) noteState(state http.ConnState) {
-	var since int64
-	if state == http.StateIdle {
-		since = int64(time.Since(c.opened))
+	if state != http.StateIdle {
+		c.restsSince.Store(0)
+	} else if c.restsSince.Load() == 0 {
+		c.restsSince.Store(int64(time.Since(c.opened)))
 	}
-	c.restsSince.Store(since)
 }
 
 // rested reports whether the connection is one of HTTP/1.1 that has rested for d, with
