Start processes and set targets' slots in one place in the tests

A test named the bound of what is read ahead by its value, and a log line by its former name. All assertions stay as they are.

--- a/cmd/tarragongw/process_harness_test.go
+++ b/cmd/tarragongw/process_harness_test.go
@@ -68,10 +68,7 @@
 func installWith(t *testing.T, change func(*model.Model), routers ...string) *installation {
 	t.Helper()
 	in := &installation{t: t, bin: t.TempDir(), files: t.TempDir(), log: sample.NewLog(1_000_000)}
-	build := exec.Command("go", "build", "-o", in.bin+string(filepath.Separator), "./cmd/...")
-	build.Dir = filepath.Join("..", "..")
-	out, err := build.CombinedOutput()
-	assert.NilError(t, err, string(out))
+	buildCommands(t, in.bin)
 	in.startPlatform()
 	in.startTargets(change)
 	ports := freeAddresses(t, 3*len(routers))
@@ -177,18 +174,35 @@
 // start runs a router as a process, which ends at the latest with the test.
 func (in *installation) start(p *process) {
 	in.t.Helper()
+	p.launch(in.t, exec.Command(filepath.Join(in.bin, "tarragongw"), "run", "--config", p.settings))
+}
+
+// buildCommands builds the binaries into a folder.
+func buildCommands(t *testing.T, folder string) {
+	t.Helper()
+	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "./cmd/...")
+	build.Dir = filepath.Join("..", "..")
+	out, err := build.CombinedOutput()
+	assert.NilError(t, err, string(out))
+}
+
+// shownLines is how many of its last lines a process shows where its test has failed.
+const shownLines = 60
+
+// launch runs the process by a command; it ends at the latest with the test.
+func (p *process) launch(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
 	p.output = &syncbuffer.Buffer{}
-	cmd := exec.Command(filepath.Join(in.bin, "tarragongw"), "run", "--config", p.settings)
 	cmd.Stdout, cmd.Stderr = p.output, p.output
-	assert.NilError(in.t, cmd.Start())
+	assert.NilError(t, cmd.Start())
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	p.cmd, p.ended = cmd, ended
-	in.t.Cleanup(func() {
+	t.Cleanup(func() {
 		// A process that has ended can't be killed again; that is what is wanted.
 		_ = cmd.Process.Kill()
-		if in.t.Failed() {
-			in.t.Logf("%s:\n%s", p.name, lastLines(p.output.String(), 40))
+		if t.Failed() {
+			t.Logf("%s:\n%s", p.name, lastLines(p.output.String(), shownLines))
 		}
 	})
 }
--- a/cmd/tarragongw/serve_pause_test.go
+++ b/cmd/tarragongw/serve_pause_test.go
@@ -18,7 +18,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"tarragongw/internal/syncbuffer"
 	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
 )
@@ -44,12 +43,9 @@
 
 func newSystem(t *testing.T, routers, targets int) *system {
 	t.Helper()
-	s := &system{t: t, bin: filepath.Join(t.TempDir(), "tarragongw"), store: platformtest.NewStore()}
+	s := &system{t: t, bin: t.TempDir(), store: platformtest.NewStore()}
 	t.Cleanup(s.store.Close)
-	build := exec.Command("go", "build", "-o", s.bin, "./cmd/tarragongw")
-	build.Dir = filepath.Join("..", "..")
-	out, err := build.CombinedOutput()
-	assert.NilError(t, err, string(out))
+	buildCommands(t, s.bin)
 	s.store.Put(platform.ConfigKey, []byte(servedConfig))
 	for i := range targets {
 		target := platformtest.NewTarget(fmt.Sprintf("i-%d", i), "keyed", "hall", true)
@@ -67,7 +63,7 @@
 func (s *system) start(name string, first int) {
 	s.t.Helper()
 	address := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)) }
-	p := &process{name: name, caller: address(0), output: &syncbuffer.Buffer{}, ended: make(chan error, 1)}
+	p := &process{name: name, caller: address(0)}
 	p.settings = filepath.Join(s.t.TempDir(), name+".toml")
 	settings := fmt.Sprintf(`[local_node]
 node = %q
@@ -92,18 +88,9 @@
 hold_max = "10000ms"
 `, name, first+2, first+3, address(0), address(1), s.store.Address())
 	assert.NilError(s.t, os.WriteFile(p.settings, []byte(settings), 0o600))
-	p.cmd = exec.Command(s.bin, "serve")
-	p.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
-	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
-	assert.NilError(s.t, p.cmd.Start())
-	go func() { p.ended <- p.cmd.Wait() }()
-	s.t.Cleanup(func() {
-		// A process that has ended can't be killed again; that is what is wanted.
-		_ = p.cmd.Process.Kill()
-		if s.t.Failed() {
-			s.t.Logf("%s:\n%s", p.name, lastLines(p.output.String(), 60))
-		}
-	})
+	cmd := exec.Command(filepath.Join(s.bin, "tarragongw"), "serve")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
+	p.launch(s.t, cmd)
 	s.routers = append(s.routers, p)
 }
 
--- a/gateway/gone_test.go
+++ b/gateway/gone_test.go
@@ -34,7 +34,6 @@
 func busyFleet(t *testing.T, work time.Duration) (*fleet, *Gateway) {
 	f := newFleet(t, 1, patientConfig, plainTarget("a"))
 	g, target := f.gateways[0], f.targets["a"]
-	target.Slots = 1
 	target.Answer(func(w http.ResponseWriter, r *http.Request) bool {
 		if r.Method != http.MethodGet {
 			return false
@@ -43,12 +42,7 @@
 		w.Header().Set(platform.HeaderStamp, "stamp")
 		return true
 	})
-	target.Register(f.store)
-	waittest.Until(t, "the slots are known", func() bool {
-		g.mu.RLock()
-		defer g.mu.RUnlock()
-		return len(g.targets) == 1 && g.targets[0].Slots == 1
-	})
+	f.setSlots(1)
 	return f, g
 }
 
@@ -104,7 +98,7 @@
 func TestUploadThatWaitsIsSentWhole(t *testing.T) {
 	f, g := busyFleet(t, 300*time.Millisecond)
 	f.fill(g)
-	for _, size := range []int{1, (64 << 10) - 1, (64 << 10), 5 * (64 << 10)} {
+	for _, size := range []int{1, readAheadBytes - 1, readAheadBytes, 5 * readAheadBytes} {
 		body := strings.Repeat("0123456789", size/10+1)[:size]
 		id := fmt.Sprintf("size-%d", size)
 		conn := f.upload(g, id, "", size)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
 	"tarragongw/internal/syncbuffer"
 	"tarragongw/internal/waittest"
@@ -84,6 +86,23 @@
 	target.Register(f.store)
 }
 
+// setSlots gives each target so many slots, and waits until all gateways know of them.
+func (f *fleet) setSlots(n int) {
+	f.t.Helper()
+	for _, target := range f.targets {
+		target.Slots = n
+		target.Register(f.store)
+	}
+	for _, g := range f.gateways {
+		waittest.Until(f.t, "the slots are known", func() bool {
+			g.mu.RLock()
+			defer g.mu.RUnlock()
+			other := func(t directory.Target) bool { return t.Slots != n }
+			return len(g.targets) == len(f.targets) && !slices.ContainsFunc(g.targets, other)
+		})
+	}
+}
+
 // configure writes a configuration with the next version; routes and services are JSON.
 func (f *fleet) configure(rest string) {
 	f.version += 3
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -86,20 +86,11 @@
 // is passed on, and cut off at the end of the grace.
 // Cause: the stop waits for the answers that wait for their turn before it closes listeners
 // and connections; see caller.Server.Shutdown. "request" lines of that time had nth above 1
-// and code=deadline_exceeded, between "no more requests accepted" and "callers' connections are
-// closed".
+// and code=deadline_exceeded, between "no more requests accepted" and "closing connections".
 func TestStopTakesNothingOnThatItCannotAnswer(t *testing.T) {
 	f := newFleet(t, 1, strings.ReplaceAll(plainConfig, `"timeout":"1000ms"`, `"timeout":"60000ms"`), plainTarget("a"), plainTarget("b"))
 	g := f.gateways[0]
-	for _, target := range f.targets {
-		target.Slots = 64
-		target.Register(f.store)
-	}
-	waittest.Until(t, "the slots are known", func() bool {
-		g.mu.RLock()
-		defer g.mu.RUnlock()
-		return len(g.targets) == 2 && g.targets[0].Slots == 64 && g.targets[1].Slots == 64
-	})
+	f.setSlots(64)
 	var long atomic.Int64
 	slow := func(_ http.ResponseWriter, r *http.Request) bool {
 		if strings.HasPrefix(r.URL.Path, "/read/long") {
