Accept every number of the platform's settings as an integer or a float

What was seen: no router of the small twin of the deployment of hundreds of VMs started; each ended with "cannot decode TOML float into struct field ... RetryMin of type int". Cause: budget_min_retries is 30.7 there, TOML tells integers from floats, and fields were typed by the figures of the first deployments. The platform doesn't tell them apart.

Numbers are now read by value and checked by range. One that can't be used is named in a log line and left at zero, with which a router can run: memory, share of a core, budget of retries, the port of the metrics and of the other routers.

--- a/cmd/tarragongw/serve.go
+++ b/cmd/tarragongw/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -57,6 +58,9 @@
 	if err != nil {
 		return err
 	}
+	for _, w := range settings.Warnings {
+		logger.Warn("setting not used", "why", w)
+	}
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.MemoryBytes) * memoryShare))
 	}
@@ -90,7 +94,7 @@
 		switch {
 		case err != nil:
 			logger.Error("settings not reloaded; those in force stay", "err", err)
-		case *settings == *old:
+		case reflect.DeepEqual(settings, old):
 			logger.Info("settings reloaded, nothing has changed")
 		default:
 			logger.Warn("settings have changed; they take effect at the next start")
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -313,7 +313,7 @@
 // comes back within a window, so that no window sees more; a tenth is left for routers
 // whose count of routers is behind.
 func (g *Gateway) newBudget() *retry.Budget {
-	free := float64(g.opts.RetryMin) * budgetCaution / 2
+	free := g.opts.RetryMin * budgetCaution / 2
 	return retry.NewBudget(retry.BudgetConfig{
 		Share: g.opts.RetryShare * budgetCaution, Burst: max(free, 1), Shared: true, MinPerSecond: free / g.opts.RetryWindow.Seconds(),
 	}, g.routerCount())
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -64,7 +64,7 @@
 	// RetryShare and RetryMin bound the attempts beyond the first that a service gets from
 	// all routers together in RetryWindow.
 	RetryShare  float64
-	RetryMin    int
+	RetryMin    float64
 	RetryWindow time.Duration
 	// Mailbox bounds the messages that wait for a duty. Default 256.
 	Mailbox   int
