--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -229,7 +229,7 @@
 	seats     map[string]*seat
 	// ended has the lives of targets that are over for certain.
 	ended map[keyspace.Holder]bool
-	heat  *Heat
+	load  *LoadTracker
 
 	// generation counts changes to the table, sent and written those in the store.
 	generation, sent, written uint64
@@ -251,7 +251,7 @@
 // nil where there is none yet.
 func TakeOver(now time.Time, cfg Config, service string, table *keyspace.Table) *Assigner {
 	a := &Assigner{
-		cfg: cfg.withDefaults(), service: service, seats: map[string]*seat{}, heat: NewHeat(),
+		cfg: cfg.withDefaults(), service: service, seats: map[string]*seat{}, load: NewLoadTracker(),
 		orders: map[uint64]pending{},
 	}
 	if table == nil {
@@ -283,8 +283,8 @@
 	return a.nextToken - 1
 }
 
-// Heat returns what is known of the keys' load.
-func (a *Assigner) Heat() *Heat { return a.heat }
+// Load returns what is known of the keys' load.
+func (a *Assigner) Load() *LoadTracker { return a.load }
 
 // Service is the name of the service.
 func (a *Assigner) Service() string { return a.service }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -282,7 +282,7 @@
 			continue
 		}
 		for _, k := range s.heat.take() {
-			p.assigner.Heat().Add(now, k, 1)
+			p.assigner.Load().Add(now, k, 1)
 		}
 		rate := l.g.follow.unseen() / heatSpan.Seconds()
 		for _, m := range p.assigner.Rebalance(now, s.speed, rate) {
