Deal a new service's keys evenly also among hundreds of targets

Cause, from a test at that size: the first pieces that are cut off are right, but once they add up to a hundredth of all keys the rest is taken for what a lost target leaves behind, and is cut into eighths of what is left. 41 of 210 targets got keys, the first an eighth of all. The size of the pieces is now settled once for each free range.

TestNewServiceIsDealtEvenlyAmongManyTargets fails before with 41 of 210 holders.

--- /dev/null
+++ b/core/assign/deal_test.go
@@ -0,0 +1,24 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// manyTargets is a service divided among some hundred targets.
+const manyTargets = 210
+
+// Guards against a new service most of whose keys go to a few of its many targets.
+func TestNewServiceIsDealtEvenlyAmongManyTargets(t *testing.T) {
+	ids := make([]string, manyTargets)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("t%03d", i)
+	}
+	shares := sharesOf(settled(t, ids...))
+	assert.Equal(t, len(shares), manyTargets)
+	for id, keys := range shares {
+		assert.Assert(t, keys < 2*(1<<16)/manyTargets, "%s has %d keys", id, keys)
+	}
+}
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -143,17 +143,25 @@
 		if s.Target != "" || s.next != "" || s.Len() < 2 {
 			continue
 		}
-		load := a.load.of(s.From, s.To)
 		size := part
-		if load < whole*0.99 {
-			size = max(part/2, load/maxPieces)
-		}
-		if load <= size*1.2 {
-			continue
+		if s.Len() <= int(keyspace.LastKey) {
+			// Others hold keys already: a few targets get a part more each.
+			size = max(part/2, a.load.of(s.From, s.To)/maxPieces)
 		}
+		i += a.cutUp(i, size)
+	}
+}
+
+// cutUp cuts a range into parts of the load, and returns how many more ranges there are.
+func (a *Assigner) cutUp(i int, size float64) int {
+	more := 0
+	for {
+		s := &a.spans[i+more]
 		last := a.load.cut(s.From, s.To, size)
-		if last < s.To {
-			a.carve(i, s.From, last)
+		if last >= s.To || a.load.of(s.From, s.To) <= size*1.2 {
+			return more
 		}
+		a.carve(i+more, s.From, last)
+		more++
 	}
 }
