Take hundreds of targets' loads for what they are, and write the table at a bounded rate

Causes: - The table was written whenever an answer to an order had changed it, and each accepted first grant was pushed by itself. Writes now keep 100 ms, pushes 50 ms between them. - A target of 210 gets 16 requests in 3 s. Their noise hid that it is half as fast as the others, or moved keys off it that carried nothing. A target's load is now that of its part of the keys, unless its own differs by more than the busiest of so many does by chance; requests count for 8 s; and a sudden change either way is looked for in the last 0.75 s. - Where a single key is more than any target has room for, a target may be overfilled by a quarter, as long as the one that it comes from is busier still.

rebalance_test.go fails in each test on the code before.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -72,6 +72,9 @@
 	// OldLeader bounds how long after the loss of its lease another leader may still send
 	// renewals.
 	OldLeader time.Duration
+	// WriteInterval is the least time between two writes of the table; zero bounds it by
+	// the writes' own time.
+	WriteInterval time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -234,7 +237,9 @@
 	// generation counts changes to the table, sent and written those in the store.
 	generation, sent, written uint64
 	writing                   bool
-	storeAway                 bool
+	// writeDue is when the table may be written next.
+	writeDue  time.Time
+	storeAway bool
 
 	orders  map[uint64]pending
 	orderID uint64
--- a/core/assign/keyload.go
+++ b/core/assign/keyload.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// loadMemory is how long a request counts for its key's load: long enough for some
-	// hundred requests of a busy service to be seen.
-	loadMemory = 3 * time.Second
-	// recentMemory is the span over which a sudden rise of a range's load is looked for.
-	recentMemory = 600 * time.Millisecond
-	// riseDeviations is by how many standard deviations the requests of recentMemory must
-	// exceed what they are taken for: a range that was chosen for its many recent requests
-	// has more of them by chance than the load behind them.
-	riseDeviations = 2.0
-	// maxSamples bounds the requests that are remembered, 24 bytes each.
+	// loadMemory is how long a request counts for its key's load: long enough for some dozen
+	// requests of each of hundreds of targets to be seen.
+	loadMemory = 8 * time.Second
+	// recentMemory is the span over which a sudden change of a range's load is looked for.
+	recentMemory = 750 * time.Millisecond
+	// changeDeviations is by how many standard deviations the requests of recentMemory must
+	// differ for the load to be taken for changed: a range that was chosen for its many
+	// recent requests has more of them by chance than the load behind them.
+	changeDeviations = 2.0
+	// maxSamples bounds the requests that are remembered, 40 bytes each.
 	maxSamples = 32768
 	// evenShare is the part of the load that is taken to lie evenly on all keys, so that
 	// ranges without a recent request are not taken to cost nothing.
@@ -40,6 +40,9 @@
 	// sums and recent are the requests before each entry of sorted: all, and those within
 	// recentMemory.
 	sums, recent []float64
+	// since is when the first request was seen, and span the time that the samples cover.
+	since time.Time
+	span  time.Duration
 }
 
 // NewLoadTracker returns a tracker without any request.
@@ -47,7 +50,11 @@
 
 // Add notes n requests for the key.
 func (l *LoadTracker) Add(now time.Time, key keyspace.Key, n float64) {
+	if l.since.IsZero() {
+		l.since = now
+	}
 	if len(l.samples) >= maxSamples {
+		l.since = l.samples[maxSamples/2].at
 		l.samples = append(l.samples[:0], l.samples[maxSamples/2:]...)
 	}
 	l.samples = append(l.samples, sample{at: now, key: key, n: n})
@@ -55,6 +62,7 @@
 
 // expire forgets what is old and sorts the rest for a plan.
 func (l *LoadTracker) expire(now time.Time) {
+	l.span = min(max(now.Sub(l.since), recentMemory), loadMemory)
 	first := sort.Search(len(l.samples), func(i int) bool { return now.Sub(l.samples[i].at) <= loadMemory })
 	l.samples = append(l.samples[:0], l.samples[first:]...)
 	l.sorted = append(l.sorted[:0], l.samples...)
@@ -77,57 +85,55 @@
 	return sort.Search(len(l.sorted), func(i int) bool { return int(l.sorted[i].key) >= k })
 }
 
-// of is the load of a range in requests within loadMemory, with its even share.
+// rate is the requests a second that one sample stands for.
+func (l *LoadTracker) rate() float64 { return 1 / l.span.Seconds() }
+
+// of is the load of a range in requests within the span, with its even share.
 func (l *LoadTracker) of(from, to keyspace.Key) float64 {
-	first, end := l.index(int(from)), l.index(int(to)+1)
-	keys := float64(int(to)-int(from)+1) / float64(int(keyspace.LastKey)+1)
-	return l.between(first, end)*(1-evenShare) + (l.total()*evenShare+1)*keys
+	return l.between(l.index(int(from)), l.index(int(to)+1))*(1-evenShare) + (l.total()*evenShare+1)*partOf(from, to)
+}
+
+// partOf is a range's part of all keys.
+func partOf(from, to keyspace.Key) float64 {
+	return float64(int(to)-int(from)+1) / float64(int(keyspace.LastKey)+1)
 }
 
 // between is the load of the samples from the first up to the one before the end. It
-// answers keys that become hot: the requests of a whole loadMemory tell of them only after
-// most of the time for which they are.
+// answers keys that become hot, or cease to be: the requests of a whole loadMemory tell of
+// that only after most of the time for which they are.
 func (l *LoadTracker) between(first, end int) float64 {
 	n := l.sums[end] - l.sums[first]
 	recent := l.recent[end] - l.recent[first]
-	sure := math.Max(recent-riseDeviations*math.Sqrt(recent), 0)
-	return math.Max(n, sure*(loadMemory.Seconds()/recentMemory.Seconds()))
-}
-
-// cut returns the last key of the shortest range from the first key on that has the load,
-// or the last key of the whole range.
-func (l *LoadTracker) cut(from, to keyspace.Key, load float64) keyspace.Key {
-	n := sort.Search(int(to)-int(from), func(i int) bool {
-		return l.of(from, from+keyspace.Key(i)) >= load
-	})
-	return from + keyspace.Key(n)
+	whole := l.span.Seconds() / recentMemory.Seconds()
+	least := math.Max(recent-changeDeviations*math.Sqrt(recent), 0) * whole
+	most := (recent + 1 + changeDeviations*math.Sqrt(recent+1)) * whole
+	return math.Min(math.Max(n, least), most)
 }
 
-// cutBack returns the first key of the shortest range up to the last key that has the
-// load, or the first key of the whole range.
-func (l *LoadTracker) cutBack(from, to keyspace.Key, load float64) keyspace.Key {
-	n := sort.Search(int(to)-int(from), func(i int) bool {
-		return l.of(to-keyspace.Key(i), to) >= load
-	})
-	return to - keyspace.Key(n)
+// weight says how the load of a range lies on its parts: by all requests and by the recent
+// ones alike, and to a small part evenly.
+func (l *LoadTracker) weight(from, to keyspace.Key) float64 {
+	first, end := l.index(int(from)), l.index(int(to)+1)
+	recent := (l.recent[end] - l.recent[first]) * (l.span.Seconds() / recentMemory.Seconds())
+	return (l.sums[end]-l.sums[first]+recent)*(1-evenShare) + (l.total()*evenShare+1)*partOf(from, to)
 }
 
-// tightest returns the range within the given one that has the load on the fewest keys;
+// tightest returns the range within the given one that has the weight on the fewest keys;
 // false where the whole range doesn't have it.
-func (l *LoadTracker) tightest(from, to keyspace.Key, load float64) (keyspace.Key, keyspace.Key, bool) {
+func (l *LoadTracker) tightest(from, to keyspace.Key, weight float64) (keyspace.Key, keyspace.Key, bool) {
 	first, end := l.index(int(from)), l.index(int(to)+1)
 	best, found := int(keyspace.LastKey)+2, false
 	var bestFrom, bestTo keyspace.Key
-	right := first
-	for left := first; left < end; left++ {
-		for right < end && l.between(left, right) < load {
+	for left, right := first, first; left < end; left++ {
+		right = max(right, left)
+		for right < end && l.weight(l.sorted[left].key, l.sorted[right].key) < weight {
 			right++
 		}
-		if l.between(left, right) < load {
+		if right == end {
 			break
 		}
-		if keys := int(l.sorted[right-1].key) - int(l.sorted[left].key) + 1; keys < best {
-			best, bestFrom, bestTo, found = keys, l.sorted[left].key, l.sorted[right-1].key, true
+		if keys := int(l.sorted[right].key) - int(l.sorted[left].key) + 1; keys < best {
+			best, bestFrom, bestTo, found = keys, l.sorted[left].key, l.sorted[right].key, true
 		}
 	}
 	return bestFrom, bestTo, found
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -17,6 +17,11 @@
 	// staffing sets the utilisation up to which hardly a request waits for a slot: the spare
 	// part falls with the square root of the slots (Halfin and Whitt).
 	staffing = 0.8
+	// spareShare is the part of what is spare on average that a target may be filled with.
+	spareShare = 0.25
+	// overfill is what a target may get in any case from one that is busier still, in parts of
+	// what it can do: a single key may be more than what is spare anywhere.
+	overfill = 0.25
 	// tooLittle and tooMuch bound the load of a range that is moved, in parts of what is
 	// wanted.
 	tooLittle = 0.5
@@ -45,6 +50,10 @@
 	// cost is the part of the target's time that one request takes.
 	cost float64
 	load float64
+	// keys is the target's part of all keys, and hot says that its load is more than that
+	// part and chance explain.
+	keys float64
+	hot  bool
 }
 
 func (p *place) utilisation() float64 { return p.load * p.cost }
@@ -81,6 +90,7 @@
 		}
 		if at := p.byID[holder]; at != nil {
 			at.load += a.load.of(s.From, s.To)
+			at.keys += partOf(s.From, s.To)
 		}
 	}
 	return p
@@ -154,10 +164,10 @@
 
 // cutUp cuts a range into parts of the load, and returns how many more ranges there are.
 func (a *Assigner) cutUp(i int, size float64) int {
-	more := 0
+	more, whole := 0, &intervals{load: a.load.of}
 	for {
 		s := &a.spans[i+more]
-		last := a.load.cut(s.From, s.To, size)
+		last := whole.cut(interval{s.From, s.To}, size)
 		if last >= s.To || a.load.of(s.From, s.To) <= size*1.2 {
 			return more
 		}
--- a/core/assign/rebalance.go
+++ b/core/assign/rebalance.go
@@ -8,24 +8,26 @@
 	"tarragongw/core/keyspace"
 )
 
-// Rebalance returns moves from targets that have too much load to those that have room. rate
-// is the requests a second that one remembered request stands for.
+// Rebalance returns moves from targets that have too much load to those that have room.
+// unseen is how many requests one that was noted stands for.
 //
 // It answers two load patterns. Popular keys that lie close together and change within
 // seconds: their range is cut into as many pieces as it takes targets to carry it, all of
 // which move at once, down to single keys. And targets that are slower than others: they
 // give keys away until they are as busy as the rest. Between them nothing moves, also where
 // chance makes the busiest of hundreds of targets look busy.
-func (a *Assigner) Rebalance(now time.Time, speeds Speeds, rate float64) []Move {
+func (a *Assigner) Rebalance(now time.Time, speeds Speeds, unseen float64) []Move {
 	p := a.planWith(now, speeds)
-	if len(p.seats) < 2 || rate <= 0 {
+	if len(p.seats) < 2 || unseen <= 0 {
 		return nil
 	}
+	rate := unseen * a.load.rate()
+	p.expect(a.load.total())
 	room := max(int(movingPerSeat*float64(len(p.seats))), minMoving) - a.Moving()
 	fill := p.fill(rate)
 	var moves []Move
 	for _, d := range p.donors(fill, rate) {
-		held := a.movable(d.target.ID)
+		held := a.movable(d)
 		for len(moves) < room {
 			m, ok := p.nextMove(d, held, fill, rate)
 			if !ok {
@@ -37,8 +39,39 @@
 	return moves
 }
 
-// fill is the utilisation that targets are to have at most, by their number of slots: the
-// mean of all, or that up to which nobody waits.
+// expect replaces each target's load by what is to be expected of it: that of its part of
+// the keys, and what its own differs from that by more than chance. Of n targets with the
+// same load the busiest lies about sqrt(2 ln n) standard deviations above the mean.
+//
+// It answers hundreds of targets with some dozen requests each: a slow one is found by its
+// speed and its keys, and not put off by the noise of their load.
+func (p *plan) expect(total float64) {
+	deviations := math.Sqrt(2 * math.Log(float64(len(p.seats))))
+	even := func(at *place) float64 { return total * at.keys }
+	chance := func(at *place) float64 { return deviations * math.Sqrt(math.Max(even(at), 1)) }
+	// What hot ranges have beyond their part doesn't lie on the others' keys.
+	beyond := 0.0
+	for _, at := range p.seats {
+		if at.load > even(at)+chance(at) {
+			beyond += at.load - even(at)
+		}
+	}
+	total = math.Max(total-beyond, 0)
+	for _, at := range p.seats {
+		switch difference := at.load - even(at); {
+		case difference > chance(at):
+			at.load, at.hot = at.load-chance(at), true
+		case difference < -chance(at):
+			at.load += chance(at)
+		default:
+			at.load = even(at)
+		}
+	}
+}
+
+// fill is the utilisation that targets are to have at most, by their number of slots: a
+// little more than the mean of all, so that there is room for what must move, or that up to
+// which nobody waits.
 func (p *plan) fill(rate float64) func(*place) float64 {
 	load, capacity := 0.0, 0.0
 	for _, at := range p.seats {
@@ -48,21 +81,17 @@
 	usual := capacity / float64(len(p.seats)) // what one target can do, in requests
 	load -= p.load.beyond(usual / rate)
 	mean := load / capacity
+	mean += spareShare * math.Max(1/rate-mean, 0)
 	return func(at *place) float64 {
 		return math.Max(mean, (1-staffing/math.Sqrt(float64(max(at.target.Slots, 1))))/rate)
 	}
 }
 
 // donors returns the targets that have more load than they are to have, the busiest first.
-//
-// The difference must be more than chance. Of n targets with the same load the busiest lies
-// about sqrt(2 ln n) standard deviations above the mean.
 func (p *plan) donors(fill func(*place) float64, rate float64) []*place {
-	deviations := math.Sqrt(2 * math.Log(float64(len(p.seats))))
 	var all []*place
 	for _, at := range p.seats {
-		chance := deviations * math.Sqrt(at.load) * at.cost
-		if at.utilisation() > fill(at)+math.Max(minGap/rate, chance) {
+		if at.utilisation() > fill(at)+minGap/rate {
 			all = append(all, at)
 		}
 	}
@@ -74,12 +103,15 @@
 func (p *plan) nextMove(d *place, held *intervals, fill func(*place) float64, rate float64) (Move, bool) {
 	excess := d.load - fill(d)/d.cost
 	receiver, room := p.roomiest(d, fill)
-	want := math.Min(excess, room)
-	if receiver == nil || want*d.cost*rate < minGap/2 {
+	if receiver == nil {
 		return Move{}, false
 	}
-	from, to, load, ok := held.best(p.load, want)
-	if !ok {
+	want := math.Min(excess, math.Max(room, overfill/(receiver.cost*rate)))
+	if want*d.cost*rate < minGap/2 {
+		return Move{}, false
+	}
+	from, to, load, ok := held.best(want)
+	if !ok || d.utilisation()-load*d.cost < receiver.utilisation()+load*receiver.cost {
 		return Move{}, false
 	}
 	held.remove(from, to)
@@ -91,7 +123,7 @@
 // roomiest returns the target that can take the most load, and how much, in requests.
 func (p *plan) roomiest(donor *place, fill func(*place) float64) (*place, float64) {
 	var most *place
-	room := 0.0
+	room := math.Inf(-1)
 	for _, at := range p.seats {
 		if r := fill(at)/at.cost - at.load; at != donor && r > room {
 			most, room = at, r
@@ -103,18 +135,34 @@
 // interval is a range of keys.
 type interval struct{ from, to keyspace.Key }
 
-// intervals are the keys of one holder that may be moved.
-type intervals struct{ all []interval }
+// intervals are the keys of one holder that may be moved, and the load of a range of them.
+type intervals struct {
+	all  []interval
+	load func(from, to keyspace.Key) float64
+	// tracker finds where the load is, one request of which has so much weight there; nil
+	// where the load is taken to lie evenly.
+	tracker *LoadTracker
+	scale   float64
+}
 
 // movable returns the holder's keys that are at rest.
-func (a *Assigner) movable(holder string) *intervals {
-	held := &intervals{}
+func (a *Assigner) movable(d *place) *intervals {
+	held := &intervals{load: func(from, to keyspace.Key) float64 { return d.load / d.keys * partOf(from, to) }}
+	weight := 0.0
 	for i := range a.spans {
 		s := &a.spans[i]
-		if s.Target == holder && !s.Moving && !s.busy && s.acked {
+		if s.Target != d.target.ID {
+			continue
+		}
+		weight += a.load.weight(s.From, s.To)
+		if !s.Moving && !s.busy && s.acked {
 			held.all = append(held.all, interval{s.From, s.To})
 		}
 	}
+	if d.hot {
+		held.tracker, held.scale = a.load, weight/d.load
+		held.load = func(from, to keyspace.Key) float64 { return a.load.weight(from, to) / held.scale }
+	}
 	return held
 }
 
@@ -148,8 +196,8 @@
 
 // consider takes a range if it has about the wanted load on fewer keys than any before, or
 // the most load below that while there is none; fewer counts each key so many times.
-func (c *choice) consider(l *LoadTracker, from, to keyspace.Key, times int) {
-	load, keys := l.of(from, to), (int(to)-int(from)+1)*times
+func (c *choice) consider(load float64, from, to keyspace.Key, times int) {
+	keys := (int(to) - int(from) + 1) * times
 	switch {
 	case load > c.want*tooMuch:
 	case load >= c.want*tooLittle:
@@ -164,26 +212,48 @@
 // best returns the range with the fewest keys whose load is near the wanted one, or the one
 // with the most load below it. Of ranges of one load the one with fewer keys has the hot
 // ones; the others would be moved for nothing.
-func (in *intervals) best(l *LoadTracker, want float64) (from, to keyspace.Key, load float64, found bool) {
+func (in *intervals) best(want float64) (from, to keyspace.Key, load float64, found bool) {
 	c := &choice{want: want}
+	consider := func(from, to keyspace.Key, times int) { c.consider(in.load(from, to), from, to, times) }
 	for _, i := range in.all {
-		if l.of(i.from, i.to) <= want*tooMuch {
-			c.consider(l, i.from, i.to, 1)
+		if in.load(i.from, i.to) <= want*tooMuch {
+			consider(i.from, i.to, 1)
 			continue
 		}
-		last := l.cut(i.from, i.to, want)
-		c.consider(l, i.from, last, 1)
+		last := in.cut(i, want)
+		consider(i.from, last, 1)
 		if last > i.from {
-			c.consider(l, i.from, last-1, 1)
+			consider(i.from, last-1, 1)
 		}
-		first := l.cutBack(i.from, i.to, want)
-		c.consider(l, first, i.to, 1)
+		first := in.cutBack(i, want)
+		consider(first, i.to, 1)
 		if first < i.to {
-			c.consider(l, first+1, i.to, 1)
+			consider(first+1, i.to, 1)
 		}
-		if f, t, ok := l.tightest(i.from, i.to, want); ok {
-			c.consider(l, f, t, innerGain)
+		if in.tracker == nil {
+			continue
+		}
+		if f, t, ok := in.tracker.tightest(i.from, i.to, want*in.scale); ok {
+			consider(f, t, innerGain)
 		}
 	}
 	return c.from, c.to, c.load, c.found
 }
+
+// cut returns the last key of the shortest range from the interval's first key on that has
+// the load, or the interval's last key.
+func (in *intervals) cut(i interval, load float64) keyspace.Key {
+	n := sort.Search(int(i.to)-int(i.from), func(n int) bool {
+		return in.load(i.from, i.from+keyspace.Key(n)) >= load
+	})
+	return i.from + keyspace.Key(n)
+}
+
+// cutBack returns the first key of the shortest range up to the interval's last key that has
+// the load, or the interval's first key.
+func (in *intervals) cutBack(i interval, load float64) keyspace.Key {
+	n := sort.Search(int(i.to)-int(i.from), func(n int) bool {
+		return in.load(i.to-keyspace.Key(n), i.to) >= load
+	})
+	return i.to - keyspace.Key(n)
+}
--- /dev/null
+++ b/core/assign/rebalance_test.go
@@ -0,0 +1,153 @@
+package assign
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/core/keyspace"
+)
+
+const (
+	// usualRate is the service's requests a second, and usualTime what one takes: two thirds
+	// of what the targets can do.
+	usualRate = 1100
+	usualTime = 0.48
+	// lookEvery is how often moves are looked for.
+	lookEvery = 250 * time.Millisecond
+)
+
+// crowd is an assignment to many targets whose requests come by chance.
+type crowd struct {
+	a      *Assigner
+	now    time.Time
+	random *rand.Rand
+	speeds map[string]float64
+	moved  int
+}
+
+func newCrowd(t *testing.T, seed uint64) *crowd {
+	ids := make([]string, manyTargets)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("t%03d", i)
+	}
+	c := &crowd{
+		a: settled(t, ids...), now: after(3 * time.Second), random: rand.New(rand.NewPCG(seed, 1)), speeds: map[string]float64{},
+	}
+	settle(c.a, c.now)
+	return c
+}
+
+func (c *crowd) speed(id string) float64 {
+	if t, known := c.speeds[id]; known {
+		return t
+	}
+	return usualTime
+}
+
+// look has requests come until the next look, of which a part is for keys from the first hot
+// one on, and carries out the moves that it brings.
+func (c *crowd) look(part float64, hot, keys int) {
+	end := c.now.Add(lookEvery)
+	for c.now.Before(end) {
+		c.now = c.now.Add(time.Duration(c.random.ExpFloat64() * float64(time.Second) / usualRate))
+		k := c.random.IntN(1 << 16)
+		if c.random.Float64() < part {
+			k = hot + c.random.IntN(keys)
+		}
+		c.a.Load().Add(c.now, keyspace.Key(k), 1)
+	}
+	for _, m := range c.a.Rebalance(c.now, c.speed, 1) {
+		if c.a.Begin(c.now, m) {
+			c.moved += int(m.To) - int(m.From) + 1
+		}
+	}
+	settle(c.a, c.now)
+}
+
+// busiest is the highest utilisation that the shares of keys give at the usual rate.
+func (c *crowd) busiest(part float64, hot, keys int) float64 {
+	rates := map[string]float64{}
+	for i := range c.a.spans {
+		s := &c.a.spans[i]
+		rates[s.Target] += (1 - part) * usualRate * float64(s.Len()) / (1 << 16)
+		first, last := max(int(s.From), hot), min(int(s.To), hot+keys-1)
+		rates[s.Target] += part * usualRate * float64(max(last-first+1, 0)) / float64(max(keys, 1))
+	}
+	most := 0.0
+	for id, rate := range rates {
+		most = max(most, rate*c.speed(id)/4)
+	}
+	return most
+}
+
+// Guards against a hot range of keys that takes many rounds of moves to be spread, each of
+// which makes the next target the hot one.
+func TestHotRangeIsSpreadWithinASecond(t *testing.T) {
+	c := newCrowd(t, 1)
+	const part, hot, keys = 0.4, 30000, 200
+	for range 12 {
+		c.look(0, 0, 0)
+	}
+	before := c.busiest(part, hot, keys)
+	for range 4 {
+		c.look(part, hot, keys)
+	}
+	assert.Assert(t, before > 20, "%v", before)
+	assert.Assert(t, c.busiest(part, hot, keys) < before/10, "%v of %v", c.busiest(part, hot, keys), before)
+	assert.Assert(t, c.moved < 1<<13, "%d keys were moved", c.moved)
+}
+
+// Guards against keys that move all day because the busiest of many targets looks busy.
+func TestChanceMovesHardlyAKey(t *testing.T) {
+	c := newCrowd(t, 2)
+	for range 80 {
+		c.look(0, 0, 0)
+	}
+	assert.Assert(t, c.moved < 1<<16/50, "%d keys were moved", c.moved)
+}
+
+// Guards against slow targets that keep as many keys as the others for many seconds.
+func TestSlowTargetsGiveKeysAwayWithinSeconds(t *testing.T) {
+	c := newCrowd(t, 3)
+	for i := 0; i < manyTargets; i += 4 {
+		c.speeds[fmt.Sprintf("t%03d", i)] = 2 * usualTime
+	}
+	before := c.busiest(0, 0, 0)
+	for range 20 {
+		c.look(0, 0, 0)
+	}
+	assert.Assert(t, before > 1.2, "%v", before)
+	assert.Assert(t, c.busiest(0, 0, 0) < 1.05, "%v of %v", c.busiest(0, 0, 0), before)
+}
+
+// Guards against a write of the table, and a state sent to all routers, for each of many
+// moves that come one after the other.
+func TestMovesThatComeTogetherAreWrittenTogether(t *testing.T) {
+	a := settled(t, "a", "b")
+	a.cfg.WriteInterval = 100 * time.Millisecond
+	now, writes := after(3*time.Second), 0
+	settle(a, now)
+	span := a.spans[0]
+	to := "a"
+	if span.Target == "a" {
+		to = "b"
+	}
+	for i := range 50 {
+		now = now.Add(20 * time.Millisecond)
+		key := span.From + keyspace.Key(10*i)
+		a.Begin(now, Move{From: key, To: key, Target: to})
+		actions := a.Step(now)
+		if actions.Write != nil {
+			writes++
+			a.Written(actions.Write.Generation, true)
+		}
+		for _, o := range actions.Orders {
+			a.Done(now, o.ID, Accepted, "h")
+		}
+	}
+	assert.Assert(t, writes >= 8 && writes <= 11, "%d writes within a second", writes)
+}
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -23,12 +23,22 @@
 	actions := Actions{Next: now.Add(a.cfg.Renew / 2)}
 	a.send(now, &actions)
 	if !a.writing && a.generation > a.sent {
-		a.writing, a.sent = true, a.generation
-		actions.Write = &Write{Generation: a.generation, Table: a.Table()}
+		a.write(now, &actions)
 	}
 	return actions
 }
 
+// write has the table put into the store, at most every writeInterval: what many moves
+// change within it goes to the store, and to all routers, at once.
+func (a *Assigner) write(now time.Time, actions *Actions) {
+	if now.Before(a.writeDue) {
+		actions.Next = earlierOf(actions.Next, a.writeDue)
+		return
+	}
+	a.writing, a.sent, a.writeDue = true, a.generation, now.Add(a.cfg.WriteInterval)
+	actions.Write = &Write{Generation: a.generation, Table: a.Table()}
+}
+
 // Table returns the division as it is decided.
 func (a *Assigner) Table() *keyspace.Table {
 	t := &keyspace.Table{Service: a.service, NextToken: a.nextToken}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -61,10 +61,13 @@
 	pacesEvery = time.Second
 	// minStep keeps the leader from stepping again and again at one moment.
 	minStep = 5 * time.Millisecond
+	// tableWriteInterval is the least time between two writes of a service's table.
+	tableWriteInterval = 100 * time.Millisecond
+	// publishInterval is the least time between two states of a table that the routers are
+	// sent: the targets' answers to orders come one by one, and each state goes to all.
+	publishInterval = 50 * time.Millisecond
 	// writeAgain is the pause after a write that failed.
 	writeAgain = 50 * time.Millisecond
-	// heatSpan is for how long a request counts for its key's load, see assign.Heat.
-	heatSpan = 3 * time.Second
 )
 
 // leaderSeen is what the store says of the leader.
@@ -168,6 +171,10 @@
 	// stored is the division as it was written last; told counts what was told of it.
 	stored *keyspace.Table
 	told   uint64
+	// unpublished says that the routers have not been sent what holds; they are at
+	// publishDue.
+	unpublished bool
+	publishDue  time.Time
 }
 
 // leader is the duty that assigns keys while this router leads, and sees to it that some
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -46,6 +46,12 @@
 		p.assigner.SetStoreAway(away)
 		actions := p.assigner.Step(now)
 		l.carryOut(t, name, p, actions, now)
+		if p.unpublished && !now.Before(p.publishDue) {
+			l.publish(p, now)
+		}
+		if p.unpublished && p.publishDue.Before(due) {
+			due = p.publishDue
+		}
 		if actions.Next.Before(due) {
 			due = actions.Next
 		}
@@ -87,7 +93,7 @@
 		delete(m.term.post, m.service)
 		return
 	}
-	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound}
+	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound, WriteInterval: tableWriteInterval}
 	a := assign.TakeOver(time.Now(), cfg, m.service, m.table)
 	l.targets.tell(a)
 	if m.term.oldStops != nil {
@@ -204,15 +210,16 @@
 	if p := m.term.post[m.service]; p != nil && p.assigner != nil {
 		p.assigner.Done(time.Now(), o.ID, m.outcome, m.handover)
 		if o.First && m.outcome == assign.Accepted && p.stored != nil {
-			l.tell(p)
+			p.unpublished = true
 		}
 	}
 }
 
-// tell puts the division as it is stored, less what its new holders have not accepted yet,
-// in force on all routers.
-func (l *leader) tell(p *post) {
+// publish puts the division as it is stored, less what its new holders have not accepted
+// yet, in force on all routers.
+func (l *leader) publish(p *post, now time.Time) {
 	p.told++
+	p.unpublished, p.publishDue = false, now.Add(publishInterval)
 	l.g.beliefs.duty.Tell(&feed.Table{Revision: uint64(p.revision), Sequence: p.told, Table: p.assigner.Overlay(p.stored)})
 }
 
@@ -251,8 +258,7 @@
 	p.assigner.Written(m.generation, m.err == nil)
 	if m.err == nil {
 		p.revision, p.notBefore = m.revision, time.Time{}
-		p.stored = m.table
-		l.tell(p)
+		p.stored, p.unpublished = m.table, true
 		return
 	}
 	p.notBefore = time.Now().Add(writeAgain)
@@ -284,8 +290,7 @@
 		for _, k := range s.heat.take() {
 			p.assigner.Load().Add(now, k, 1)
 		}
-		rate := l.g.follow.unseen() / heatSpan.Seconds()
-		for _, m := range p.assigner.Rebalance(now, s.speed, rate) {
+		for _, m := range p.assigner.Rebalance(now, s.speed, l.g.follow.unseen()) {
 			if p.assigner.Begin(now, m) {
 				l.logMove(name, m)
 			}
