Have small VMs ask for the lead after all others

Cause: others drew a pause of up to 400 ms and it waited 200 ms more than its own draw, so that with others late by chance a small one won.

Small VMs now wait until the last of the others has asked.

--- a/gateway/backing_test.go
+++ b/gateway/backing_test.go
@@ -133,6 +133,7 @@
 		assert.Assert(t, campaignAfter(share, 1000) < mostSpread)
 	}
 	assert.Assert(t, campaignAfter(0.16, 12) >= weakPause)
+	assert.Assert(t, campaignAfter(0.16, 12) > mostSpread, "a small VM asks after the last of the others")
 	assert.Assert(t, campaignAfter(1, 0) < campaignSpread)
 }
 
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -43,11 +43,10 @@
 	campaignSpread = 5 * time.Millisecond
 	mostSpread     = 400 * time.Millisecond
 	// weakShare is the part of a core below which a router leaves the lead to others, and
-	// weakPause by how much later it asks for it. With 0.16 of a core and a link of 10 Mbit/s
-	// the first round of grants to 148 targets took a router longer than it waits for each:
-	// in a second of leading it had three of 350 answered; with 0.8 of a core half.
+	// weakPause by how much later it asks for it: after the last of the others has asked. A
+	// small VM takes longer for a round of grants to some hundred targets than they last.
 	weakShare = 0.25
-	weakPause = 200 * time.Millisecond
+	weakPause = mostSpread + 100*time.Millisecond
 	// campaignPause is kept after a try that failed: another router has the lead by then, or
 	// the store doesn't answer.
 	campaignPause = 150 * time.Millisecond
