Bring configurations and leaders' changes to routers through the feed

The feed now carries the configuration, deflated once, and a router that is fed asks the store for nothing but to keep its record, every 3 s. Without a feed it watches all of it as before; for how long it waits for another leader follows from the time within which changes have to be known (settings), less what the search takes. Watches at rest wait for 0.6 of the store's history at most, less a random part. A leader that is seen again changes nothing. A router may lead before it has a configuration, so that not all of them read it when a fleet starts. A configuration that is too long for the feed is read from the store by each, as before.

Followers whose leader says so renew their record at once, so that they can back it when the store is down.

--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -70,6 +70,9 @@
 
 // adopt takes over what the leader tells.
 func (b *beliefs) adopt(u *feed.Update) {
+	if len(u.ConfigValue) > 0 {
+		b.hearConfig(&change{records: []kv.Record{{Key: b.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
+	}
 	changed := b.directory.Adopt(time.Now(), u.Whole, u.Targets, u.Gone)
 	b.settle(changed)
 	for _, t := range u.Tables {
@@ -90,7 +93,7 @@
 	if prefix == a.TargetPrefix {
 		b.g.follow.source.SetKnown()
 	}
-	b.g.setKnown(b.config != nil && b.known[a.TargetPrefix] && b.known[leaderPrefix])
+	b.g.setKnown(b.config != nil && b.known[a.TargetPrefix])
 }
 
 func (b *beliefs) hear(m *fromPrefix) {
@@ -139,6 +142,7 @@
 		b.config = config
 		b.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
 			"routes", len(config.Routes), "services", len(config.Services))
+		b.g.follow.source.SetConfig(config.Version, r.Value)
 		b.putInForce(config)
 	}
 }
@@ -146,7 +150,6 @@
 func (b *beliefs) putInForce(config *routes.Config) {
 	g := b.g
 	g.setServices(config)
-	g.follow.source.SetConfig(config.Version)
 	g.view.Store(newView(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	g.handler.SetModel(callerModel(config, g.opts.Adapter.Headers))
 	for _, t := range b.tables {
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,10 +13,13 @@
 )
 
 const (
-	// configPause and leaderPause are kept between a change and the next watch, see
-	// watcher.pause; configurations and leaders change seldom, at times in a storm.
+	// configPause is kept between a change and the next watch, see watcher.pause;
+	// configurations change seldom, at times in a storm.
 	configPause = 100 * time.Millisecond
-	leaderPause = 20 * time.Millisecond
+	// leaderPause is that of the leader's record, and subscribePause where that names a
+	// leader: time enough to subscribe to it before the record is asked for again.
+	leaderPause    = 20 * time.Millisecond
+	subscribePause = 150 * time.Millisecond
 	// routersPause is that of the routers' records, of which just the number counts.
 	routersPause = 500 * time.Millisecond
 	// targetsPause is that of the targets, which write every second or so. A leaving target
@@ -23,26 +28,37 @@
 	targetsPause = 500 * time.Millisecond
 	// tablesPause is short, because keys that move wait for it.
 	tablesPause = 15 * time.Millisecond
-	// restingWait is how long a watch waits for what changes seldom. A store that stopped
-	// answering is noticed sooner, by the renewals of this router's own record.
-	// The store waits for at most 30 s; with 24 s two watches cost a router 5 calls a minute.
-	restingWait = 24 * time.Second
+	// maxRestingWait is the longest wait of a watch for what changes seldom, and
+	// restingShare the part of the store's history that it may take: a watch that waits
+	// for longer than the store keeps history has to list everything again. Each wait is
+	// shortened by up to restingJitter of it, so that routers don't ask all at once.
+	maxRestingWait = 24 * time.Second
+	restingShare   = 0.6
+	restingJitter  = 0.25
 	// targetsWait is shorter: the leader must know whether it still hears from the store.
 	targetsWait = 400 * time.Millisecond
 	// freshFor is how long ago the store may have answered for the leader to tell others
 	// what it knows: a pause and a watch, and the time that a call takes when it is slow.
 	freshFor = targetsPause + targetsWait + 150*time.Millisecond
-	// feedPatience is how long a router waits for its first feed before it asks the store.
-	feedPatience = 1500 * time.Millisecond
-	// feedGrace is how long a router that was fed goes without before it asks the store. The
-	// next leader is there sooner where one stopped in an orderly way; without the grace each
-	// such stop has all routers list all targets at once.
-	feedGrace = 600 * time.Millisecond
-	// configPatience is how long a watch may take to bring a configuration that the leader
-	// has: 200 kB take 0.2 s on a link of 10 Mbit/s, and the store may be busy with all routers.
-	configPatience = 900 * time.Millisecond
-	// followAgain is the pause before a lost leader is tried again.
-	followAgain = 300 * time.Millisecond
+	// initialFeedTimeout is how long a router waits for its first feed before it asks the
+	// store.
+	initialFeedTimeout = 1500 * time.Millisecond
+	// minFallbackDelay and maxFallbackDelay bound how long a router that was fed goes
+	// without before it asks the store. The next leader is there sooner where one stopped in
+	// an orderly way; without the delay each such stop has all routers list all targets at
+	// once.
+	minFallbackDelay = 600 * time.Millisecond
+	maxFallbackDelay = 1400 * time.Millisecond
+	// fallbackRest is what of the time within which changes must be known is left for the
+	// silence after which a leader counts as lost, and for asking the store.
+	fallbackRest = 1400 * time.Millisecond
+	// fallbackJitter spreads the routers' calls when all lose their leader at once.
+	fallbackJitter = 100 * time.Millisecond
+	// configLagTimeout is how long after the leader has a configuration a router asks the
+	// store for it, where the feed didn't bring it.
+	configLagTimeout = 900 * time.Millisecond
+	// reconnectInterval is the pause before a lost leader is tried again.
+	reconnectInterval = 300 * time.Millisecond
 )
 
 // follow sees to it that this router knows the targets and the division of keys: from the
@@ -59,15 +75,15 @@
 	// moved is closed when the leader changes.
 	moved chan struct{}
 	// term is this router's own, nil while it doesn't lead.
-	term     *term
-	standing []*watcher
-	direct   []*watcher
+	term *term
+	// watches are what this router asks the store for itself; nil where it asks for
+	// nothing, because a leader feeds it.
+	leaderWatch, configWatch, targetsWatch *watch
+	restWatches                            []*watch
 	// fed says that the leader tells this router what the store knows.
 	fed bool
-	// asking says that the store is asked after a grace unless a leader feeds this router.
+	// asking says that the store is asked after a delay unless a leader feeds this router.
 	asking bool
-	// directTables says that the tables are among what direct watches.
-	directTables bool
 	// backs is the term of the leader that this router backs, until backsUntil.
 	backs      kv.Revision
 	backsUntil time.Time
@@ -75,36 +91,87 @@
 	// newer is the version that the leader has and this router doesn't, since newerAt.
 	newer   uint64
 	newerAt time.Time
-	// stopDirect ends the watches that only a router without a feed needs.
-	stopDirect context.CancelFunc
+}
+
+// watch is a watcher that runs until it is stopped.
+type watch struct {
+	*watcher
+	stop context.CancelFunc
 }
 
 func newFollow(g *Gateway) *follow {
-	f := &follow{g: g, source: feed.NewSource(), moved: make(chan struct{}), started: time.Now()}
-	a := &g.opts.Adapter
-	f.standing = []*watcher{
-		f.watcher(a.ConfigPrefix, configPause, restingWait), f.watcher(leaderPrefix, leaderPause, restingWait),
-	}
-	return f
+	return &follow{g: g, source: feed.NewSource(), moved: make(chan struct{}), started: time.Now()}
 }
 
-func (f *follow) watcher(prefix string, pause, wait time.Duration) *watcher {
-	return &watcher{
+// startWatch begins to watch a prefix; the lock is held.
+func (f *follow) startWatch(prefix string, pause func([]kv.Record) time.Duration, wait time.Duration) *watch {
+	ctx, cancel := context.WithCancel(f.g.lifetime)
+	w := &watch{stop: cancel, watcher: &watcher{
 		store: f.g.opts.Store, log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
 		gate: &f.g.gate, probe: f.g.members.wake,
-		tell: func(message any) { f.g.beliefs.duty.Tell(&fromPrefix{prefix, message}) },
+		tell: func(message any) {
+			if ctx.Err() == nil {
+				f.g.beliefs.duty.Tell(&fromPrefix{prefix, message})
+			}
+		},
+	}}
+	f.g.goRun(func() { w.run(ctx) })
+	return w
+}
+
+// always is a pause that doesn't depend on what has changed.
+func always(pause time.Duration) func([]kv.Record) time.Duration {
+	return func([]kv.Record) time.Duration { return pause }
+}
+
+func pauseAfterLeader(changed []kv.Record) time.Duration {
+	if changed[len(changed)-1].Deleted {
+		return leaderPause
+	}
+	return subscribePause
+}
+
+// restingWait is how long a watch for what changes seldom waits.
+func (f *follow) restingWait() time.Duration {
+	wait := maxRestingWait
+	if history := f.g.opts.StoreHistory; history > 0 {
+		wait = min(wait, time.Duration(restingShare*float64(history)))
 	}
+	return time.Duration(float64(wait) * (1 - restingJitter*rand.Float64()))
+}
+
+// fallbackDelay is how long this router goes without a leader before it asks the store.
+func (f *follow) fallbackDelay() time.Duration {
+	delay := min(max(f.g.opts.KnownWithin-fallbackRest, minFallbackDelay), maxFallbackDelay)
+	return delay + rand.N(fallbackJitter)
+}
+
+// staleDelay is how long this router waits for another leader where its own says that it
+// doesn't hear from the store; that took it freshFor.
+func (f *follow) staleDelay() time.Duration {
+	return max(f.fallbackDelay()-minFallbackDelay, 0)
 }
 
 // rewatch has all watches asked anew.
 func (f *follow) rewatch() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, w := range append(f.standing, f.direct...) {
+	for _, w := range f.watches() {
 		w.again()
 	}
 }
 
+// watches returns those that run; the lock is held.
+func (f *follow) watches() []*watch {
+	all := slices.Clone(f.restWatches)
+	for _, w := range []*watch{f.leaderWatch, f.configWatch, f.targetsWatch} {
+		if w != nil {
+			all = append(all, w)
+		}
+	}
+	return all
+}
+
 // sees reports whether a router is known to lead.
 func (f *follow) sees() bool {
 	f.mu.Lock()
@@ -119,6 +186,9 @@
 	if !leader.present && leader.revision != 0 && leader.revision < f.leader.revision {
 		return
 	}
+	if f.leader == leader {
+		return // a listing that says the same again ends no feed
+	}
 	f.leader = leader
 	f.wake()
 }
@@ -140,12 +210,10 @@
 // run follows one leader after the other until the router ends.
 //
 // The watches begin here and not with the follow itself: a store that answers before the
-// router has it finds beliefs that rest on nothing, and its first configuration is lost.
+// router has it finds beliefs that rest on nothing, and its first answer is lost.
 func (f *follow) run() {
-	for _, w := range f.standing {
-		f.g.goRun(func() { w.run(f.g.lifetime) })
-	}
-	f.unfed(feedPatience)
+	f.watchLeader()
+	f.unfed(initialFeedTimeout)
 	for f.g.lifetime.Err() == nil {
 		f.mu.Lock()
 		leader, leads, moved := f.leader, f.term != nil, f.moved
@@ -157,7 +225,8 @@
 				err := f.followOnce(leader, moved)
 				f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
 			}
-			f.unfed(feedGrace)
+			f.watchLeader()
+			f.unfed(f.fallbackDelay())
 		}
 		f.pause(moved, leads)
 	}
@@ -165,7 +234,7 @@
 
 // pause waits for a change of the leader, or for the time to try again.
 func (f *follow) pause(moved <-chan struct{}, leads bool) {
-	again := followAgain
+	again := reconnectInterval
 	if leads {
 		again = time.Hour
 	}
@@ -200,7 +269,9 @@
 					f.g.log.Info("leader doesn't hear from the store", "leader", leader.name, "term", leader.revision)
 				}
 				fed = false
-				f.unfed(0)
+				f.watchLeader()
+				f.unfed(f.staleDelay())
+				f.g.members.wake()
 				if len(u.Tables) > 0 {
 					f.g.beliefs.duty.Tell(u)
 				}
@@ -213,7 +284,7 @@
 			}
 			f.compare(u.Config)
 			f.g.setPaces(u.Paces)
-			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
+			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
 				f.g.beliefs.duty.Tell(u)
 			}
 		},
@@ -221,12 +292,8 @@
 	return follower.Run(ctx)
 }
 
-// compare asks the store again where the leader has a newer configuration than this
-// router for longer than a watch takes to bring it: one that the store passed over while it
-// dropped history hears of nothing.
-//
-// A watch must not be cut while it brings the configuration: a long one takes a router on a
-// slow link most of a second, and each update would make it begin anew.
+// compare asks the store where the leader has a newer configuration than this router for
+// longer than the feed takes to bring it: one that is too long for it.
 func (f *follow) compare(version uint64) {
 	v := f.g.view.Load()
 	if v == nil || v.config.Version >= version {
@@ -237,17 +304,28 @@
 	if f.newer != version {
 		f.newer, f.newerAt = version, now
 	}
-	late := now.Sub(f.newerAt) >= configPatience
+	late := now.Sub(f.newerAt) >= configLagTimeout
 	if late {
 		f.newerAt = now
 	}
 	f.mu.Unlock()
 	if late {
 		f.g.log.Info("leader has a newer configuration", "version", version, "in_force", v.config.Version)
-		f.rewatch()
+		f.g.goRun(f.fetchConfig)
 	}
 }
 
+// fetchConfig reads the configuration from the store.
+func (f *follow) fetchConfig() {
+	a := &f.g.opts.Adapter
+	r, err := f.g.opts.Store.Get(f.g.lifetime, a.ConfigKey)
+	if err != nil {
+		f.g.log.Warn("configuration not read", "err", err)
+		return
+	}
+	f.g.beliefs.duty.Tell(&fromPrefix{a.ConfigPrefix, &change{records: []kv.Record{r}, at: time.Now()}})
+}
+
 // promise notes that this router backs a leader until a time, and follows no other before.
 func (f *follow) promise(leader leaderSeen, until time.Time) {
 	f.mu.Lock()
@@ -280,72 +358,90 @@
 	return all
 }
 
-// askStore begins to watch the store for the targets, and for the division of keys unless
-// this router is the one that writes it.
+// watchLeader has this router ask the store who leads.
+func (f *follow) watchLeader() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leaderWatch == nil {
+		f.leaderWatch = f.startWatch(leaderPrefix, pauseAfterLeader, f.restingWait())
+	}
+}
+
+// askStore begins to watch the store for the configuration and the targets, and for the
+// division of keys unless this router is the one that writes it.
 func (f *follow) askStore(tables bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.stopDirect != nil && (f.directTables || !tables) {
-		return
+	if f.configWatch == nil {
+		f.configWatch = f.startWatch(f.g.opts.Adapter.ConfigPrefix, always(configPause), f.restingWait())
 	}
-	if f.stopDirect != nil {
-		f.stopDirect()
+	if f.targetsWatch == nil {
+		f.targetsWatch = f.startWatch(f.g.opts.Adapter.TargetPrefix, always(targetsPause), targetsWait)
 	}
-	ctx, cancel := context.WithCancel(f.g.lifetime)
-	f.stopDirect = cancel
-	f.direct = []*watcher{
-		f.watcher(f.g.opts.Adapter.TargetPrefix, targetsPause, targetsWait), f.watcher(routerPrefix, routersPause, restingWait),
+	if len(f.restWatches) > 0 && (len(f.restWatches) > 1 || !tables) {
+		return
 	}
-	f.directTables = tables
-	if tables {
-		f.direct = append(f.direct, f.watcher(tablePrefix, tablesPause, restingWait))
+	for _, w := range f.restWatches {
+		w.stop()
 	}
-	for _, w := range f.direct {
-		f.g.goRun(func() { w.run(ctx) })
+	f.restWatches = []*watch{f.startWatch(routerPrefix, always(routersPause), f.restingWait())}
+	if tables {
+		f.restWatches = append(f.restWatches, f.startWatch(tablePrefix, always(tablesPause), f.restingWait()))
 	}
 }
 
 // unfed notes that no leader tells this router what the store knows. It asks the store
-// itself unless one does again within the grace.
-func (f *follow) unfed(grace time.Duration) {
+// itself unless one does again within the delay.
+func (f *follow) unfed(delay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fed = false
-	if !f.asking && !(f.stopDirect != nil && f.directTables) {
+	if !f.asking && !f.asksForTables() {
 		f.asking = true
-		time.AfterFunc(grace, f.askUnlessFed)
+		time.AfterFunc(delay, f.askUnlessFed)
 	}
 }
 
+// asksForTables reports whether this router asks the store for all it needs; the lock is
+// held.
+func (f *follow) asksForTables() bool { return f.targetsWatch != nil && len(f.restWatches) > 1 }
+
 func (f *follow) askUnlessFed() {
 	f.mu.Lock()
 	f.asking = false
-	needless := f.fed || f.term != nil
+	needless := f.fed || f.term != nil || f.asksForTables()
 	f.mu.Unlock()
 	if !needless && f.g.lifetime.Err() == nil {
 		f.askStore(true)
 	}
 }
 
-// leaveStore ends what askStore began, because a leader tells it all.
+// leaveStore ends all watches, because a leader tells it all.
 func (f *follow) leaveStore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.fed = true
-	if f.stopDirect != nil {
-		f.stopDirect()
-		f.stopDirect, f.direct = nil, nil
+	for _, w := range f.watches() {
+		w.stop()
 	}
+	f.leaderWatch, f.configWatch, f.targetsWatch, f.restWatches = nil, nil, nil, nil
+}
+
+// isFed reports whether a leader tells this router what the store knows.
+func (f *follow) isFed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fed
 }
 
 // fresh reports whether this router has heard of the targets from the store of late.
 func (f *follow) fresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.direct) == 0 {
+	if f.targetsWatch == nil {
 		return false
 	}
-	heard := f.direct[0].heard.Load()
+	heard := f.targetsWatch.heard.Load()
 	return heard != nil && time.Since(*heard) < freshFor
 }
 
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -42,6 +42,8 @@
 	// is none. The first of many draws a short one, and the others hear of it before they ask.
 	campaignSpread = 5 * time.Millisecond
 	mostSpread     = 400 * time.Millisecond
+	// unknownRouters is how many routers there are taken to be before any was counted.
+	unknownRouters = 20
 	// weakShare is the part of a core below which a router leaves the lead to others, and
 	// weakPause by how much later it asks for it: after the last of the others has asked. A
 	// small VM takes longer for a round of grants to some hundred targets than they last.
@@ -267,7 +269,7 @@
 		due = l.step(now)
 	case l.stopping:
 		return
-	case l.heard && !l.seen.present && !l.campaigning && l.g.view.Load() != nil:
+	case l.heard && !l.seen.present && !l.campaigning:
 		if l.notBefore.After(now) {
 			due = l.notBefore
 			break
@@ -307,7 +309,11 @@
 func (l *leader) campaign() {
 	l.campaigning = true
 	l.g.workers.Run(func() {
-		duty.Sleep(l.g.lifetime, campaignAfter(l.g.opts.CPUShare, l.g.routerCount()))
+		routers := l.g.routerCount()
+		if routers <= 1 {
+			routers = unknownRouters
+		}
+		duty.Sleep(l.g.lifetime, campaignAfter(l.g.opts.CPUShare, routers))
 		l.g.gate.wait(l.g.lifetime)
 		if l.g.follow.sees() {
 			l.duty.Tell(&campaigned{nil, errLed})
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -19,6 +19,9 @@
 	// The renewal is also what shows that the store answers this router: watches that it
 	// never answered would else be waited for to their end.
 	memberKeep = time.Second
+	// fedKeep is that of a router that is fed: it waits for no watch, and its leader says
+	// when the store doesn't answer.
+	fedKeep = 3 * time.Second
 	// probeEvery is how often a store that doesn't answer is asked, on average.
 	probeEvery = 400 * time.Millisecond
 )
@@ -49,9 +52,12 @@
 // run keeps the record until ctx ends, and then removes it.
 func (m *members) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := memberKeep
 		err := m.keep(ctx)
 		m.judge(err)
+		pause := memberKeep
+		if m.g.follow.isFed() {
+			pause = fedKeep
+		}
 		if m.failing {
 			pause = time.Duration(float64(probeEvery) * (0.5 + rand.Float64()))
 		}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -55,6 +55,12 @@
 	Adapter                                                  Adapter
 	// LeaseMin is the shortest lease that the store gives.
 	LeaseMin time.Duration
+	// StoreHistory is for how long the store keeps changes for watches; zero where it isn't
+	// known.
+	StoreHistory time.Duration
+	// KnownWithin is the time within which a change that the store has must be in force on
+	// all routers; zero where it isn't known.
+	KnownWithin time.Duration
 	// HoldMax is the longest grant that targets take.
 	HoldMax time.Duration
 	// CPUShare is the part of a core that this process gets; zero where it isn't known.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -46,7 +46,7 @@
 	// pause is kept between a change and the next watch. Targets write their entries every
 	// second or so, and each write ends the waiting watches of all routers: without a pause
 	// the calls grow with the product of both.
-	pause time.Duration
+	pause func(changed []kv.Record) time.Duration
 	// tell is given *change and *absence.
 	tell func(message any)
 	// wait is how long a watch waits for a change; each costs a call.
@@ -107,7 +107,7 @@
 		}
 		w.succeeded(began, message)
 		if len(message.records) > 0 {
-			duty.Sleep(ctx, w.pause)
+			duty.Sleep(ctx, w.pause(message.records))
 		}
 	}
 }
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -64,6 +64,8 @@
 	Tables  []Table
 	// Config is the version of the configuration that the leader has in force.
 	Config uint64
+	// ConfigValue is that configuration as the store has it; nil where it has not changed.
+	ConfigValue []byte
 	// Routers is the number of live routers; zero where it isn't known.
 	Routers int
 	// Stale says that the leader doesn't hear from the store: there are tables at most.
@@ -191,6 +193,13 @@
 // which it replaces.
 func decodeUpdate(p *feedpb.Update, tables map[string]*keyspace.Table) (*Update, error) {
 	u := &Update{Whole: p.GetWhole(), Gone: p.GetGone(), Config: p.GetConfig(), Stale: p.GetStale(), Routers: int(p.GetRouters())}
+	if len(p.GetConfigValue()) > 0 {
+		value, err := inflate(p.GetConfigValue())
+		if err != nil {
+			return nil, err
+		}
+		u.ConfigValue = value
+	}
 	for _, paces := range p.GetPaces() {
 		u.Paces = append(u.Paces, decodePaces(paces))
 	}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -18,9 +18,14 @@
 	gone    map[string]uint64
 	// tables are the last ones of each service, in order; followers that have one of them
 	// get just what has changed since.
-	tables  map[string][]versionedTable
-	config  uint64
-	routers int
+	tables map[string][]versionedTable
+	config uint64
+	// configValue is the configuration, deflated once somebody needs it, and configChanged
+	// the version at which it came.
+	configValue   []byte
+	configPacked  bool
+	configChanged uint64
+	routers       int
 	// paces are by service and target.
 	paces map[string]map[string]versionedPace
 	// known says that the targets have been read from the store once.
@@ -92,12 +97,20 @@
 	}
 }
 
-// SetConfig tells the version of the configuration that is in force.
-func (s *Source) SetConfig(version uint64) {
+// SetConfig tells the configuration that is in force, and its version.
+func (s *Source) SetConfig(version uint64, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bump()
-	s.config = version
+	s.config, s.configValue, s.configPacked, s.configChanged = version, value, false, s.version
+}
+
+// packedConfig is the configuration as a feed carries it; the lock is held.
+func (s *Source) packedConfig() []byte {
+	if !s.configPacked {
+		s.configValue, s.configPacked = deflate(s.configValue), true
+	}
+	return s.configValue
 }
 
 // SetRouters tells the number of live routers.
@@ -188,6 +201,9 @@
 func (s *Source) tellTargets(u *feedpb.Update, version uint64) {
 	now := time.Now()
 	u.Whole, u.Config, u.Routers = version == 0, s.config, uint32(s.routers)
+	if s.configChanged > version {
+		u.ConfigValue = s.packedConfig()
+	}
 	for _, t := range s.targets {
 		if t.version > version {
 			u.Targets = append(u.Targets, encodeTarget(&t.target, now))
