Send routers just the segments of a table that have changed

Cause: a patch replaced all between the first and the last segment that differ. With many moves at once these lie at both ends of the table, so that each of some ten changes a second sent most of 600 segments to 194 routers. A patch now names the changed segments alone.

TestPatchHasJustTheSegmentsThatChanged: 9 segments at most where before it would have been 597.

--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -133,31 +133,43 @@
 func encodeSegments(segments []keyspace.Segment) []*feedpb.Segment {
 	var all []*feedpb.Segment
 	for i := range segments {
-		s := &segments[i]
-		all = append(all, &feedpb.Segment{
-			Last: uint32(s.To), Target: s.Target, Born: s.Born, Token: s.Token, Moving: s.Moving, Lost: s.Lost,
-		})
+		all = append(all, encodeSegment(&segments[i]))
 	}
 	return all
 }
 
-// encodePatch returns what makes the new table of the old one. A move changes two or three
-// of a hundred segments, and each change goes to all routers.
-func encodePatch(old, t Table) *feedpb.Table {
-	before, after := old.Table.Segments, t.Table.Segments
-	shorter := min(len(before), len(after))
-	head := 0
-	for head < shorter && before[head] == after[head] {
-		head++
-	}
-	tail := 0
-	for tail < shorter-head && before[len(before)-1-tail] == after[len(after)-1-tail] {
-		tail++
+func encodeSegment(s *keyspace.Segment) *feedpb.Segment {
+	return &feedpb.Segment{Last: uint32(s.To), Target: s.Target, Born: s.Born, Token: s.Token, Moving: s.Moving, Lost: s.Lost}
+}
+
+func decodeSegment(from int, s *feedpb.Segment) keyspace.Segment {
+	return keyspace.Segment{
+		From: keyspace.Key(from), To: keyspace.Key(s.GetLast()), Holder: keyspace.Holder{Target: s.GetTarget(), Born: s.GetBorn()},
+		Token: s.GetToken(), Moving: s.GetMoving(), Lost: s.GetLost(),
 	}
-	return &feedpb.Table{
-		Service: t.Table.Service, Revision: t.Revision, Sequence: t.Sequence, NextToken: t.Table.NextToken,
-		Patch: true, Head: uint32(head), Tail: uint32(tail), Segments: encodeSegments(after[head : len(after)-tail]),
+}
+
+// encodePatch returns what makes the new table of the old one: the segments that the old one
+// doesn't have. Moves change some segments here and there of hundreds, and each change goes
+// to all routers.
+func encodePatch(old, t Table) *feedpb.Table {
+	patch := &feedpb.Table{
+		Service: t.Table.Service, Revision: t.Revision, Sequence: t.Sequence, NextToken: t.Table.NextToken, Patch: true,
+	}
+	before := old.Table.Segments
+	for i := range t.Table.Segments {
+		s := &t.Table.Segments[i]
+		for len(before) > 0 && before[0].To < s.From {
+			before = before[1:]
+		}
+		if len(before) > 0 && before[0] == *s {
+			continue
+		}
+		changed := encodeSegment(s)
+		changed.First = uint32(s.From)
+		patch.Segments = append(patch.Segments, changed)
 	}
+	return patch
 }
 
 var errNoBase = errors.New("feed: a patch of a table that was not sent")
@@ -166,29 +178,39 @@
 // A table that doesn't cover all keys is an error.
 func decodeTable(p *feedpb.Table, before *keyspace.Table) (Table, error) {
 	t := &keyspace.Table{Service: p.GetService(), NextToken: p.GetNextToken()}
-	var tail []keyspace.Segment
 	if p.GetPatch() {
-		if before == nil || int(p.GetHead())+int(p.GetTail()) > len(before.Segments) {
+		if before == nil {
 			return Table{}, errNoBase
 		}
-		t.Segments = append(t.Segments, before.Segments[:p.GetHead()]...)
-		tail = before.Segments[len(before.Segments)-int(p.GetTail()):]
+		t.Segments = patched(before.Segments, p.GetSegments())
+		return Table{p.GetRevision(), p.GetSequence(), t}, t.Check()
 	}
 	from := 0
-	if n := len(t.Segments); n > 0 {
-		from = int(t.Segments[n-1].To) + 1
-	}
 	for _, s := range p.GetSegments() {
-		t.Segments = append(t.Segments, keyspace.Segment{
-			From: keyspace.Key(from), To: keyspace.Key(s.GetLast()), Holder: keyspace.Holder{Target: s.GetTarget(), Born: s.GetBorn()},
-			Token: s.GetToken(), Moving: s.GetMoving(), Lost: s.GetLost(),
-		})
+		t.Segments = append(t.Segments, decodeSegment(from, s))
 		from = int(s.GetLast()) + 1
 	}
-	t.Segments = append(t.Segments, tail...)
 	return Table{p.GetRevision(), p.GetSequence(), t}, t.Check()
 }
 
+// patched returns the segments before without those whose keys are changed, and the changed
+// ones.
+func patched(before []keyspace.Segment, changed []*feedpb.Segment) []keyspace.Segment {
+	var all []keyspace.Segment
+	for _, c := range changed {
+		s := decodeSegment(int(c.GetFirst()), c)
+		for len(before) > 0 && before[0].To < s.From {
+			all = append(all, before[0])
+			before = before[1:]
+		}
+		for len(before) > 0 && before[0].From <= s.To {
+			before = before[1:]
+		}
+		all = append(all, s)
+	}
+	return append(all, before...)
+}
+
 // decodeUpdate reads an update; tables are those that came before on the same connection,
 // which it replaces.
 func decodeUpdate(p *feedpb.Update, tables map[string]*keyspace.Table) (*Update, error) {
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -63,10 +63,29 @@
 }
 
 func TestPatchOfNothingIsRefused(t *testing.T) {
-	_, err := decodeTable(&feedpb.Table{Patch: true, Head: 1}, nil)
-	assert.Equal(t, err, errNoBase)
-	_, err = decodeTable(&feedpb.Table{Patch: true, Head: 1, Tail: 1}, keyspace.New("s"))
+	_, err := decodeTable(&feedpb.Table{Patch: true}, nil)
 	assert.Equal(t, err, errNoBase)
+	gap := &feedpb.Table{Patch: true, Segments: []*feedpb.Segment{{First: 10, Last: 20}}}
+	_, err = decodeTable(gap, keyspace.New("s"))
+	assert.Assert(t, err != nil, "the keys beside the patch have no segment")
+}
+
+// Guards against moves that send nearly the whole table to every router because the first
+// and the last of them lie far apart.
+func TestPatchHasJustTheSegmentsThatChanged(t *testing.T) {
+	before := keyspace.New("s")
+	for k := keyspace.Key(100); k < 60000; k += 100 {
+		before.Carve(k, k+99).Holder = keyspace.Holder{Target: "a", Born: int64(k)}
+	}
+	after := before.Clone()
+	for _, k := range []keyspace.Key{150, 30010, 59910} {
+		after.Carve(k, k+5).Moving = true
+	}
+	patch := encodePatch(Table{Table: before}, Table{Table: after})
+	assert.Assert(t, len(patch.Segments) <= 9, "%d segments", len(patch.Segments))
+	decoded, err := decodeTable(patch, before)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, decoded.Table, after)
 }
 
 // harness is a leader that serves one source.
