Limit the requests for a key that is asked for more than its holder can do

Cause, from the log of 10 s: 3,897 of 5,800 answers 503 came from one holder and 2,380 connections to it were reset. Each of 195 routers bounds its own work there, and one with none in flight always sends; together they overrun 6 slots and a queue of 24 and the holder's connections, the leader's orders with them.

The leader, which knows all requests by key, works out which part of the requests for a key its holder can serve, and tells all routers through the feed, which choose by chance. That needs no word between routers and holds for any number of them.

Weighed: limits that each router learns from refusals (each has 2 requests a second there, and learns nothing before the key has cooled down); leases of slots handed out by the leader (a round trip for each change, and most slots lie with routers that have no request).

--- a/core/assign/keyload.go
+++ b/core/assign/keyload.go
@@ -43,6 +43,8 @@
 	// since is when the first request was seen, and span the time that the samples cover.
 	since time.Time
 	span  time.Duration
+	// sortedAt is when the plan was made that the samples were sorted for.
+	sortedAt time.Time
 }
 
 // NewLoadTracker returns a tracker without any request.
@@ -62,6 +64,10 @@
 
 // expire forgets what is old and sorts the rest for a plan.
 func (l *LoadTracker) expire(now time.Time) {
+	if now.Equal(l.sortedAt) && len(l.sorted) == len(l.samples) {
+		return
+	}
+	l.sortedAt = now
 	l.span = min(max(now.Sub(l.since), recentMemory), loadMemory)
 	first := sort.Search(len(l.samples), func(i int) bool { return now.Sub(l.samples[i].at) <= loadMemory })
 	l.samples = append(l.samples[:0], l.samples[first:]...)
@@ -143,13 +149,18 @@
 // take: no division of the keys can spread it.
 func (l *LoadTracker) beyond(most float64) float64 {
 	excess := 0.0
+	l.eachKey(func(_ keyspace.Key, load float64) { excess += math.Max(load-most, 0) })
+	return excess
+}
+
+// eachKey calls f with the load of each key that was asked for.
+func (l *LoadTracker) eachKey(f func(key keyspace.Key, load float64)) {
 	for first := 0; first < len(l.sorted); {
 		end := first
 		for end < len(l.sorted) && l.sorted[end].key == l.sorted[first].key {
 			end++
 		}
-		excess += math.Max(l.between(first, end)-most, 0)
+		f(l.sorted[first].key, l.between(first, end))
 		first = end
 	}
-	return excess
 }
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -40,6 +40,8 @@
 	Bytes int64
 	// Avoid names the target of the attempt before, which is taken only where no other is.
 	Avoid string
+	// Admitted says that the request was sent before, so that no limit applies to it.
+	Admitted bool
 	// since is when the request came.
 	since time.Time
 	// target is the one that it waits for; nil where any will do.
@@ -106,7 +108,8 @@
 	random     *rand.Rand
 	queue      queue
 	// paces are what answers told since TakePaces.
-	paces map[string]*Pace
+	paces  map[string]*Pace
+	limits limits
 }
 
 // New returns the decisions of a router in the data centre.
@@ -149,6 +152,9 @@
 // Offer decides on a new request. One that waits is answered by Poll.
 func (s *Service) Offer(now time.Time, r Request) Decision {
 	r.since = now
+	if refusal, over := s.overLimit(now, &r); over {
+		return refusal
+	}
 	d, blocked := s.place(now, &r)
 	if blocked == nil {
 		return d
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -284,6 +284,7 @@
 			}
 			f.compare(u.Config)
 			f.g.setPaces(u.Paces)
+			f.g.setLimits(u.Limits)
 			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
 				f.g.beliefs.duty.Tell(u)
 			}
@@ -506,3 +507,12 @@
 		}
 	}
 }
+
+// setLimits puts in force which keys the leader limits.
+func (g *Gateway) setLimits(all []feed.Limits) {
+	for _, l := range all {
+		if s := g.service(l.Service); s != nil {
+			s.setLimits(l.Limits)
+		}
+	}
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -136,7 +136,7 @@
 // ask describes the request to who places it.
 func (x *exchange) ask() dispatch.Request {
 	q := dispatch.Request{
-		Key: x.key, Rank: x.route.Rank, Deadline: x.meta.Deadline, Avoid: x.avoid,
+		Key: x.key, Rank: x.route.Rank, Deadline: x.meta.Deadline, Avoid: x.avoid, Admitted: x.sends > 0,
 		Bytes: x.g.sizes.expect(x.route.Name, x.r) + headerOverhead,
 	}
 	if x.route.Objective > 0 {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -64,6 +64,10 @@
 	minStep = 5 * time.Millisecond
 	// tableWriteInterval is the least time between two writes of a service's table.
 	tableWriteInterval = 100 * time.Millisecond
+	// limitsRenewInterval is how often limits of keys are sent again, before they end by
+	// themselves, and limitsChange by which part one must have changed to be sent at once.
+	limitsRenewInterval = time.Second
+	limitsChange        = 0.2
 	// publishInterval is the least time between two states of a table that the routers are
 	// sent: the targets' answers to orders come one by one, and each state goes to all.
 	publishInterval = 50 * time.Millisecond
@@ -176,6 +180,9 @@
 	// publishDue.
 	unpublished bool
 	publishDue  time.Time
+	// limits are the keys whose requests were limited last, at limitedAt.
+	limits    []keyspace.Limit
+	limitedAt time.Time
 }
 
 // leader is the duty that assigns keys while this router leads, and sees to it that some
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -295,9 +297,33 @@
 				l.logMove(name, m)
 			}
 		}
+		l.limit(now, name, p, s)
 	}
 }
 
+// limit tells all routers which keys are asked for more than their holders can do, where that
+// has changed, and again while any are.
+func (l *leader) limit(now time.Time, name string, p *post, s *service) {
+	limits := p.assigner.Limits(now, s.speed, l.g.follow.unseen())
+	renew := len(limits) > 0 && now.Sub(p.limitedAt) >= limitsRenewInterval
+	if !renew && !limitsDiffer(p.limits, limits) {
+		return
+	}
+	if limitsDiffer(p.limits, limits) {
+		l.g.log.Info("keys limited", "service", name, "limits", limits)
+	}
+	p.limits, p.limitedAt = limits, now
+	s.setLimits(limits)
+	l.g.follow.source.SetLimits(feed.Limits{Service: name, Limits: limits})
+}
+
+// limitsDiffer reports whether other keys are limited, or some by more than limitsChange.
+func limitsDiffer(old, now []keyspace.Limit) bool {
+	return !slices.EqualFunc(old, now, func(a, b keyspace.Limit) bool {
+		return a.Key == b.Key && math.Abs(a.Admit-b.Admit) <= limitsChange*a.Admit
+	})
+}
+
 // tellPaces tells the other routers what has changed of the targets' speed, every
 // pacesEvery.
 func (l *leader) tellPaces() {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -217,6 +217,13 @@
 	s.core.SetPaces(paces)
 }
 
+// setLimits puts the keys in force of which just a part of the requests is served.
+func (s *service) setLimits(all []keyspace.Limit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.SetLimits(time.Now(), all)
+}
+
 // keyOf reads the key of a request for a service that is divided by key.
 func keyOf(h http.Header, name string) (*keyspace.Key, *fault.Fault) {
 	values := h[name]
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -72,6 +72,15 @@
 	Stale bool
 	// Paces are how fast targets are.
 	Paces []Paces
+	// Limits are the keys that are asked for more than their holders can do, of the services
+	// for which that has changed.
+	Limits []Limits
+}
+
+// Limits are the limited keys of one service.
+type Limits struct {
+	Service string
+	Limits  []keyspace.Limit
 }
 
 // Paces are how fast targets of one service are.
@@ -123,6 +132,22 @@
 	return paces
 }
 
+func encodeLimits(l Limits) *feedpb.Limits {
+	p := &feedpb.Limits{Service: l.Service}
+	for _, limit := range l.Limits {
+		p.Limits = append(p.Limits, &feedpb.KeyLimit{Key: uint32(limit.Key), Admit: float32(limit.Admit)})
+	}
+	return p
+}
+
+func decodeLimits(p *feedpb.Limits) Limits {
+	l := Limits{Service: p.GetService()}
+	for _, limit := range p.GetLimits() {
+		l.Limits = append(l.Limits, keyspace.Limit{Key: keyspace.Key(limit.GetKey()), Admit: float64(limit.GetAdmit())})
+	}
+	return l
+}
+
 func encodeTable(t Table) *feedpb.Table {
 	return &feedpb.Table{
 		Service: t.Table.Service, Revision: t.Revision, Sequence: t.Sequence, NextToken: t.Table.NextToken,
@@ -225,6 +250,9 @@
 	for _, paces := range p.GetPaces() {
 		u.Paces = append(u.Paces, decodePaces(paces))
 	}
+	for _, limits := range p.GetLimits() {
+		u.Limits = append(u.Limits, decodeLimits(limits))
+	}
 	for _, t := range p.GetTargets() {
 		u.Targets = append(u.Targets, decodeTarget(t))
 	}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -28,6 +28,8 @@
 	routers       int
 	// paces are by service and target.
 	paces map[string]map[string]versionedPace
+	// limits are by service.
+	limits map[string]versionedLimits
 	// known says that the targets have been read from the store once.
 	known   bool
 	changed chan struct{}
@@ -48,11 +50,16 @@
 	version uint64
 }
 
+type versionedLimits struct {
+	limits  Limits
+	version uint64
+}
+
 // NewSource returns a source that has nothing to tell yet.
 func NewSource() *Source {
 	return &Source{
 		targets: map[string]versionedTarget{}, gone: map[string]uint64{}, tables: map[string][]versionedTable{},
-		paces: map[string]map[string]versionedPace{}, changed: make(chan struct{}),
+		paces: map[string]map[string]versionedPace{}, limits: map[string]versionedLimits{}, changed: make(chan struct{}),
 	}
 }
 
@@ -137,6 +144,14 @@
 	}
 }
 
+// SetLimits tells which keys of a service are limited.
+func (s *Source) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bump()
+	s.limits[l.Service] = versionedLimits{l, s.version}
+}
+
 // SetTable tells a division that the store has.
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
@@ -214,6 +229,11 @@
 			u.Gone = append(u.Gone, id)
 		}
 	}
+	for _, l := range s.limits {
+		if l.version > version {
+			u.Limits = append(u.Limits, encodeLimits(l.limits))
+		}
+	}
 	for service, of := range s.paces {
 		var news []dispatch.Pace
 		for _, p := range of {
