Log a table at most once a second, and spread the renewals of routers' records

What was seen: more than half of all log lines of the deployment of hundreds of VMs were "division of keys in force" (74,640 of 20 s), one for each router and state of the table; and the routers of a fleet that started together renewed their records within the same 0.3 s, every 3 s. A line now tells how many states came before it that were not logged; a fed router's pause before the next renewal is shortened by up to a quarter at random. The configuration that a feed begins with is no "older" one where it is that in force.

--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -34,8 +34,9 @@
 	// routers are the live routers' records, and leader the revision of the leader's.
 	routers map[string]bool
 	// known says which prefixes have been listed.
-	known map[string]bool
-	timer *time.Timer
+	known     map[string]bool
+	timer     *time.Timer
+	tableLogs map[string]tableLog
 }
 
 // tick asks the duty to look at what has become due.
@@ -50,6 +51,7 @@
 func newBeliefs(g *Gateway) *beliefs {
 	b := &beliefs{
 		g: g, directory: directory.New(), tables: map[string]feed.Table{}, routers: map[string]bool{}, known: map[string]bool{},
+		tableLogs: map[string]tableLog{},
 	}
 	b.duty = g.startDuty(b.handle)
 	return b
@@ -135,7 +137,10 @@
 			b.g.log.Error("configuration not readable", "revision", r.Revision, "err", err)
 			continue
 		}
-		if b.config != nil && config.Version <= b.config.Version {
+		if b.config != nil && config.Version == b.config.Version {
+			continue // the feed of another leader begins with it
+		}
+		if b.config != nil && config.Version < b.config.Version {
 			b.g.log.Info("older configuration passed over", "version", config.Version, "in_force", b.config.Version)
 			continue
 		}
@@ -298,11 +303,32 @@
 	}
 	b.tables[name] = *t
 	b.g.follow.source.SetTable(*t)
-	b.g.log.Info("division of keys in force", "service", name, "revision", t.Revision, "sequence", t.Sequence,
-		"segments", len(t.Table.Segments))
+	b.logTable(t)
 	b.useTable(t.Table)
 }
 
+// tableLogInterval is the least time between two lines that tell of one service's table:
+// with hundreds of targets it changes some ten times a second.
+const tableLogInterval = time.Second
+
+// tableLog is when a service's table was logged last, and how many changes were not.
+type tableLog struct {
+	at      time.Time
+	skipped int
+}
+
+func (b *beliefs) logTable(t *feed.Table) {
+	l := b.tableLogs[t.Table.Service]
+	if now := time.Now(); now.Sub(l.at) >= tableLogInterval {
+		b.g.log.Info("division of keys in force", "service", t.Table.Service, "revision", t.Revision, "sequence", t.Sequence,
+			"segments", len(t.Table.Segments), "changes_before", l.skipped)
+		l = tableLog{at: now}
+	} else {
+		l.skipped++
+	}
+	b.tableLogs[t.Table.Service] = l
+}
+
 func (b *beliefs) useTable(t *keyspace.Table) {
 	if s := b.g.service(t.Service); s != nil && s.byKey {
 		s.setTable(t)
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -22,6 +22,9 @@
 	// fedKeep is that of a router that is fed: it waits for no watch, and its leader says
 	// when the store doesn't answer.
 	fedKeep = 3 * time.Second
+	// keepJitter is the part by which that is shortened at random, so that a fleet that
+	// started together doesn't call together.
+	keepJitter = 0.25
 	// probeEvery is how often a store that doesn't answer is asked, on average.
 	probeEvery = 400 * time.Millisecond
 )
@@ -56,7 +59,7 @@
 		m.judge(err)
 		pause := memberKeep
 		if m.g.follow.isFed() {
-			pause = fedKeep
+			pause = time.Duration(float64(fedKeep) * (1 - keepJitter*rand.Float64()))
 		}
 		if m.failing {
 			pause = time.Duration(float64(probeEvery) * (0.5 + rand.Float64()))
