Take no keys from holders before the targets are known

Cause, from the leader's log: "targets changed known=0" 14 ms before "assigns keys", "targets changed known=514" 26 ms after, then 1,100 releases. A router that has just started puts its configuration in force, and with it hands out the targets that it knows, which are none yet; as the leader it takes the holders of all keys for gone. The listing of the targets lost that race once the configuration came first.

No targets are handed out, and no table is taken up, before they have been listed or fed.

TestLeaderThatKnowsNoTargetYetTakesNoKeys fails before.

--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -160,7 +160,11 @@
 	for _, t := range b.tables {
 		b.useTable(t.Table)
 	}
-	b.settle(true)
+	// Before the targets are known there are none to hand out: the leader would take the
+	// holders of all keys for gone.
+	if b.known[g.opts.Adapter.TargetPrefix] {
+		b.settle(true)
+	}
 }
 
 // hearTargets notes what targets say of themselves.
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -62,6 +62,27 @@
 	})
 }
 
+// Guards against a leader that has just started, knows the table but no target yet, and has
+// all targets give up their keys.
+func TestLeaderThatKnowsNoTargetYetTakesNoKeys(t *testing.T) {
+	f := newFleet(t, 1, keyedConfig, keyedTarget("a"), keyedTarget("b"))
+	keys := []int{7, 30000, 65000}
+	holders := map[int]string{}
+	for _, key := range keys {
+		f.served(f.gateways[0], call{method: "GET", path: "/read/1", key: key})
+		holders[key] = f.holder(keyspace.Key(key))
+	}
+	abandon(f.gateways[0])
+	f.slow = platform.TargetPrefix
+	g := f.start("router-1")
+	waittest.Until(t, "it leads", func() bool { return f.leader() == g })
+	for _, key := range keys {
+		f.served(g, call{method: "GET", path: "/read/1", key: key})
+		assert.Equal(t, f.holder(keyspace.Key(key)), holders[key])
+	}
+	assert.Assert(t, !strings.Contains(f.log.String(), "kind=release"), "keys were taken")
+}
+
 // A target that says that it leaves hands its keys over, and gets no new work.
 func TestLeavingTargetHandsItsKeysOver(t *testing.T) {
 	f := newFleet(t, 2, keyedConfig, keyedTarget("a"), keyedTarget("b"))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -37,12 +37,20 @@
 	client   *http.Client
 	// ways are the gateways' ways to the store, by name.
 	ways map[string]*way
+	// slow is a prefix whose listings take slowListing for gateways that start.
+	slow string
 }
 
+// slowListing is long enough for all other calls of a gateway that starts.
+const slowListing = 400 * time.Millisecond
+
 // way is a gateway's way to the store, which can be cut.
 type way struct {
 	kv.Ledger
 	cut atomic.Bool
+	// slow delays listings of the prefix by slowFor.
+	slow    string
+	slowFor time.Duration
 }
 
 func (w *way) err() error {
@@ -65,6 +73,9 @@
 	if err := w.err(); err != nil {
 		return nil, 0, err
 	}
+	if prefix == w.slow {
+		time.Sleep(w.slowFor)
+	}
 	return w.Ledger.List(ctx, prefix)
 }
 
@@ -162,7 +173,7 @@
 func (f *fleet) start(name string) *Gateway {
 	f.t.Helper()
 	orders := platform.NewOrders()
-	f.ways[name] = &way{Ledger: platform.NewStore(f.store.Address())}
+	f.ways[name] = &way{Ledger: platform.NewStore(f.store.Address()), slow: f.slow, slowFor: slowListing}
 	g, err := New(Options{
 		Name: name, DataCentre: "hall", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		Store: f.ways[name], LeaseMin: time.Second, HoldMax: 10 * time.Second, Grace: 3 * time.Second,
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -198,17 +198,18 @@
 	// pause each router asks a store that refuses at once some thirty times a second.
 	notBefore time.Time
 	term      *term
-	targets   *targetsSeen
-	stopping  bool
-	away      bool
-	timer     *time.Timer
-	due       time.Time
+	// targets are nil until they are known.
+	targets  *targetsSeen
+	stopping bool
+	away     bool
+	timer    *time.Timer
+	due      time.Time
 	// pacesDue is when the targets' speeds are told next.
 	pacesDue time.Time
 }
 
 func newLeader(g *Gateway) *leader {
-	l := &leader{g: g, targets: &targetsSeen{}}
+	l := &leader{g: g}
 	l.duty = g.startDuty(l.handle)
 	return l
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -61,8 +61,16 @@
 	return due
 }
 
-// adopt reads the divisions of services that have none in this term yet.
+// adopt reads the divisions of services that have none in this term yet, once the targets are
+// known.
+//
+// What goes wrong before: a router that has just started leads and reads the table first.
+// It finds none of the holders, takes all of them for gone, and has each give up its keys.
+// Callers are refused for seconds with "the grant has to lapse".
 func (l *leader) adopt(t *term) {
+	if l.targets == nil {
+		return
+	}
 	for _, s := range l.divided() {
 		if t.post[s.Name] != nil {
 			continue
