Limit a key only while its holder is pressed, and find out what it can do

A limit now begins only where the holder shows that it is pressed: requests wait for all of its slots, or it turned some away, by the answers that any router got in the last half second and reported. An answer's own report of how many wait corrects the service time that is learned from it.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -237,6 +237,8 @@
 	// ended has the lives of targets that are over for certain.
 	ended map[keyspace.Holder]bool
 	load  *LoadTracker
+	// limits are the keys of which just a part of the requests is served.
+	limits map[keyspace.Key]keyLimit
 
 	// generation counts changes to the table, sent and written those in the store.
 	generation, sent, written uint64
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -19,6 +19,8 @@
 	// to its mean: about the time that one request is at work, after which the report says
 	// nothing of who is there now.
 	othersMemory = 200 * time.Millisecond
+	// reportFresh is how old the report of an answer is at most when its end is noted.
+	reportFresh = 20 * time.Millisecond
 	// othersGain is the weight of a new report in the mean of the others' work.
 	othersGain = 0.2
 	// serviceGain is the weight of a new answer in the mean service time of a target; it
@@ -66,6 +68,8 @@
 	// said of it, at lastReport.
 	others, lastOthers float64
 	lastReport         time.Time
+	// lastWaiting is how many requests waited there by the last report.
+	lastWaiting int
 	// service is the mean time of an answer without its wait, in seconds; zero before the
 	// first.
 	service float64
@@ -80,6 +84,8 @@
 	// not be opened, until triedAgain.
 	unreached  time.Duration
 	triedAgain time.Time
+	// pressedAt is when the target last showed that it has too much to do.
+	pressedAt time.Time
 }
 
 func newLoad(t directory.Target) *Load {
@@ -190,7 +196,19 @@
 		l.others = others
 	}
 	l.others += (others - l.others) * othersGain
-	l.lastOthers, l.lastReport = others, now
+	l.lastOthers, l.lastReport, l.lastWaiting = others, now, r.Waiting
+}
+
+// stayed is how many service times an answered request has stayed at the target, which were
+// expected to be so many. The answer itself tells how many wait there now.
+//
+// It answers a target whose queue is filled by other routers: taken for its service time, the
+// wait of each request makes it look slow for as long as it is busy.
+func (l *Load) stayed(now time.Time, expected float64) float64 {
+	if now.Sub(l.lastReport) > reportFresh {
+		return expected
+	}
+	return math.Max(expected, 1+float64(l.lastWaiting)/l.slots())
 }
 
 // turns is how many service times a new request stays at the target.
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -12,8 +12,14 @@
 	// Answers is how many the mean rests on.
 	Answers int
 	Mean    time.Duration
+	// Waiting is the most requests that the target said wait for its slots, and Failed counts
+	// those that it turned away or broke off.
+	Waiting, Failed int
 }
 
+// pressedFor is for how long a target counts as pressed after the last sign of it.
+const pressedFor = 500 * time.Millisecond
+
 // paceChange is by which part a target's service time must have changed to be told again;
 // the time of one request differs from the next by more than that.
 const paceChange = 0.15
@@ -28,13 +34,36 @@
 	if !s.byKey {
 		return
 	}
+	p := s.paceOf(id)
+	p.Answers++
+	p.Mean += (time.Duration(sample*float64(time.Second)) - p.Mean) / time.Duration(p.Answers)
+}
+
+func (s *Service) paceOf(id string) *Pace {
 	p := s.paces[id]
 	if p == nil {
 		p = &Pace{Target: id}
 		s.paces[id] = p
 	}
-	p.Answers++
-	p.Mean += (time.Duration(sample*float64(time.Second)) - p.Mean) / time.Duration(p.Answers)
+	return p
+}
+
+// notePressed remembers a sign that a target has too much to do, for TakePaces and Pressed.
+func (s *Service) notePressed(now time.Time, l *Load, waiting, failed int) {
+	if !s.byKey || waiting < l.Slots && failed == 0 {
+		return
+	}
+	l.pressedAt = now
+	p := s.paceOf(l.ID)
+	p.Waiting = max(p.Waiting, waiting)
+	p.Failed += failed
+}
+
+// Pressed reports whether a target had requests waiting for all of its slots, or turned some
+// away, of late; by the answers of all routers where they report them.
+func (s *Service) Pressed(now time.Time, id string) bool {
+	l := s.loads[id]
+	return l != nil && !l.pressedAt.IsZero() && now.Sub(l.pressedAt) < pressedFor
 }
 
 // TakePaces returns what answers told since the last call.
@@ -52,11 +81,18 @@
 }
 
 // LearnPaces takes in what answers told another router.
-func (s *Service) LearnPaces(paces []Pace) {
+func (s *Service) LearnPaces(now time.Time, paces []Pace) {
 	for _, p := range paces {
-		if l := s.loads[p.Target]; l != nil && p.Answers > 0 && p.Mean > 0 {
+		l := s.loads[p.Target]
+		if l == nil {
+			continue
+		}
+		if p.Answers > 0 && p.Mean > 0 {
 			l.learn(p.Answers, p.Mean.Seconds(), s.mean, sharedGain)
 		}
+		if p.Failed > 0 || p.Waiting >= l.Slots && p.Waiting > 0 {
+			l.pressedAt = now
+		}
 	}
 }
 
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -199,6 +199,7 @@
 func (s *Service) Report(now time.Time, id string, r Report) {
 	if l := s.loads[id]; l != nil {
 		l.report(now, r)
+		s.notePressed(now, l, r.Waiting, 0)
 	}
 }
 
@@ -209,7 +210,7 @@
 		return
 	}
 	l.end(now)
-	sample := took.Seconds() / max(turns, 1)
+	sample := took.Seconds() / max(l.stayed(now, turns), 1)
 	switch result {
 	case Answered:
 		l.outcome(now, 0)
@@ -225,9 +226,11 @@
 	case Failed:
 		l.outcome(now, 1)
 		l.full()
+		s.notePressed(now, l, 0, 1)
 	case Shed:
 		l.outcome(now, shedFailure)
 		l.full()
+		s.notePressed(now, l, 0, 1)
 	case Unreached:
 		l.outcome(now, 1)
 		l.unreachable(now)
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -312,7 +312,7 @@
 // limit tells all routers which keys are asked for more than their holders can do, where that
 // has changed, and again while any are.
 func (l *leader) limit(now time.Time, name string, p *post, s *service) {
-	limits := p.assigner.Limits(now, s.speed, l.g.follow.unseen())
+	limits := p.assigner.Limits(now, s.speed, s.pressed, l.g.follow.unseen())
 	renew := len(limits) > 0 && now.Sub(p.limitedAt) >= limitsRenewInterval
 	if !renew && !limitsDiffer(p.limits, limits) {
 		return
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -200,7 +200,7 @@
 func (s *service) learnPaces(paces []dispatch.Pace) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.LearnPaces(paces)
+	s.core.LearnPaces(time.Now(), paces)
 }
 
 // newPaces returns the targets' speeds that have changed since the last call.
@@ -217,6 +217,13 @@
 	s.core.SetPaces(paces)
 }
 
+// pressed reports whether a target has had too much to do of late.
+func (s *service) pressed(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Pressed(time.Now(), id)
+}
+
 // setLimits puts the keys in force of which just a part of the requests is served.
 func (s *service) setLimits(all []keyspace.Limit) {
 	s.mu.Lock()
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -117,6 +117,7 @@
 	for _, pace := range paces {
 		p.Paces = append(p.Paces, &feedpb.Pace{
 			Target: pace.Target, Answers: uint32(pace.Answers), MeanUs: uint32(min(pace.Mean.Microseconds(), math.MaxUint32)),
+			Waiting: uint32(pace.Waiting), Failed: uint32(pace.Failed),
 		})
 	}
 	return p
@@ -127,6 +128,7 @@
 	for _, pace := range p.GetPaces() {
 		paces.Paces = append(paces.Paces, dispatch.Pace{
 			Target: pace.GetTarget(), Answers: int(pace.GetAnswers()), Mean: time.Duration(pace.GetMeanUs()) * time.Microsecond,
+			Waiting: int(pace.GetWaiting()), Failed: int(pace.GetFailed()),
 		})
 	}
 	return paces
