Renew a fed router's record every 8 s, and log a listing of routers in one line

195 routers that are fed called the store 65 times a second for their records alone, and wrote 195 lines for each listing of them. Nobody waits for these renewals: the leader says when the store is silent, and the others then renew at once. A record lasts 30 s for 10: what it is counted for may lag. A router that has just found a leader waits 400 ms before it looks for another, the time that the first, whole update takes on a small VM's link.

--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -251,37 +251,40 @@
 
 // hearRouters notes who is there.
 func (b *beliefs) hearRouters(c *change) {
+	before, changed := len(b.routers), 0
 	seen := make(map[string]bool, len(c.records))
 	for _, r := range c.records {
 		name := strings.TrimPrefix(r.Key, routerPrefix)
 		seen[name] = !r.Deleted
-		b.hearRouter(name, !r.Deleted)
-	}
-	if !c.listed {
-		return
+		changed += b.hearRouter(name, !r.Deleted)
 	}
 	for name := range b.routers {
-		if !seen[name] {
-			b.hearRouter(name, false)
+		if c.listed && !seen[name] {
+			changed += b.hearRouter(name, false)
 		}
 	}
+	if changed == 0 && !c.listed {
+		return
+	}
+	b.g.log.Info("routers changed", "changes", changed, "before", before, "known", len(b.routers))
+	b.g.setRouters(max(len(b.routers), 1))
+	b.g.follow.source.SetRouters(max(len(b.routers), 1))
 }
 
-func (b *beliefs) hearRouter(name string, there bool) {
+// hearRouter notes whether a router is there, and returns 1 where that has changed.
+func (b *beliefs) hearRouter(name string, there bool) int {
 	if there == b.routers[name] {
-		return
+		return 0
 	}
 	if there {
 		b.routers[name] = true
-	} else {
-		delete(b.routers, name)
+		return 1
 	}
-	b.g.log.Info("routers changed", "router", name, "there", there, "known", len(b.routers))
-	b.g.setRouters(max(len(b.routers), 1))
-	b.g.follow.source.SetRouters(max(len(b.routers), 1))
-	if !there && name == b.g.opts.Name {
+	delete(b.routers, name)
+	if name == b.g.opts.Name {
 		b.g.members.wake()
 	}
+	return 1
 }
 
 // hearTables notes divisions of keys as they stand in the store.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -19,7 +19,7 @@
 	// leaderPause is that of the leader's record, and subscribePause where that names a
 	// leader: time enough to subscribe to it before the record is asked for again.
 	leaderPause    = 20 * time.Millisecond
-	subscribePause = 150 * time.Millisecond
+	subscribePause = 400 * time.Millisecond
 	// routersPause is that of the routers' records, of which just the number counts.
 	routersPause = 500 * time.Millisecond
 	// targetsPause is that of the targets, which write every second or so. A leaving target
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -15,13 +15,13 @@
 const (
 	// memberTTL is how long a router that ended without a word is still counted. The
 	// count only divides what all routers share, so it may lag.
-	memberTTL = 10 * time.Second
+	memberTTL = 30 * time.Second
 	// The renewal is also what shows that the store answers this router: watches that it
 	// never answered would else be waited for to their end.
 	memberKeep = time.Second
 	// fedKeep is that of a router that is fed: it waits for no watch, and its leader says
 	// when the store doesn't answer.
-	fedKeep = 3 * time.Second
+	fedKeep = 8 * time.Second
 	// keepJitter is the part by which that is shortened at random, so that a fleet that
 	// started together doesn't call together.
 	keepJitter = 0.25
