Have a leader that has counted no router rely on no backing

A router took itself for the whole fleet until it knew better, so that it was backed by itself, and knew by one follower that no older leader is backed. An old leader that most routers back without the store, and one that has just started beside it, could then both have their grants taken. The number is now unknown until it has been read or told; nothing counts as backed before, and what followers said is looked at again when it is.

TestRouterThatHasCountedNobodyIsNotBacked fails before.

--- a/gateway/backing.go
+++ b/gateway/backing.go
@@ -38,9 +38,10 @@
 	return &backing{until: map[string]time.Duration{}, joined: map[string]time.Duration{self: until}}
 }
 
-// enough reports whether so many routers and this one are the share of all.
+// enough reports whether so many routers and this one are the share of all; of an unknown
+// number, zero, none are. A router that has just started would else take itself for all.
 func enough(others, routers int) bool {
-	return others+1 >= int(math.Ceil(backingShare*float64(routers)))
+	return routers > 0 && others+1 >= int(math.Ceil(backingShare*float64(routers)))
 }
 
 // back notes that a router backs this leader until a time.
@@ -86,6 +87,18 @@
 	if last, again := b.joined[router]; !again || until > last {
 		b.joined[router] = until
 	}
+	return b.oldEnds(routers)
+}
+
+// counted is join where nobody has joined, but the number of routers may have become known.
+func (b *backing) counted(routers int) (bool, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.oldEnds(routers)
+}
+
+// oldEnds is what join returns; the lock is held.
+func (b *backing) oldEnds(routers int) (bool, time.Duration) {
 	if !enough(len(b.joined)-1, routers) {
 		return false, 0
 	}
--- a/gateway/backing_test.go
+++ b/gateway/backing_test.go
@@ -55,6 +55,20 @@
 	assert.Equal(t, until, 5*time.Second)
 }
 
+// Guards against a router that has just started, leads, and takes itself for the whole fleet.
+func TestRouterThatHasCountedNobodyIsNotBacked(t *testing.T) {
+	b := newBacking("a", longAgo)
+	assert.Assert(t, !b.backed(0, 0))
+	ok, _ := b.join("b", longAgo, 0)
+	assert.Assert(t, !ok)
+	ok, _ = b.counted(0)
+	assert.Assert(t, !ok)
+	ok, _ = b.counted(3)
+	assert.Assert(t, ok)
+	assert.Assert(t, !b.backed(0, 3))
+	assert.Assert(t, b.backed(0, 1))
+}
+
 // Symptom: after the leader is lost, keys of targets that are lost soon after it are
 // unserved for ten seconds.
 // Sequence: one of ten routers began shortly before and doesn't know what it promised.
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -80,7 +80,7 @@
 	for _, t := range u.Tables {
 		b.takeTable(&t)
 	}
-	if u.Routers > 0 && u.Routers != b.g.routerCount() {
+	if u.Routers > 0 && u.Routers != b.g.countedRouters() {
 		b.g.setRouters(u.Routers)
 	}
 	if !u.Stale {
@@ -269,6 +269,7 @@
 	b.g.log.Info("routers changed", "changes", changed, "before", before, "known", len(b.routers))
 	b.g.setRouters(max(len(b.routers), 1))
 	b.g.follow.source.SetRouters(max(len(b.routers), 1))
+	b.g.leader.duty.Tell(routersCounted{})
 }
 
 // hearRouter notes whether a router is there, and returns 1 where that has changed.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -448,7 +448,7 @@
 
 // unseen is by how much the routers' requests exceed those that this router hears of.
 func (f *follow) unseen() float64 {
-	return float64(f.g.routerCount()) / float64(min(f.followers.Load()+1, f.g.routers.Load()))
+	return float64(f.g.routerCount()) / float64(min(int(f.followers.Load())+1, f.g.routerCount()))
 }
 
 // serveFollowers feeds the routers that follow this one.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,7 +66,6 @@
 		return nil, err
 	}
 	g := &Gateway{opts: opts, log: opts.Logger, services: map[string]*service{}, firstKnown: make(chan struct{})}
-	g.routers.Store(1)
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
@@ -184,7 +183,11 @@
 	g.log.Info("ready")
 }
 
-func (g *Gateway) routerCount() int { return int(g.routers.Load()) }
+// routerCount is the number of routers, one where it isn't known.
+func (g *Gateway) routerCount() int { return max(g.countedRouters(), 1) }
+
+// countedRouters is the number of routers, zero where it isn't known.
+func (g *Gateway) countedRouters() int { return int(g.routers.Load()) }
 
 func (g *Gateway) setRouters(n int) {
 	g.routers.Store(int64(n))
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -125,6 +125,8 @@
 		took     time.Duration
 	}
 	rebalance struct{}
+	// routersCounted says that the number of routers was read from the store.
+	routersCounted struct{}
 	// followerJoined says that a router follows the leader of the term, and for how long it
 	// still backs another; negative is how long ago that has ended.
 	followerJoined struct {
@@ -233,6 +235,8 @@
 		l.answered(m)
 	case *followerJoined:
 		l.joined(m)
+	case routersCounted:
+		l.counted()
 	case rebalance:
 		l.rebalance()
 	case *stepDown:
@@ -317,8 +321,8 @@
 func (l *leader) campaign() {
 	l.campaigning = true
 	l.g.workers.Run(func() {
-		routers := l.g.routerCount()
-		if routers <= 1 {
+		routers := l.g.countedRouters()
+		if routers == 0 {
 			routers = unknownRouters
 		}
 		duty.Sleep(l.g.lifetime, campaignAfter(l.g.opts.CPUShare, routers))
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -35,7 +35,7 @@
 	t := l.term
 	l.adopt(t)
 	boot := l.g.opts.Clock.Now()
-	away := t.age(boot) > storeDoubt && t.backing.backed(boot, l.g.routerCount())
+	away := t.age(boot) > storeDoubt && t.backing.backed(boot, l.g.countedRouters())
 	if away != l.away {
 		l.away = away
 		l.g.log.Info("store counts as away for grants", "away", away, "lease_age", t.age(l.g.opts.Clock.Now()))
@@ -160,32 +160,46 @@
 	case age < aloneBound:
 		return aloneBound - age, nil
 	}
-	left := t.backing.backedFor(now, l.g.routerCount())
+	left := t.backing.backedFor(now, l.g.countedRouters())
 	if left <= 0 {
 		return 0, errors.Errorf("the lease was renewed %v ago, and too few routers back this one", age)
 	}
 	return min(left, oldLeaderBound-age), nil
 }
 
-// joined notes a follower. Once enough routers follow, it is known when the old leader has
-// stopped at the latest.
+// joined notes a follower.
 func (l *leader) joined(m *followerJoined) {
 	t := l.term
 	if t == nil || m.term != t.revision {
 		return
 	}
 	now := l.g.opts.Clock.Now()
-	ok, promised := t.backing.join(m.router, now+m.promised, l.g.routerCount())
-	if !ok {
+	ok, promised := t.backing.join(m.router, now+m.promised, l.g.countedRouters())
+	l.oldLeader(ok, promised-now)
+}
+
+// counted notes that the number of routers may have changed.
+func (l *leader) counted() {
+	if t := l.term; t != nil {
+		ok, promised := t.backing.counted(l.g.countedRouters())
+		l.oldLeader(ok, promised-l.g.opts.Clock.Now())
+	}
+}
+
+// oldLeader notes when the old leader has stopped at the latest, which is known once enough
+// routers follow.
+func (l *leader) oldLeader(known bool, promised time.Duration) {
+	if !known {
 		return
 	}
-	stops := oldLeaderStops(time.Now(), promised-now)
+	t := l.term
+	stops := oldLeaderStops(time.Now(), promised)
 	if t.oldStops != nil {
 		stops.usual = t.oldStops.usual // known since the first time
 	}
 	if t.oldStops == nil || stops.long.Before(t.oldStops.long) { // the more follow, the more is known
 		t.oldStops = stops
-		l.g.log.Info("old leader stops", "alone_in", time.Until(t.oldStops.usual), "backed_in", promised-now, "term", t.revision)
+		l.g.log.Info("old leader stops", "alone_in", time.Until(t.oldStops.usual), "backed_in", promised, "term", t.revision)
 	}
 	for _, p := range t.post {
 		if p.assigner != nil {
