Ask a store that is away less and less often, and one that returns after the leader

By a count of them: 4,500 refused renewals in an outage of 8 s, by which each of 195 routers asked whether it was over, 2.4 a second; and 1,600 calls within a second of its end, by which each listed targets, tables, routers and the configuration although its leader told it all half a second later.

A router that follows a leader is told when that hears from the store again, and renews its record then; by itself it asks after 0.4 s, and then with doubled pauses up to 3.2 s. What a router without word asks the store for itself waits, once the store answers, for the usual delay. Small VMs look for the next leader after 150 to 450 ms, so that one call finds it where the last one stopped in an orderly way.

TestStoreThatReturnsIsAskedByTheLeaderFirst: 27 probes and 4 listings before, 4 and none after.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -54,6 +54,10 @@
 	fallbackRest = 1400 * time.Millisecond
 	// fallbackJitter spreads the routers' calls when all lose their leader at once.
 	fallbackJitter = 100 * time.Millisecond
+	// minSearchDelay and maxSearchDelay bound the delay with which a small VM looks for the
+	// next leader.
+	minSearchDelay = 150 * time.Millisecond
+	maxSearchDelay = 450 * time.Millisecond
 	// configLagTimeout is how long after the leader has a configuration a router asks the
 	// store for it, where the feed didn't bring it.
 	configLagTimeout = 900 * time.Millisecond
@@ -82,6 +86,9 @@
 	restWatches                            []*watch
 	// fed says that the leader tells this router what the store knows.
 	fed bool
+	// connected says that a leader tells this router anything, searching that the store is
+	// asked after a delay who leads.
+	connected, searching bool
 	// asking says that the store is asked after a delay unless a leader feeds this router.
 	asking bool
 	// backs is the term of the leader that this router backs, until backsUntil.
@@ -225,7 +232,7 @@
 				err := f.followOnce(leader, moved)
 				f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
 			}
-			f.watchLeader()
+			f.searchLeader()
 			f.unfed(f.fallbackDelay())
 		}
 		f.pause(moved, leads)
@@ -258,6 +265,7 @@
 		case <-ctx.Done():
 		}
 	}()
+	defer f.setConnected(false)
 	fed := false
 	follower := &feed.Follower{
 		Router: f.g.opts.Name, Address: leader.address, Term: uint64(leader.revision), Reports: f.reports,
@@ -265,13 +273,12 @@
 		Backed: func(until time.Time) { f.promise(leader, until) },
 		Update: func(u *feed.Update) {
 			if u.Stale {
-				if fed {
+				if fed || !f.setConnected(true) {
 					f.g.log.Info("leader doesn't hear from the store", "leader", leader.name, "term", leader.revision)
+					f.g.members.wake()
 				}
 				fed = false
-				f.watchLeader()
 				f.unfed(f.staleDelay())
-				f.g.members.wake()
 				if len(u.Tables) > 0 {
 					f.g.beliefs.duty.Tell(u)
 				}
@@ -280,7 +287,9 @@
 			if !fed {
 				fed = true
 				f.g.log.Info("fed", "leader", leader.name, "term", leader.revision)
+				f.setConnected(true)
 				f.leaveStore()
+				f.g.members.wake()
 			}
 			f.compare(u.Config)
 			f.g.setPaces(u.Paces)
@@ -407,16 +416,70 @@
 // held.
 func (f *follow) asksForTables() bool { return f.targetsWatch != nil && len(f.restWatches) > 1 }
 
+// askUnlessFed asks the store for all, but for a store that doesn't answer: once it does, the
+// leader may feed this router again within the usual delay, and a store that returns isn't
+// asked for everything by a whole fleet at once.
 func (f *follow) askUnlessFed() {
+	if f.g.gate.isShut() {
+		f.g.goRun(func() {
+			if f.g.gate.wait(f.g.lifetime) {
+				time.AfterFunc(f.fallbackDelay(), f.askUnlessFed)
+			}
+		})
+		return
+	}
 	f.mu.Lock()
 	f.asking = false
 	needless := f.fed || f.term != nil || f.asksForTables()
 	f.mu.Unlock()
 	if !needless && f.g.lifetime.Err() == nil {
+		f.watchLeader()
 		f.askStore(true)
 	}
 }
 
+// searchLeader has this router ask the store who leads. A small VM, which is to lead last,
+// waits a little: where the leader stopped in an orderly way the next one is there by then,
+// and one call finds it.
+func (f *follow) searchLeader() {
+	if !f.g.weak() {
+		f.watchLeader()
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.searching || f.leaderWatch != nil {
+		return
+	}
+	f.searching = true
+	time.AfterFunc(minSearchDelay+rand.N(maxSearchDelay-minSearchDelay), func() {
+		f.mu.Lock()
+		f.searching = false
+		needless := f.fed || f.g.lifetime.Err() != nil
+		f.mu.Unlock()
+		if !needless {
+			f.watchLeader()
+		}
+	})
+}
+
+// setConnected notes whether a leader, fed by the store or not, tells this router anything,
+// and returns what was noted before.
+func (f *follow) setConnected(connected bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.connected
+	f.connected = connected
+	return before
+}
+
+// waits reports whether a leader will tell this router when the store answers again.
+func (f *follow) waits() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.connected && f.term == nil
+}
+
 // leaveStore ends all watches, because a leader tells it all.
 func (f *follow) leaveStore() {
 	f.mu.Lock()
--- a/gateway/follow_test.go
+++ b/gateway/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -142,3 +143,29 @@
 	}
 	assert.Assert(t, time.Since(began) < 2*time.Second, "after %v", time.Since(began))
 }
+
+// Guards against a fleet that asks a store which returns for everything at once, and against
+// refused calls of each router all through an outage.
+func TestStoreThatReturnsIsAskedByTheLeaderFirst(t *testing.T) {
+	f := newFleet(t, 5, plainConfig, plainTarget("a"))
+	old := f.leader()
+	for _, g := range f.gateways {
+		waittest.Until(t, "it is fed or leads", func() bool { return g == old || g.follow.isFed() })
+	}
+	f.store.Refuse(http.StatusServiceUnavailable)
+	before := f.store.Calls()
+	const outage = 5 * time.Second
+	time.Sleep(outage)
+	during := f.store.Calls()
+	f.store.Refuse(0)
+	for _, g := range f.gateways {
+		waittest.Until(t, "it is fed again or leads", func() bool { return g == f.leader() || g.follow.isFed() })
+	}
+	after := f.store.Calls()
+	// A leader tries its lease and its record; each of the others some few times.
+	own := int(outage/leaderKeep + 2*outage/probeEvery)
+	probes := during["kv-keep"] - before["kv-keep"] - own
+	assert.Assert(t, probes <= 4*4, "%d probes of four routers", probes)
+	listings := after["kv-range "+platform.TargetPrefix] - during["kv-range "+platform.TargetPrefix]
+	assert.Assert(t, listings <= 1, "%d listings of all targets", listings)
+}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -344,12 +344,18 @@
 func campaignAfter(share float64, routers int) time.Duration {
 	spread := min(campaignSpread*time.Duration(max(routers, 1)), mostSpread)
 	pause := time.Duration(rand.Int64N(int64(spread)))
-	if share > 0 && share < weakShare {
+	if isWeak(share) {
 		pause += weakPause
 	}
 	return pause
 }
 
+// isWeak reports whether a VM with the part of a core is to lead last.
+func isWeak(share float64) bool { return share > 0 && share < weakShare }
+
+// weak reports whether this router's VM is to lead last.
+func (g *Gateway) weak() bool { return isWeak(g.opts.CPUShare) }
+
 func (l *leader) acquire() (*term, error) {
 	ctx, store := l.g.lifetime, l.g.opts.Store
 	sent := l.g.opts.Clock.Now()
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"tarragongw/duty"
 	"tarragongw/kv"
 )
 
@@ -25,8 +24,10 @@
 	// keepJitter is the part by which that is shortened at random, so that a fleet that
 	// started together doesn't call together.
 	keepJitter = 0.25
-	// probeEvery is how often a store that doesn't answer is asked, on average.
+	// probeEvery is how often a store that doesn't answer is asked, on average, and maxProbe
+	// the longest such pause.
 	probeEvery = 400 * time.Millisecond
+	maxProbe   = 3200 * time.Millisecond
 )
 
 // members keeps this router's own record in the store, by which the others count it.
@@ -38,11 +39,15 @@
 	mu    sync.Mutex
 	lease kv.LeaseID
 	left  bool
-	// failing says that the last call failed.
+	// failing says that the last call failed, probe how long a router that follows a leader
+	// waits before the next.
 	failing bool
+	probe   time.Duration
 }
 
-func newMembers(g *Gateway) *members { return &members{g: g, woken: make(chan struct{}, 1)} }
+func newMembers(g *Gateway) *members {
+	return &members{g: g, woken: make(chan struct{}, 1), probe: probeEvery}
+}
 
 // wake has the record looked after now, because it is gone.
 func (m *members) wake() {
@@ -62,11 +67,7 @@
 			pause = time.Duration(float64(fedKeep) * (1 - keepJitter*rand.Float64()))
 		}
 		if m.failing {
-			pause = time.Duration(float64(probeEvery) * (0.5 + rand.Float64()))
-		}
-		if m.failing {
-			duty.Sleep(ctx, pause)
-			continue
+			pause = m.probePause()
 		}
 		select {
 		case <-time.After(pause):
@@ -76,6 +77,18 @@
 	}
 }
 
+// probePause is the pause before a store that doesn't answer is asked again. Refused calls
+// cost as much as others; a router that follows a leader is told when the store is back, and
+// asks less and less often.
+func (m *members) probePause() time.Duration {
+	pause := probeEvery
+	if m.g.follow.waits() {
+		pause = min(m.probe, maxProbe)
+		m.probe = 2 * pause
+	}
+	return time.Duration(float64(pause) * (0.5 + rand.Float64()))
+}
+
 // judge opens or shuts the gate for all other calls by how this one ended.
 func (m *members) judge(err error) {
 	if err != nil {
@@ -87,6 +100,7 @@
 		return
 	}
 	m.g.gate.open()
+	m.probe = probeEvery
 	if m.failing {
 		m.failing = false
 		m.g.follow.rewatch()
