See by requests that wait that a target has turned slow, and by a few answers that it hasn't

Cause: a target's speed is learned from answers, and the first late one comes after six seconds; once it is known, a target with few keys left gives too few answers to be found fast again.

Work at a target that makes no progress for 2.5 service times now counts for its expected time, and for services divided by key routers report it, once for each time that it has doubled; the leader learns from it like from some three answers. Answers of less than half of the known time count five times as much.

TestTargetThatTurnsSlowShowsBeforeItsFirstLateAnswer fails before.

--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -19,6 +19,9 @@
 	// to its mean: about the time that one request is at work, after which the report says
 	// nothing of who is there now.
 	othersMemory = 200 * time.Millisecond
+	// stallFactor is how many service times work must have made no progress for to tell of the
+	// target's speed: hardly a request takes that long by itself.
+	stallFactor = 2.5
 	// reportFresh is how old the report of an answer is at most when its end is noted.
 	reportFresh = 20 * time.Millisecond
 	// othersGain is the weight of a new report in the mean of the others' work.
@@ -84,6 +87,10 @@
 	// not be opened, until triedAgain.
 	unreached  time.Duration
 	triedAgain time.Time
+	// progressAt is when work at the target last ended, or began where there was none, and
+	// stallTold the stall that TakePaces told last of the present one.
+	progressAt time.Time
+	stallTold  time.Duration
 	// pressedAt is when the target last showed that it has too much to do.
 	pressedAt time.Time
 }
@@ -116,6 +123,9 @@
 		l.conns = 0
 	}
 	l.usedAt = now
+	if l.inFlight == 0 {
+		l.progressAt, l.stallTold = now, 0
+	}
 	l.inFlight++
 	l.conns = max(l.conns, l.inFlight)
 }
@@ -124,6 +134,22 @@
 func (l *Load) end(now time.Time) {
 	l.inFlight = max(l.inFlight-1, 0)
 	l.usedAt = now
+	l.progressAt, l.stallTold = now, 0
+}
+
+// stall is how long this router's work at the target has made no progress, where that is
+// longer than stallFactor times the service time, in seconds; else zero.
+//
+// It answers targets that turn many times slower: their first late answer comes after most
+// of the time for which they are slow.
+func (l *Load) stall(now time.Time, service float64) float64 {
+	if l.inFlight == 0 {
+		return 0
+	}
+	if stall := now.Sub(l.progressAt).Seconds(); stall > stallFactor*service {
+		return stall
+	}
+	return 0
 }
 
 // cold reports whether no connection to the target is left.
@@ -153,7 +179,7 @@
 	if now.Before(l.ColdUntil) {
 		t = math.Max(t, mean*coldFactor)
 	}
-	return t
+	return math.Max(t, l.stall(now, t))
 }
 
 // wait is how long a new request would wait for a slot, in seconds.
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -15,8 +15,15 @@
 	// Waiting is the most requests that the target said wait for its slots, and Failed counts
 	// those that it turned away or broke off.
 	Waiting, Failed int
+	// Stalled is for how long work at the target has made no progress; zero where it has.
+	Stalled time.Duration
 }
 
+// stallGain is the weight of a stall that a router reports in the mean service time of a
+// target. It is some answers' worth: a target that answers others at its usual speed has a
+// request or two that got lost, one that doesn't has become slow.
+const stallGain = 0.1
+
 // pressedFor is for how long a target counts as pressed after the last sign of it.
 const pressedFor = 500 * time.Millisecond
 
@@ -28,6 +35,9 @@
 // answers of all routers count; it remembers about the last thirty.
 const sharedGain = 0.03
 
+// recoveryGain is that of an answer which took less than half of the mean.
+const recoveryGain = 0.15
+
 // note remembers an answer's service time for TakePaces, where the speeds decide who holds
 // which keys.
 func (s *Service) note(id string, sample float64) {
@@ -71,7 +81,8 @@
 // It answers a target that is half as fast as the others, or turns slow: one router of
 // nine gets an answer of it every two seconds, and knows after twenty seconds what all of
 // them together know after two.
-func (s *Service) TakePaces() []Pace {
+func (s *Service) TakePaces(now time.Time) []Pace {
+	s.noteStalls(now)
 	var all []Pace
 	for id, p := range s.paces {
 		all = append(all, *p)
@@ -80,6 +91,34 @@
 	return all
 }
 
+// answerGain is the weight of another router's answers that took so long on average, in
+// seconds. A target that was slow and has few keys left gets few requests; that it is fast
+// again must show by those.
+func (l *Load) answerGain(mean float64) float64 {
+	if mean < l.service/2 {
+		return recoveryGain
+	}
+	return sharedGain
+}
+
+// noteStalls remembers work that makes no progress, once for each time its stall has doubled.
+func (s *Service) noteStalls(now time.Time) {
+	if !s.byKey {
+		return
+	}
+	for _, l := range s.order {
+		if l.inFlight == 0 {
+			continue
+		}
+		usual := math.Max(l.service, s.mean)
+		stall := time.Duration(l.stall(now, usual*l.stayed(now, 1)) * float64(time.Second))
+		if stall > 0 && stall >= 2*l.stallTold {
+			l.stallTold = stall
+			s.paceOf(l.ID).Stalled = stall
+		}
+	}
+}
+
 // LearnPaces takes in what answers told another router.
 func (s *Service) LearnPaces(now time.Time, paces []Pace) {
 	for _, p := range paces {
@@ -88,7 +127,10 @@
 			continue
 		}
 		if p.Answers > 0 && p.Mean > 0 {
-			l.learn(p.Answers, p.Mean.Seconds(), s.mean, sharedGain)
+			l.learn(p.Answers, p.Mean.Seconds(), s.mean, l.answerGain(p.Mean.Seconds()))
+		}
+		if p.Stalled.Seconds() > math.Max(l.service, s.mean) {
+			l.learn(1, p.Stalled.Seconds(), s.mean, stallGain)
 		}
 		if p.Failed > 0 || p.Waiting >= l.Slots && p.Waiting > 0 {
 			l.pressedAt = now
--- a/core/dispatch/pace_test.go
+++ b/core/dispatch/pace_test.go
@@ -35,7 +35,7 @@
 		follower, _ := keyed("slow", target("slow", "here"), target("fast", "here"))
 		served(follower, "slow", 2, slow)
 		served(follower, "fast", 2, fast)
-		leader.LearnPaces(start, follower.TakePaces())
+		leader.LearnPaces(start, follower.TakePaces(start))
 	}
 	together := leader.ServiceTime("slow") / leader.ServiceTime("fast")
 	assert.Assert(t, together > 1.6, "%v of %v", together, slow.Seconds()/fast.Seconds())
@@ -44,7 +44,7 @@
 	newcomer.SetPaces(leader.NewPaces())
 	assert.Assert(t, newcomer.ServiceTime("slow") > 1.6*newcomer.ServiceTime("fast"))
 	assert.Equal(t, len(leader.NewPaces()), 0, "what has not changed is not told again")
-	assert.Equal(t, len(newcomer.TakePaces()), 0, "what was heard is not reported as an answer")
+	assert.Equal(t, len(newcomer.TakePaces(start)), 0, "what was heard is not reported as an answer")
 }
 
 // What answers of targets that are gone told is not kept, however many come and go.
@@ -53,7 +53,7 @@
 	served(s, "a", 1, time.Second)
 	served(s, "b", 1, time.Second)
 	s.SetTargets([]directory.Target{target("b", "here")})
-	paces := s.TakePaces()
+	paces := s.TakePaces(start)
 	assert.Equal(t, len(paces), 1)
 	assert.Equal(t, paces[0].Target, "b")
 }
@@ -88,3 +88,33 @@
 	}
 	assert.Assert(t, s.ServiceTime("busy") < 1.3*service.Seconds(), "%v", s.ServiceTime("busy"))
 }
+
+// Guards against a target that turns many times slower and keeps its keys until the first of
+// its late answers, and against one that is fast again and isn't given any.
+func TestTargetThatTurnsSlowShowsBeforeItsFirstLateAnswer(t *testing.T) {
+	const usual = 400 * time.Millisecond
+	leader, _ := keyed("a", target("a", "here"), target("b", "here"))
+	for _, id := range []string{"a", "b"} {
+		served(leader, id, 40, usual)
+	}
+	before := leader.ServiceTime("a")
+	var routers []*Service
+	for i := range 20 {
+		r, key := keyed("a", target("a", "here"), target("b", "here"))
+		served(r, "a", 40, usual)
+		r.TakePaces(start)
+		assert.Equal(t, r.Offer(at(50*i), Request{ID: 1, Key: key}).Verdict, Send)
+		routers = append(routers, r)
+	}
+	for now := 200; now <= 3000; now += 200 {
+		for _, r := range routers {
+			leader.LearnPaces(at(now), r.TakePaces(at(now)))
+		}
+	}
+	assert.Assert(t, leader.ServiceTime("a") > 2*before, "%v of %v", leader.ServiceTime("a"), before)
+	assert.Assert(t, leader.ServiceTime("b") < 1.1*before)
+	for range 12 {
+		leader.LearnPaces(at(9000), []Pace{{Target: "a", Answers: 1, Mean: usual}})
+	}
+	assert.Assert(t, leader.ServiceTime("a") < 2*before, "%v of %v", leader.ServiceTime("a"), before)
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -193,7 +193,7 @@
 func (s *service) takePaces() []dispatch.Pace {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.TakePaces()
+	return s.core.TakePaces(time.Now())
 }
 
 // learnPaces takes in what another router's answers told it.
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -117,7 +117,7 @@
 	for _, pace := range paces {
 		p.Paces = append(p.Paces, &feedpb.Pace{
 			Target: pace.Target, Answers: uint32(pace.Answers), MeanUs: uint32(min(pace.Mean.Microseconds(), math.MaxUint32)),
-			Waiting: uint32(pace.Waiting), Failed: uint32(pace.Failed),
+			Waiting: uint32(pace.Waiting), Failed: uint32(pace.Failed), StalledMs: uint32(pace.Stalled.Milliseconds()),
 		})
 	}
 	return p
@@ -128,7 +128,7 @@
 	for _, pace := range p.GetPaces() {
 		paces.Paces = append(paces.Paces, dispatch.Pace{
 			Target: pace.GetTarget(), Answers: int(pace.GetAnswers()), Mean: time.Duration(pace.GetMeanUs()) * time.Microsecond,
-			Waiting: int(pace.GetWaiting()), Failed: int(pace.GetFailed()),
+			Waiting: int(pace.GetWaiting()), Failed: int(pace.GetFailed()), Stalled: time.Duration(pace.GetStalledMs()) * time.Millisecond,
 		})
 	}
 	return paces
