--- a/cmd/tarragonctl/log.go
+++ b/cmd/tarragonctl/log.go
@@ -31,7 +31,7 @@
 
 // beliefLines are the lines whose last one before a request says what it was decided by.
 var beliefLines = []string{
-	`msg="configuration in force"`, `msg="division of keys in force"`, `msg="targets changed"`, "msg=leads", `msg="leads no more"`,
+	`msg="configuration in force"`, `msg="key table updated"`, `msg="targets changed"`, `msg="leadership taken"`, `msg="leadership lost"`,
 	"msg=fed", `msg="feed lost"`, `msg="store lost"`, `msg="store regained"`,
 }
 
--- a/cmd/tarragongw/serve_pause_test.go
+++ b/cmd/tarragongw/serve_pause_test.go
@@ -138,7 +138,7 @@
 func (s *system) leader() *process {
 	for _, p := range s.routers {
 		log := p.output.String()
-		if leads := strings.LastIndex(log, "msg=leads "); leads > strings.LastIndex(log, `msg="leads no more"`) {
+		if leads := strings.LastIndex(log, `msg="leadership taken" `); leads > strings.LastIndex(log, `msg="leadership lost"`) {
 			return p
 		}
 	}
@@ -218,7 +218,7 @@
 	})
 	silent.IgnoreOrders(0)
 	assert.NilError(t, old.cmd.Process.Signal(syscall.SIGCONT))
-	eventually(t, "the old leader knows", func() bool { return strings.Contains(old.output.String(), `msg="leads no more"`) })
+	eventually(t, "the old leader knows", func() bool { return strings.Contains(old.output.String(), `msg="leadership lost"`) })
 	for _, p := range s.routers {
 		for _, key := range keys {
 			eventually(t, p.name+" serves again", func() bool { return s.read(p, key) == http.StatusOK })
--- a/gateway/beliefs.go
+++ b/gateway/beliefs.go
@@ -328,7 +328,7 @@
 func (b *beliefs) logTable(t *feed.Table) {
 	l := b.tableLogs[t.Table.Service]
 	if now := time.Now(); now.Sub(l.at) >= tableLogInterval {
-		b.g.log.Info("division of keys in force", "service", t.Table.Service, "revision", t.Revision, "sequence", t.Sequence,
+		b.g.log.Info("key table updated", "service", t.Table.Service, "revision", t.Revision, "sequence", t.Sequence,
 			"segments", len(t.Table.Segments), "changes_before", l.skipped)
 		l = tableLog{at: now}
 	} else {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -379,7 +379,7 @@
 func (l *leader) begin(m *campaigned) {
 	l.campaigning = false
 	if m.err != nil {
-		l.g.log.Info("lead not taken", "err", m.err)
+		l.g.log.Info("campaign lost", "err", m.err)
 		l.notBefore = time.Now().Add(campaignPause)
 		return
 	}
@@ -391,7 +391,7 @@
 	own := l.g.follow.promisedElsewhere(leaderSeen{revision: m.term.revision})
 	l.term.backing = newBacking(l.g.opts.Name, l.g.opts.Clock.Now()+own)
 	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision, present: true}
-	l.g.log.Info("leads", "revision", m.term.revision)
+	l.g.log.Info("leadership taken", "revision", m.term.revision)
 	l.g.follow.lead(m.term)
 	l.g.workers.Run(func() { l.keep(m.term) })
 	l.g.workers.Run(func() { l.beat(m.term) })
@@ -414,7 +414,7 @@
 }
 
 func (l *leader) endTerm(why string) {
-	l.g.log.Info("leads no more", "why", why, "revision", l.term.revision)
+	l.g.log.Info("leadership lost", "why", why, "revision", l.term.revision)
 	l.term.end()
 	l.term = nil
 	l.g.follow.lead(nil)
