--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -52,10 +52,10 @@
 	// leader try some hundred ranges.
 	retryOrder    = 50 * time.Millisecond
 	maxRetryOrder = 400 * time.Millisecond
-	// rangesPerSeat is the number of ranges for each target above which neighbours are
+	// rangesPerTarget is the number of ranges for each target above which neighbours are
 	// merged, and mergeEvery how often.
-	rangesPerSeat = 3
-	mergeEvery    = 2 * time.Second
+	rangesPerTarget = 3
+	mergeEvery      = 2 * time.Second
 	// gatherPause is how long after the last new target a new service's keys are given out,
 	// and gatherMost how long after the first at the latest.
 	gatherPause = 1200 * time.Millisecond
@@ -229,11 +229,11 @@
 
 // Assigner holds the keys of one service. It is not safe for concurrent use.
 type Assigner struct {
-	cfg       Config
-	service   string
-	nextToken uint64
-	spans     []span
-	seats     map[string]*seat
+	cfg        Config
+	service    string
+	nextToken  uint64
+	spans      []span
+	candidates map[string]*candidate
 	// ended has the lives of targets that are over for certain.
 	ended map[keyspace.Holder]bool
 	load  *LoadTracker
@@ -262,7 +262,7 @@
 // nil where there is none yet.
 func TakeOver(now time.Time, cfg Config, service string, table *keyspace.Table) *Assigner {
 	a := &Assigner{
-		cfg: cfg.withDefaults(), service: service, seats: map[string]*seat{}, load: NewLoadTracker(),
+		cfg: cfg.withDefaults(), service: service, candidates: map[string]*candidate{}, load: NewLoadTracker(),
 		orders: map[uint64]pending{},
 	}
 	if table == nil {
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -149,13 +149,13 @@
 	a := settled(t, "a")
 	now := after(gatherPause)
 	for range 5 {
-		a.noteSeat(now, "a", Unanswered)
+		a.noteOutcome(now, "a", Unanswered)
 	}
-	assert.Assert(t, !a.seats["a"].lost)
-	a.noteSeat(now.Add(loseAfter), "a", Unanswered)
-	assert.Assert(t, a.seats["a"].lost)
-	a.noteSeat(now.Add(loseAfter), "a", Accepted)
-	assert.Assert(t, !a.seats["a"].lost)
+	assert.Assert(t, !a.candidates["a"].lost)
+	a.noteOutcome(now.Add(loseAfter), "a", Unanswered)
+	assert.Assert(t, a.candidates["a"].lost)
+	a.noteOutcome(now.Add(loseAfter), "a", Accepted)
+	assert.Assert(t, !a.candidates["a"].lost)
 }
 
 // Popular keys that lie close together are spread over the targets within a few moves, and
@@ -167,7 +167,7 @@
 	moved := 0
 	hottest := func() (most float64, holder string) {
 		p := a.planWith(now, nil)
-		for _, at := range p.seats {
+		for _, at := range p.candidates {
 			if at.utilisation() > most {
 				most, holder = at.utilisation(), at.target.ID
 			}
@@ -296,6 +296,6 @@
 		assert.Assert(t, len(orders) > 0)
 		a.Done(now.Add(300*time.Millisecond), orders[0].ID, c.outcome, "")
 		assert.Equal(t, a.spans[0].lapse.After(before), c.later, "%v", c.outcome)
-		assert.Equal(t, a.seats["a"].failures, 1, "%v", c.outcome)
+		assert.Equal(t, a.candidates["a"].failures, 1, "%v", c.outcome)
 	}
 }
--- a/core/assign/seats.go
+++ b/core/assign/candidates.go
@@ -7,11 +7,11 @@
 	"tarragongw/core/keyspace"
 )
 
-// seat is what the leader knows of one target.
-type seat struct {
+// candidate is what the leader knows of one target.
+type candidate struct {
 	target directory.Target
 	// failures counts orders without an answer since the last one with, which came at
-	// answered; for a new seat that is when it was seen first.
+	// answered; for a new candidate that is when it was seen first.
 	failures int
 	answered time.Time
 	lost     bool
@@ -19,20 +19,20 @@
 
 // SetTargets tells the targets that there are.
 func (a *Assigner) SetTargets(now time.Time, targets []directory.Target) {
-	seats := make(map[string]*seat, len(targets))
+	candidates := make(map[string]*candidate, len(targets))
 	for _, t := range targets {
 		if t.Service != a.service {
 			continue
 		}
-		s, known := a.seats[t.ID]
+		s, known := a.candidates[t.ID]
 		if !known || s.target.Born != t.Born || s.target.Address != t.Address {
-			s = &seat{answered: now}
+			s = &candidate{answered: now}
 			a.grown = now
 		}
 		s.target = t
-		seats[t.ID] = s
+		candidates[t.ID] = s
 	}
-	a.seats = seats
+	a.candidates = candidates
 }
 
 // SetEnded tells which lives of targets have ended for certain; they hold nothing any more.
@@ -60,17 +60,17 @@
 }
 
 // takes reports whether the target may be given keys.
-func (s *seat) takes() bool { return s != nil && !s.lost && !s.target.Draining }
+func (s *candidate) takes() bool { return s != nil && !s.lost && !s.target.Draining }
 
-func (a *Assigner) noteSeat(now time.Time, id string, outcome Outcome) {
-	seat := a.seats[id]
-	if seat == nil {
+func (a *Assigner) noteOutcome(now time.Time, id string, outcome Outcome) {
+	candidate := a.candidates[id]
+	if candidate == nil {
 		return
 	}
 	if outcome.known() {
-		seat.failures, seat.lost, seat.answered = 0, false, now
+		candidate.failures, candidate.lost, candidate.answered = 0, false, now
 		return
 	}
-	seat.failures++
-	seat.lost = seat.lost || seat.failures >= failuresToLose && now.Sub(seat.answered) >= loseAfter
+	candidate.failures++
+	candidate.lost = candidate.lost || candidate.failures >= failuresToLose && now.Sub(candidate.answered) >= loseAfter
 }
--- a/core/assign/limits.go
+++ b/core/assign/limits.go
@@ -47,7 +47,7 @@
 // holder is pressed, and then follows whether it still is.
 func (a *Assigner) Limits(now time.Time, speeds Speeds, pressed func(target string) bool, unseen float64) []keyspace.Limit {
 	p := a.planWith(now, speeds)
-	rate, usual := unseen*a.load.rate(), usualServiceTime(a.seats, speeds)
+	rate, usual := unseen*a.load.rate(), usualServiceTime(a.candidates, speeds)
 	limits := map[keyspace.Key]keyLimit{}
 	var all []keyspace.Limit
 	a.load.eachKey(func(key keyspace.Key, load float64) {
@@ -55,7 +55,7 @@
 		if at == nil {
 			return
 		}
-		asked, capacity := load*rate, 1/math.Min(at.cost, costOf(at.seat, mostSlow*usual))
+		asked, capacity := load*rate, 1/math.Min(at.cost, costOf(at.candidate, mostSlow*usual))
 		limit, limited := a.limits[key]
 		switch {
 		case limited:
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -59,22 +59,22 @@
 }
 
 func (a *Assigner) sendRelease(s *span, actions *Actions) {
-	seat := a.seats[s.Target]
-	if seat == nil {
+	candidate := a.candidates[s.Target]
+	if candidate == nil {
 		return // there is nobody to ask; the grant lapses
 	}
 	s.releaseSent = true
-	a.order(s, actions, Order{Kind: Release, Holder: s.Holder, Address: seat.target.Address, From: s.From, To: s.To, Token: s.fence})
+	a.order(s, actions, Order{Kind: Release, Holder: s.Holder, Address: candidate.target.Address, From: s.From, To: s.To, Token: s.fence})
 }
 
 func (a *Assigner) sendGrant(now time.Time, s *span, actions *Actions) {
-	seat := a.seats[s.Target]
-	if seat == nil {
+	candidate := a.candidates[s.Target]
+	if candidate == nil {
 		return
 	}
 	a.order(s, actions, Order{
-		Kind: Grant, Holder: s.Holder, Address: seat.target.Address, From: s.From, To: s.To, Token: s.Token,
-		Hold: a.holdFor(now, s, seat), Handover: s.handover, First: !s.firstSent,
+		Kind: Grant, Holder: s.Holder, Address: candidate.target.Address, From: s.From, To: s.To, Token: s.Token,
+		Hold: a.holdFor(now, s, candidate), Handover: s.handover, First: !s.firstSent,
 	})
 	s.firstSent = true
 }
@@ -82,12 +82,12 @@
 // holdFor is how long a grant is to last. To a holder that left an order unanswered it
 // lasts no longer than what it may have already: each further try would else put off the
 // moment from which its keys can be given to another.
-func (a *Assigner) holdFor(now time.Time, s *span, seat *seat) time.Duration {
+func (a *Assigner) holdFor(now time.Time, s *span, candidate *candidate) time.Duration {
 	hold := a.cfg.Hold
 	if a.storeAway {
 		hold = a.cfg.LongHold
 	}
-	if seat.failures == 0 || !s.acked {
+	if candidate.failures == 0 || !s.acked {
 		return hold
 	}
 	left := s.lapsed().Sub(now) - WireDelay - lapseMargin
@@ -116,7 +116,7 @@
 	i := a.find(p.from)
 	s := &a.spans[i]
 	s.busy = false
-	a.noteSeat(now, s.Target, outcome)
+	a.noteOutcome(now, s.Target, outcome)
 	if p.kind == Release {
 		a.released(now, s, outcome, handover)
 		return
@@ -171,7 +171,7 @@
 			s.due = now // a try that was short by intent, see holdFor; the target answers again
 		}
 	case Superseded:
-		a.regrant(s)
+		a.renewToken(s)
 	default:
 		s.due = now.Add(a.backoff(s, retryOrder, maxRetryOrder))
 	}
@@ -179,11 +179,11 @@
 
 // backoff is the pause before the next order to a range's holder after one that failed.
 func (a *Assigner) backoff(s *span, first, most time.Duration) time.Duration {
-	seat := a.seats[s.Target]
-	if seat == nil {
+	candidate := a.candidates[s.Target]
+	if candidate == nil {
 		return most
 	}
-	return min(first*time.Duration(max(seat.failures, 1)), most)
+	return min(first*time.Duration(max(candidate.failures, 1)), most)
 }
 
 func earlierOf(a, b time.Time) time.Time {
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -32,10 +32,10 @@
 	// innerGain is how many times fewer keys a range in the middle of another must have to
 	// be moved rather than one at an end: it leaves one range more behind.
 	innerGain = 2
-	// movingPerSeat and minMoving bound the ranges that are on their way at once, by the
+	// movingPerTarget and minMoving bound the ranges that are on their way at once, by the
 	// number of targets.
-	movingPerSeat = 0.5
-	minMoving     = 8
+	movingPerTarget = 0.5
+	minMoving       = 8
 	// defaultServiceTime is used where no target's own is known, in seconds.
 	defaultServiceTime = 0.15
 )
@@ -44,9 +44,9 @@
 // not known.
 type Speeds func(target string) float64
 
-// place is a target with the load that it has in a plan.
-type place struct {
-	*seat
+// candidateLoad is a target with the load that it has in a plan.
+type candidateLoad struct {
+	*candidate
 	// cost is the part of the target's time that one request takes.
 	cost float64
 	load float64
@@ -56,13 +56,13 @@
 	hot  bool
 }
 
-func (p *place) utilisation() float64 { return p.load * p.cost }
+func (p *candidateLoad) utilisation() float64 { return p.load * p.cost }
 
 // plan is the load of all targets that take keys.
 type plan struct {
-	load  *LoadTracker
-	seats []*place
-	byID  map[string]*place
+	load       *LoadTracker
+	candidates []*candidateLoad
+	byID       map[string]*candidateLoad
 }
 
 // newPlan adds up what each target holds now. Keys that are on their way count for the
@@ -71,17 +71,17 @@
 
 func (a *Assigner) planWith(now time.Time, speeds Speeds) *plan {
 	a.load.expire(now)
-	p := &plan{load: a.load, byID: map[string]*place{}}
-	usual := usualServiceTime(a.seats, speeds)
-	for id, s := range a.seats {
+	p := &plan{load: a.load, byID: map[string]*candidateLoad{}}
+	usual := usualServiceTime(a.candidates, speeds)
+	for id, s := range a.candidates {
 		if !s.takes() {
 			continue
 		}
-		at := &place{seat: s, cost: costOf(s, serviceTime(id, speeds, usual))}
-		p.seats = append(p.seats, at)
+		at := &candidateLoad{candidate: s, cost: costOf(s, serviceTime(id, speeds, usual))}
+		p.candidates = append(p.candidates, at)
 		p.byID[id] = at
 	}
-	sort.Slice(p.seats, func(i, j int) bool { return p.seats[i].target.ID < p.seats[j].target.ID })
+	sort.Slice(p.candidates, func(i, j int) bool { return p.candidates[i].target.ID < p.candidates[j].target.ID })
 	for i := range a.spans {
 		s := &a.spans[i]
 		holder := s.Target
@@ -97,9 +97,9 @@
 }
 
 // usualServiceTime is the mean of those that are known, in seconds.
-func usualServiceTime(seats map[string]*seat, speeds Speeds) float64 {
+func usualServiceTime(candidates map[string]*candidate, speeds Speeds) float64 {
 	sum, known := 0.0, 0
-	for id := range seats {
+	for id := range candidates {
 		if t := serviceTime(id, speeds, 0); t > 0 {
 			sum += t
 			known++
@@ -121,16 +121,16 @@
 	return usual
 }
 
-func costOf(s *seat, serviceTime float64) float64 {
+func costOf(s *candidate, serviceTime float64) float64 {
 	return serviceTime / float64(max(s.target.Slots, 1))
 }
 
-// least returns the seat with the least utilisation.
-func (p *plan) least() *seat { return p.leastPlace().seat }
+// least returns the candidate with the least utilisation.
+func (p *plan) least() *candidate { return p.leastPlace().candidate }
 
-func (p *plan) leastPlace() *place {
-	least := p.seats[0]
-	for _, at := range p.seats[1:] {
+func (p *plan) leastPlace() *candidateLoad {
+	least := p.candidates[0]
+	for _, at := range p.candidates[1:] {
 		if at.utilisation() < least.utilisation() {
 			least = at
 		}
@@ -138,7 +138,7 @@
 	return least
 }
 
-func (p *plan) add(s *seat, from, to keyspace.Key) {
+func (p *plan) add(s *candidate, from, to keyspace.Key) {
 	if at := p.byID[s.target.ID]; at != nil {
 		at.load += p.load.of(from, to)
 	}
@@ -147,7 +147,7 @@
 // splitFree cuts free ranges into parts of the load that one target should get.
 func (a *Assigner) splitFree(p *plan) {
 	whole := a.load.of(0, keyspace.LastKey)
-	part := whole / float64(len(p.seats))
+	part := whole / float64(len(p.candidates))
 	for i := 0; i < len(a.spans); i++ {
 		s := &a.spans[i]
 		if s.Target != "" || s.next != "" || s.Len() < 2 {
--- a/core/assign/ranges.go
+++ b/core/assign/ranges.go
@@ -9,7 +9,7 @@
 // merge makes one range of neighbours that are held by one target, once there are many:
 // each range costs a renewal twice a second. The range is granted under a new token.
 func (a *Assigner) merge(now time.Time) {
-	if a.storeAway || a.writing || now.Before(a.mergeDue) || len(a.spans) <= rangesPerSeat*len(a.seats) {
+	if a.storeAway || a.writing || now.Before(a.mergeDue) || len(a.spans) <= rangesPerTarget*len(a.candidates) {
 		return
 	}
 	a.mergeDue = now.Add(mergeEvery)
@@ -17,7 +17,7 @@
 	var joined []int
 	for _, s := range a.spans[1:] {
 		last := &kept[len(kept)-1]
-		if last.Holder != s.Holder || !last.atRest() || !s.atRest() {
+		if last.Holder != s.Holder || !last.idle() || !s.idle() {
 			kept = append(kept, s)
 			continue
 		}
@@ -28,12 +28,12 @@
 	}
 	a.spans = kept
 	for _, i := range joined {
-		a.regrant(&a.spans[i])
+		a.renewToken(&a.spans[i])
 	}
 }
 
-// atRest reports whether nothing is under way with the range.
-func (s *span) atRest() bool {
+// idle reports whether nothing is under way with the range.
+func (s *span) idle() bool {
 	return s.Target != "" && s.acked && !s.busy && !s.Moving && !s.inherited
 }
 
@@ -42,7 +42,7 @@
 func (a *Assigner) Begin(now time.Time, m Move) bool {
 	i := a.find(m.From)
 	s := &a.spans[i]
-	if a.storeAway || s.Moving || s.busy || s.Target == "" || s.Target == m.Target || m.To > s.To || !a.seats[m.Target].takes() {
+	if a.storeAway || s.Moving || s.busy || s.Target == "" || s.Target == m.Target || m.To > s.To || !a.candidates[m.Target].takes() {
 		return false
 	}
 	a.carve(i, m.From, m.To)
--- a/core/assign/rebalance.go
+++ b/core/assign/rebalance.go
@@ -18,12 +18,12 @@
 // chance makes the busiest of hundreds of targets look busy.
 func (a *Assigner) Rebalance(now time.Time, speeds Speeds, unseen float64) []Move {
 	p := a.planWith(now, speeds)
-	if len(p.seats) < 2 || unseen <= 0 {
+	if len(p.candidates) < 2 || unseen <= 0 {
 		return nil
 	}
 	rate := unseen * a.load.rate()
 	p.expect(a.load.total())
-	room := max(int(movingPerSeat*float64(len(p.seats))), minMoving) - a.Moving()
+	room := max(int(movingPerTarget*float64(len(p.candidates))), minMoving) - a.Moving()
 	fill := p.fill(rate)
 	var moves []Move
 	for _, d := range p.donors(fill, rate) {
@@ -46,18 +46,18 @@
 // It answers hundreds of targets with some dozen requests each: a slow one is found by its
 // speed and its keys, and not put off by the noise of their load.
 func (p *plan) expect(total float64) {
-	deviations := math.Sqrt(2 * math.Log(float64(len(p.seats))))
-	even := func(at *place) float64 { return total * at.keys }
-	chance := func(at *place) float64 { return deviations * math.Sqrt(math.Max(even(at), 1)) }
+	deviations := math.Sqrt(2 * math.Log(float64(len(p.candidates))))
+	even := func(at *candidateLoad) float64 { return total * at.keys }
+	chance := func(at *candidateLoad) float64 { return deviations * math.Sqrt(math.Max(even(at), 1)) }
 	// What hot ranges have beyond their part doesn't lie on the others' keys.
 	beyond := 0.0
-	for _, at := range p.seats {
+	for _, at := range p.candidates {
 		if at.load > even(at)+chance(at) {
 			beyond += at.load - even(at)
 		}
 	}
 	total = math.Max(total-beyond, 0)
-	for _, at := range p.seats {
+	for _, at := range p.candidates {
 		switch difference := at.load - even(at); {
 		case difference > chance(at):
 			at.load, at.hot = at.load-chance(at), true
@@ -72,25 +72,25 @@
 // fill is the utilisation that targets are to have at most, by their number of slots: a
 // little more than the mean of all, so that there is room for what must move, or that up to
 // which nobody waits.
-func (p *plan) fill(rate float64) func(*place) float64 {
+func (p *plan) fill(rate float64) func(*candidateLoad) float64 {
 	load, capacity := 0.0, 0.0
-	for _, at := range p.seats {
+	for _, at := range p.candidates {
 		load += at.load
 		capacity += 1 / at.cost
 	}
-	usual := capacity / float64(len(p.seats)) // what one target can do, in requests
+	usual := capacity / float64(len(p.candidates)) // what one target can do, in requests
 	load -= p.load.beyond(usual / rate)
 	mean := load / capacity
 	mean += spareShare * math.Max(1/rate-mean, 0)
-	return func(at *place) float64 {
+	return func(at *candidateLoad) float64 {
 		return math.Max(mean, (1-staffing/math.Sqrt(float64(max(at.target.Slots, 1))))/rate)
 	}
 }
 
 // donors returns the targets that have more load than they are to have, the busiest first.
-func (p *plan) donors(fill func(*place) float64, rate float64) []*place {
-	var all []*place
-	for _, at := range p.seats {
+func (p *plan) donors(fill func(*candidateLoad) float64, rate float64) []*candidateLoad {
+	var all []*candidateLoad
+	for _, at := range p.candidates {
 		if at.utilisation() > fill(at)+minGap/rate {
 			all = append(all, at)
 		}
@@ -100,7 +100,7 @@
 }
 
 // nextMove returns a move that takes load off the donor, and counts it.
-func (p *plan) nextMove(d *place, held *intervals, fill func(*place) float64, rate float64) (Move, bool) {
+func (p *plan) nextMove(d *candidateLoad, held *intervals, fill func(*candidateLoad) float64, rate float64) (Move, bool) {
 	excess := d.load - fill(d)/d.cost
 	receiver, room := p.roomiest(d, fill)
 	if receiver == nil {
@@ -121,10 +121,10 @@
 }
 
 // roomiest returns the target that can take the most load, and how much, in requests.
-func (p *plan) roomiest(donor *place, fill func(*place) float64) (*place, float64) {
-	var most *place
+func (p *plan) roomiest(donor *candidateLoad, fill func(*candidateLoad) float64) (*candidateLoad, float64) {
+	var most *candidateLoad
 	room := math.Inf(-1)
-	for _, at := range p.seats {
+	for _, at := range p.candidates {
 		if r := fill(at)/at.cost - at.load; at != donor && r > room {
 			most, room = at, r
 		}
@@ -146,7 +146,7 @@
 }
 
 // movable returns the holder's keys that are at rest.
-func (a *Assigner) movable(d *place) *intervals {
+func (a *Assigner) movable(d *candidateLoad) *intervals {
 	held := &intervals{load: func(from, to keyspace.Key) float64 { return d.load / d.keys * partOf(from, to) }}
 	weight := 0.0
 	for i := range a.spans {
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -81,15 +81,15 @@
 		if s.Target == "" {
 			continue
 		}
-		seat := a.seats[s.Target]
+		candidate := a.candidates[s.Target]
 		switch {
-		case seat != nil && seat.target.Born != s.Born:
-			a.rebirth(s, seat)
-		case seat == nil:
+		case candidate != nil && candidate.target.Born != s.Born:
+			a.rebirth(s, candidate)
+		case candidate == nil:
 			a.beginMove(now, s, "", true)
-		case seat.lost:
+		case candidate.lost:
 			a.beginMove(now, s, "", true)
-		case seat.target.Draining:
+		case candidate.target.Draining:
 			a.beginMove(now, s, "", false)
 		}
 	}
@@ -97,15 +97,15 @@
 
 // rebirth grants the keys anew to the same target's next life, which holds nothing; the
 // life before is over with its process.
-func (a *Assigner) rebirth(s *span, seat *seat) {
-	s.Holder, s.fresh = seat.target.Holder(), true
+func (a *Assigner) rebirth(s *span, candidate *candidate) {
+	s.Holder, s.fresh = candidate.target.Holder(), true
 	s.Moving, s.Lost, s.next, s.handover = false, false, "", ""
 	s.inherited, s.lapse, s.oldLapse = false, time.Time{}, time.Time{}
-	a.regrant(s)
+	a.renewToken(s)
 }
 
-// regrant starts a grant under a new token.
-func (a *Assigner) regrant(s *span) {
+// renewToken starts a grant under a new token.
+func (a *Assigner) renewToken(s *span) {
 	s.Token = a.takeToken()
 	s.acked, s.firstSent, s.due = false, false, time.Time{}
 	a.changed(s)
@@ -148,7 +148,7 @@
 		return
 	}
 	plan := a.newPlan(now)
-	if len(plan.seats) == 0 {
+	if len(plan.candidates) == 0 {
 		return
 	}
 	a.splitFree(plan)
@@ -157,13 +157,13 @@
 		if s.Target != "" {
 			continue
 		}
-		seat := a.seats[s.next]
-		if !seat.takes() {
-			seat = plan.least()
+		candidate := a.candidates[s.next]
+		if !candidate.takes() {
+			candidate = plan.least()
 		}
-		plan.add(seat, s.From, s.To)
-		s.Holder, s.next, s.fresh = seat.target.Holder(), "", true
-		a.regrant(s)
+		plan.add(candidate, s.From, s.To)
+		s.Holder, s.next, s.fresh = candidate.target.Holder(), "", true
+		a.renewToken(s)
 	}
 }
 
@@ -173,7 +173,7 @@
 	if !a.unborn {
 		return false
 	}
-	if len(a.seats) == 0 {
+	if len(a.candidates) == 0 {
 		return true
 	}
 	if a.since.IsZero() {
