Name what routers report of targets by the field's terms

A pace becomes a target's stats, paces service times, in core/dispatch, in the feed and on the wire between routers; no change of behaviour.

--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -76,7 +76,7 @@
 	// service is the mean time of an answer without its wait, in seconds; zero before the
 	// first.
 	service float64
-	// told is what NewPaces told of service last.
+	// told is what ChangedServiceTimes told of service last.
 	told float64
 	// failing is the share of work that failed, as of failedAt.
 	failing  float64
@@ -88,7 +88,7 @@
 	unreached  time.Duration
 	triedAgain time.Time
 	// progressAt is when work at the target last ended, or began where there was none, and
-	// stallTold the stall that TakePaces told last of the present one.
+	// stallTold the stall that DrainServiceTimes told last of the present one.
 	progressAt time.Time
 	stallTold  time.Duration
 	// pressedAt is when the target last showed that it has too much to do.
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -107,16 +107,16 @@
 	mean       float64
 	random     *rand.Rand
 	queue      queue
-	// paces are what answers told since TakePaces.
-	paces  map[string]*Pace
-	limits limits
+	// serviceTimes are what answers told since DrainServiceTimes.
+	serviceTimes map[string]*TargetStats
+	limits       limits
 }
 
 // New returns the decisions of a router in the data centre.
 func New(dataCentre string, byKey bool, random *rand.Rand) *Service {
 	return &Service{
 		dataCentre: dataCentre, byKey: byKey, loads: map[string]*Load{}, mean: initialService, random: random,
-		paces: map[string]*Pace{},
+		serviceTimes: map[string]*TargetStats{},
 	}
 }
 
@@ -139,9 +139,9 @@
 		}
 	}
 	s.loads = loads
-	for id := range s.paces {
+	for id := range s.serviceTimes {
 		if loads[id] == nil {
-			delete(s.paces, id)
+			delete(s.serviceTimes, id)
 		}
 	}
 }
--- a/core/dispatch/pace.go
+++ b/core/dispatch/targetstats.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Pace is what a number of answers tell of how long a target takes for a request, its wait
+// TargetStats is what a number of answers tell of how long a target takes for a request, its wait
 // not counted.
-type Pace struct {
+type TargetStats struct {
 	Target string
 	// Answers is how many the mean rests on.
 	Answers int
@@ -27,9 +27,9 @@
 // pressedFor is for how long a target counts as pressed after the last sign of it.
 const pressedFor = 500 * time.Millisecond
 
-// paceChange is by which part a target's service time must have changed to be told again;
+// serviceTimeChange is by which part a target's service time must have changed to be told again;
 // the time of one request differs from the next by more than that.
-const paceChange = 0.15
+const serviceTimeChange = 0.15
 
 // sharedGain is the weight of a new answer in the mean service time of a target where the
 // answers of all routers count; it remembers about the last thirty.
@@ -38,33 +38,33 @@
 // recoveryGain is that of an answer which took less than half of the mean.
 const recoveryGain = 0.15
 
-// note remembers an answer's service time for TakePaces, where the speeds decide who holds
+// note remembers an answer's service time for DrainServiceTimes, where the speeds decide who holds
 // which keys.
 func (s *Service) note(id string, sample float64) {
 	if !s.byKey {
 		return
 	}
-	p := s.paceOf(id)
+	p := s.serviceTimeOf(id)
 	p.Answers++
 	p.Mean += (time.Duration(sample*float64(time.Second)) - p.Mean) / time.Duration(p.Answers)
 }
 
-func (s *Service) paceOf(id string) *Pace {
-	p := s.paces[id]
+func (s *Service) serviceTimeOf(id string) *TargetStats {
+	p := s.serviceTimes[id]
 	if p == nil {
-		p = &Pace{Target: id}
-		s.paces[id] = p
+		p = &TargetStats{Target: id}
+		s.serviceTimes[id] = p
 	}
 	return p
 }
 
-// notePressed remembers a sign that a target has too much to do, for TakePaces and Pressed.
+// notePressed remembers a sign that a target has too much to do, for DrainServiceTimes and Pressed.
 func (s *Service) notePressed(now time.Time, l *Load, waiting, failed int) {
 	if !s.byKey || waiting < l.Slots && failed == 0 {
 		return
 	}
 	l.pressedAt = now
-	p := s.paceOf(l.ID)
+	p := s.serviceTimeOf(l.ID)
 	p.Waiting = max(p.Waiting, waiting)
 	p.Failed += failed
 }
@@ -76,17 +76,17 @@
 	return l != nil && !l.pressedAt.IsZero() && now.Sub(l.pressedAt) < pressedFor
 }
 
-// TakePaces returns what answers told since the last call.
+// DrainServiceTimes returns what answers told since the last call.
 //
 // It answers a target that is half as fast as the others, or turns slow: one router of
 // nine gets an answer of it every two seconds, and knows after twenty seconds what all of
 // them together know after two.
-func (s *Service) TakePaces(now time.Time) []Pace {
+func (s *Service) DrainServiceTimes(now time.Time) []TargetStats {
 	s.noteStalls(now)
-	var all []Pace
-	for id, p := range s.paces {
+	var all []TargetStats
+	for id, p := range s.serviceTimes {
 		all = append(all, *p)
-		delete(s.paces, id)
+		delete(s.serviceTimes, id)
 	}
 	return all
 }
@@ -114,14 +114,14 @@
 		stall := time.Duration(l.stall(now, usual*l.stayed(now, 1)) * float64(time.Second))
 		if stall > 0 && stall >= 2*l.stallTold {
 			l.stallTold = stall
-			s.paceOf(l.ID).Stalled = stall
+			s.serviceTimeOf(l.ID).Stalled = stall
 		}
 	}
 }
 
-// LearnPaces takes in what answers told another router.
-func (s *Service) LearnPaces(now time.Time, paces []Pace) {
-	for _, p := range paces {
+// LearnServiceTimes takes in what answers told another router.
+func (s *Service) LearnServiceTimes(now time.Time, serviceTimes []TargetStats) {
+	for _, p := range serviceTimes {
 		l := s.loads[p.Target]
 		if l == nil {
 			continue
@@ -138,22 +138,22 @@
 	}
 }
 
-// NewPaces returns the service times that have changed since they were last returned.
-func (s *Service) NewPaces() []Pace {
-	var all []Pace
+// ChangedServiceTimes returns the service times that have changed since they were last returned.
+func (s *Service) ChangedServiceTimes() []TargetStats {
+	var all []TargetStats
 	for _, l := range s.order {
-		if l.service == 0 || l.told != 0 && math.Abs(l.service-l.told) < paceChange*l.told {
+		if l.service == 0 || l.told != 0 && math.Abs(l.service-l.told) < serviceTimeChange*l.told {
 			continue
 		}
 		l.told = l.service
-		all = append(all, Pace{Target: l.ID, Mean: time.Duration(l.service * float64(time.Second))})
+		all = append(all, TargetStats{Target: l.ID, Mean: time.Duration(l.service * float64(time.Second))})
 	}
 	return all
 }
 
-// SetPaces puts in force what all routers together know.
-func (s *Service) SetPaces(paces []Pace) {
-	for _, p := range paces {
+// SetServiceTimes puts in force what all routers together know.
+func (s *Service) SetServiceTimes(serviceTimes []TargetStats) {
+	for _, p := range serviceTimes {
 		if l := s.loads[p.Target]; l != nil && p.Mean > 0 {
 			l.service = p.Mean.Seconds()
 		}
--- a/core/dispatch/pace_test.go
+++ b/core/dispatch/targetstats_test.go
@@ -35,16 +35,16 @@
 		follower, _ := keyed("slow", target("slow", "here"), target("fast", "here"))
 		served(follower, "slow", 2, slow)
 		served(follower, "fast", 2, fast)
-		leader.LearnPaces(start, follower.TakePaces(start))
+		leader.LearnServiceTimes(start, follower.DrainServiceTimes(start))
 	}
 	together := leader.ServiceTime("slow") / leader.ServiceTime("fast")
 	assert.Assert(t, together > 1.6, "%v of %v", together, slow.Seconds()/fast.Seconds())
 
 	newcomer, _ := keyed("slow", target("slow", "here"), target("fast", "here"))
-	newcomer.SetPaces(leader.NewPaces())
+	newcomer.SetServiceTimes(leader.ChangedServiceTimes())
 	assert.Assert(t, newcomer.ServiceTime("slow") > 1.6*newcomer.ServiceTime("fast"))
-	assert.Equal(t, len(leader.NewPaces()), 0, "what has not changed is not told again")
-	assert.Equal(t, len(newcomer.TakePaces(start)), 0, "what was heard is not reported as an answer")
+	assert.Equal(t, len(leader.ChangedServiceTimes()), 0, "what has not changed is not told again")
+	assert.Equal(t, len(newcomer.DrainServiceTimes(start)), 0, "what was heard is not reported as an answer")
 }
 
 // What answers of targets that are gone told is not kept, however many come and go.
@@ -53,9 +53,9 @@
 	served(s, "a", 1, time.Second)
 	served(s, "b", 1, time.Second)
 	s.SetTargets([]directory.Target{target("b", "here")})
-	paces := s.TakePaces(start)
-	assert.Equal(t, len(paces), 1)
-	assert.Equal(t, paces[0].Target, "b")
+	serviceTimes := s.DrainServiceTimes(start)
+	assert.Equal(t, len(serviceTimes), 1)
+	assert.Equal(t, serviceTimes[0].Target, "b")
 }
 
 // Symptom: a target of which a third of the requests end without an answer keeps its keys.
@@ -102,19 +102,19 @@
 	for i := range 20 {
 		r, key := keyed("a", target("a", "here"), target("b", "here"))
 		served(r, "a", 40, usual)
-		r.TakePaces(start)
+		r.DrainServiceTimes(start)
 		assert.Equal(t, r.Offer(at(50*i), Request{ID: 1, Key: key}).Verdict, Send)
 		routers = append(routers, r)
 	}
 	for now := 200; now <= 3000; now += 200 {
 		for _, r := range routers {
-			leader.LearnPaces(at(now), r.TakePaces(at(now)))
+			leader.LearnServiceTimes(at(now), r.DrainServiceTimes(at(now)))
 		}
 	}
 	assert.Assert(t, leader.ServiceTime("a") > 2*before, "%v of %v", leader.ServiceTime("a"), before)
 	assert.Assert(t, leader.ServiceTime("b") < 1.1*before)
 	for range 12 {
-		leader.LearnPaces(at(9000), []Pace{{Target: "a", Answers: 1, Mean: usual}})
+		leader.LearnServiceTimes(at(9000), []TargetStats{{Target: "a", Answers: 1, Mean: usual}})
 	}
 	assert.Assert(t, leader.ServiceTime("a") < 2*before, "%v of %v", leader.ServiceTime("a"), before)
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -292,7 +292,7 @@
 				f.g.members.wake()
 			}
 			f.compare(u.Config)
-			f.g.setPaces(u.Paces)
+			f.g.setServiceTimes(u.ServiceTimes)
 			f.g.setLimits(u.Limits)
 			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
 				f.g.beliefs.duty.Tell(u)
@@ -362,7 +362,7 @@
 	defer f.g.mu.RUnlock()
 	for name, s := range f.g.services {
 		if s.byKey {
-			all = append(all, feed.Report{Service: name, Keys: s.heat.take(), Paces: s.takePaces()})
+			all = append(all, feed.Report{Service: name, Keys: s.heat.take(), ServiceTimes: s.drainServiceTimes()})
 		}
 	}
 	return all
@@ -559,14 +559,14 @@
 	for _, k := range r.Keys {
 		s.heat.add(k)
 	}
-	s.learnPaces(r.Paces)
+	s.learnServiceTimes(r.ServiceTimes)
 }
 
-// setPaces puts in force what the leader tells of the targets' speed.
-func (g *Gateway) setPaces(all []feed.Paces) {
+// setServiceTimes puts in force what the leader tells of the targets' speed.
+func (g *Gateway) setServiceTimes(all []feed.ServiceTimes) {
 	for _, p := range all {
 		if s := g.service(p.Service); s != nil {
-			s.setPaces(p.Paces)
+			s.setServiceTimes(p.Targets)
 		}
 	}
 }
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -57,9 +57,9 @@
 	// rebalanceEvery is how often the leader looks for keys to move; within it some dozen
 	// requests have come.
 	rebalanceEvery = 250 * time.Millisecond
-	// pacesEvery is how often the leader tells the others how fast targets are; about as
+	// serviceTimesInterval is how often the leader tells the others how fast targets are; about as
 	// long as it takes to learn it.
-	pacesEvery = time.Second
+	serviceTimesInterval = time.Second
 	// minStep keeps the leader from stepping again and again at one moment.
 	minStep = 5 * time.Millisecond
 	// tableWriteInterval is the least time between two writes of a service's table.
@@ -206,8 +206,8 @@
 	away     bool
 	timer    *time.Timer
 	due      time.Time
-	// pacesDue is when the targets' speeds are told next.
-	pacesDue time.Time
+	// serviceTimesDue is when the targets' speeds are told next.
+	serviceTimesDue time.Time
 }
 
 func newLeader(g *Gateway) *leader {
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -305,7 +305,7 @@
 		return
 	}
 	now := time.Now()
-	l.tellPaces()
+	l.publishServiceTimes()
 	for name, p := range l.term.post {
 		s := l.g.service(name)
 		if p.assigner == nil || s == nil {
@@ -346,23 +346,23 @@
 	})
 }
 
-// tellPaces tells the other routers what has changed of the targets' speed, every
-// pacesEvery.
-func (l *leader) tellPaces() {
+// publishServiceTimes tells the other routers what has changed of the targets' speed, every
+// serviceTimesInterval.
+func (l *leader) publishServiceTimes() {
 	now := time.Now()
-	if now.Before(l.pacesDue) {
+	if now.Before(l.serviceTimesDue) {
 		return
 	}
-	l.pacesDue = now.Add(pacesEvery)
+	l.serviceTimesDue = now.Add(serviceTimesInterval)
 	l.g.mu.RLock()
 	defer l.g.mu.RUnlock()
 	for name, s := range l.g.services {
 		if !s.byKey {
 			continue
 		}
-		s.takePaces() // its own answers are in what it tells
-		if news := s.newPaces(); len(news) > 0 {
-			l.g.follow.source.SetPaces(feed.Paces{Service: name, Paces: news})
+		s.drainServiceTimes() // its own answers are in what it tells
+		if news := s.changedServiceTimes(); len(news) > 0 {
+			l.g.follow.source.SetServiceTimes(feed.ServiceTimes{Service: name, Targets: news})
 		}
 	}
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -189,32 +189,32 @@
 	s.budget.SetRouters(n)
 }
 
-// takePaces returns what answers told of the targets' speed since the last call.
-func (s *service) takePaces() []dispatch.Pace {
+// drainServiceTimes returns what answers told of the targets' speed since the last call.
+func (s *service) drainServiceTimes() []dispatch.TargetStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.TakePaces(time.Now())
+	return s.core.DrainServiceTimes(time.Now())
 }
 
-// learnPaces takes in what another router's answers told it.
-func (s *service) learnPaces(paces []dispatch.Pace) {
+// learnServiceTimes takes in what another router's answers told it.
+func (s *service) learnServiceTimes(serviceTimes []dispatch.TargetStats) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.LearnPaces(time.Now(), paces)
+	s.core.LearnServiceTimes(time.Now(), serviceTimes)
 }
 
-// newPaces returns the targets' speeds that have changed since the last call.
-func (s *service) newPaces() []dispatch.Pace {
+// changedServiceTimes returns the targets' speeds that have changed since the last call.
+func (s *service) changedServiceTimes() []dispatch.TargetStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.NewPaces()
+	return s.core.ChangedServiceTimes()
 }
 
-// setPaces puts the targets' speeds in force that all routers together know.
-func (s *service) setPaces(paces []dispatch.Pace) {
+// setServiceTimes puts the targets' speeds in force that all routers together know.
+func (s *service) setServiceTimes(serviceTimes []dispatch.TargetStats) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.SetPaces(paces)
+	s.core.SetServiceTimes(serviceTimes)
 }
 
 // pressed reports whether a target has had too much to do of late.
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -94,7 +94,7 @@
 		}
 		p := encodeReports(f.Reports())
 		f.back(p)
-		if len(p.Heat)+len(p.Paces) == 0 && !p.Backs {
+		if len(p.Heat)+len(p.ServiceTimes) == 0 && !p.Backs {
 			continue
 		}
 		if err := write(conn, p); err != nil {
@@ -113,8 +113,8 @@
 			}
 			p.Heat = append(p.Heat, heat)
 		}
-		if len(r.Paces) > 0 {
-			p.Paces = append(p.Paces, encodePaces(r.Service, r.Paces))
+		if len(r.ServiceTimes) > 0 {
+			p.ServiceTimes = append(p.ServiceTimes, encodeServiceTimes(r.Service, r.ServiceTimes))
 		}
 	}
 	return p
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -70,8 +70,8 @@
 	Routers int
 	// Stale says that the leader doesn't hear from the store: there are tables at most.
 	Stale bool
-	// Paces are how fast targets are.
-	Paces []Paces
+	// ServiceTimes are how fast targets are.
+	ServiceTimes []ServiceTimes
 	// Limits are the keys that are asked for more than their holders can do, of the services
 	// for which that has changed.
 	Limits []Limits
@@ -83,18 +83,18 @@
 	Limits  []keyspace.Limit
 }
 
-// Paces are how fast targets of one service are.
-type Paces struct {
+// ServiceTimes are how fast targets of one service are.
+type ServiceTimes struct {
 	Service string
-	Paces   []dispatch.Pace
+	Targets []dispatch.TargetStats
 }
 
 // Report is what a router saw of one service: the keys that were asked for, and what
 // answers told of the targets' speed.
 type Report struct {
-	Service string
-	Keys    []keyspace.Key
-	Paces   []dispatch.Pace
+	Service      string
+	Keys         []keyspace.Key
+	ServiceTimes []dispatch.TargetStats
 }
 
 func encodeTarget(t *directory.Target, now time.Time) *feedpb.Target {
@@ -112,26 +112,26 @@
 	}
 }
 
-func encodePaces(service string, paces []dispatch.Pace) *feedpb.Paces {
-	p := &feedpb.Paces{Service: service}
-	for _, pace := range paces {
-		p.Paces = append(p.Paces, &feedpb.Pace{
-			Target: pace.Target, Answers: uint32(pace.Answers), MeanUs: uint32(min(pace.Mean.Microseconds(), math.MaxUint32)),
-			Waiting: uint32(pace.Waiting), Failed: uint32(pace.Failed), StalledMs: uint32(pace.Stalled.Milliseconds()),
+func encodeServiceTimes(service string, serviceTimes []dispatch.TargetStats) *feedpb.ServiceTimes {
+	p := &feedpb.ServiceTimes{Service: service}
+	for _, sample := range serviceTimes {
+		p.Targets = append(p.Targets, &feedpb.TargetStats{
+			Target: sample.Target, Answers: uint32(sample.Answers), MeanUs: uint32(min(sample.Mean.Microseconds(), math.MaxUint32)),
+			Waiting: uint32(sample.Waiting), Failed: uint32(sample.Failed), StalledMs: uint32(sample.Stalled.Milliseconds()),
 		})
 	}
 	return p
 }
 
-func decodePaces(p *feedpb.Paces) Paces {
-	paces := Paces{Service: p.GetService()}
-	for _, pace := range p.GetPaces() {
-		paces.Paces = append(paces.Paces, dispatch.Pace{
-			Target: pace.GetTarget(), Answers: int(pace.GetAnswers()), Mean: time.Duration(pace.GetMeanUs()) * time.Microsecond,
-			Waiting: int(pace.GetWaiting()), Failed: int(pace.GetFailed()), Stalled: time.Duration(pace.GetStalledMs()) * time.Millisecond,
+func decodeServiceTimes(p *feedpb.ServiceTimes) ServiceTimes {
+	serviceTimes := ServiceTimes{Service: p.GetService()}
+	for _, sample := range p.GetTargets() {
+		serviceTimes.Targets = append(serviceTimes.Targets, dispatch.TargetStats{
+			Target: sample.GetTarget(), Answers: int(sample.GetAnswers()), Mean: time.Duration(sample.GetMeanUs()) * time.Microsecond,
+			Waiting: int(sample.GetWaiting()), Failed: int(sample.GetFailed()), Stalled: time.Duration(sample.GetStalledMs()) * time.Millisecond,
 		})
 	}
-	return paces
+	return serviceTimes
 }
 
 func encodeLimits(l Limits) *feedpb.Limits {
@@ -249,8 +249,8 @@
 		}
 		u.ConfigValue = value
 	}
-	for _, paces := range p.GetPaces() {
-		u.Paces = append(u.Paces, decodePaces(paces))
+	for _, serviceTimes := range p.GetServiceTimes() {
+		u.ServiceTimes = append(u.ServiceTimes, decodeServiceTimes(serviceTimes))
 	}
 	for _, limits := range p.GetLimits() {
 		u.Limits = append(u.Limits, decodeLimits(limits))
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -124,7 +124,7 @@
 	return h
 }
 
-var samplePaces = []dispatch.Pace{{Target: "a", Answers: 3, Mean: 150 * time.Millisecond}}
+var sampleStats = []dispatch.TargetStats{{Target: "a", Answers: 3, Mean: 150 * time.Millisecond}}
 
 // follow follows until the feed ends; updates go to the channel.
 func (h *harness) follow(t *testing.T, term uint64, updates chan<- *Update) <-chan error {
@@ -139,7 +139,7 @@
 				return nil
 			}
 			reported = true
-			return []Report{{Service: "s", Keys: []keyspace.Key{1, 1, 65535}, Paces: samplePaces}}
+			return []Report{{Service: "s", Keys: []keyspace.Key{1, 1, 65535}, ServiceTimes: sampleStats}}
 		},
 	}
 	go func() { ended <- f.Run(t.Context()) }()
@@ -158,11 +158,11 @@
 	assert.Equal(t, u.Config, uint64(9))
 	assert.DeepEqual(t, u.Targets, []directory.Target{target})
 	assert.DeepEqual(t, <-h.heat, Report{Service: "s", Keys: []keyspace.Key{1, 1, 65535}})
-	assert.DeepEqual(t, <-h.heat, Report{Service: "s", Paces: samplePaces})
-	h.source.SetPaces(Paces{Service: "s", Paces: samplePaces})
+	assert.DeepEqual(t, <-h.heat, Report{Service: "s", ServiceTimes: sampleStats})
+	h.source.SetServiceTimes(ServiceTimes{Service: "s", Targets: sampleStats})
 	waittest.Until(t, "the speeds are told", func() bool {
-		told := (<-updates).Paces
-		return len(told) == 1 && told[0].Service == "s" && len(told[0].Paces) == 1 && told[0].Paces[0] == samplePaces[0]
+		told := (<-updates).ServiceTimes
+		return len(told) == 1 && told[0].Service == "s" && len(told[0].Targets) == 1 && told[0].Targets[0] == sampleStats[0]
 	})
 	h.source.SetTargets(nil)
 	waittest.Until(t, "the target's end is told", func() bool { return len((<-updates).Gone) == 1 })
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -137,9 +137,9 @@
 			}
 			f.server.Reported(r)
 		}
-		for _, paces := range p.GetPaces() {
-			decoded := decodePaces(paces)
-			f.server.Reported(Report{Service: decoded.Service, Paces: decoded.Paces})
+		for _, serviceTimes := range p.GetServiceTimes() {
+			decoded := decodeServiceTimes(serviceTimes)
+			f.server.Reported(Report{Service: decoded.Service, ServiceTimes: decoded.Targets})
 		}
 		if p.GetBacks() {
 			f.backed(p.GetBeat())
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -26,8 +26,8 @@
 	configPacked  bool
 	configChanged uint64
 	routers       int
-	// paces are by service and target.
-	paces map[string]map[string]versionedPace
+	// serviceTimes are by service and target.
+	serviceTimes map[string]map[string]versionedServiceTime
 	// limits are by service.
 	limits map[string]versionedLimits
 	// known says that the targets have been read from the store once.
@@ -45,8 +45,8 @@
 	version uint64
 }
 
-type versionedPace struct {
-	pace    dispatch.Pace
+type versionedServiceTime struct {
+	sample  dispatch.TargetStats
 	version uint64
 }
 
@@ -59,7 +59,7 @@
 func NewSource() *Source {
 	return &Source{
 		targets: map[string]versionedTarget{}, gone: map[string]uint64{}, tables: map[string][]versionedTable{},
-		paces: map[string]map[string]versionedPace{}, limits: map[string]versionedLimits{}, changed: make(chan struct{}),
+		serviceTimes: map[string]map[string]versionedServiceTime{}, limits: map[string]versionedLimits{}, changed: make(chan struct{}),
 	}
 }
 
@@ -87,7 +87,7 @@
 	for id, t := range s.targets {
 		if !there[id] {
 			delete(s.targets, id)
-			delete(s.paces[t.target.Service], id)
+			delete(s.serviceTimes[t.target.Service], id)
 			s.gone[id] = s.version
 		}
 	}
@@ -128,19 +128,19 @@
 	s.routers = n
 }
 
-// SetPaces tells how fast some targets of a service are. It wakes nobody: the next beat
+// SetServiceTimes tells how fast some targets of a service are. It wakes nobody: the next beat
 // brings it soon enough.
-func (s *Source) SetPaces(p Paces) {
+func (s *Source) SetServiceTimes(p ServiceTimes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	of := s.paces[p.Service]
+	of := s.serviceTimes[p.Service]
 	if of == nil {
-		of = map[string]versionedPace{}
-		s.paces[p.Service] = of
+		of = map[string]versionedServiceTime{}
+		s.serviceTimes[p.Service] = of
 	}
-	for _, pace := range p.Paces {
-		of[pace.Target] = versionedPace{pace, s.version}
+	for _, sample := range p.Targets {
+		of[sample.Target] = versionedServiceTime{sample, s.version}
 	}
 }
 
@@ -234,15 +234,15 @@
 			u.Limits = append(u.Limits, encodeLimits(l.limits))
 		}
 	}
-	for service, of := range s.paces {
-		var news []dispatch.Pace
+	for service, of := range s.serviceTimes {
+		var news []dispatch.TargetStats
 		for _, p := range of {
 			if p.version > version {
-				news = append(news, p.pace)
+				news = append(news, p.sample)
 			}
 		}
 		if len(news) > 0 {
-			u.Paces = append(u.Paces, encodePaces(service, news))
+			u.ServiceTimes = append(u.ServiceTimes, encodeServiceTimes(service, news))
 		}
 	}
 }
