--- a/gateway/backing_test.go
+++ b/gateway/backing_test.go
@@ -128,7 +128,7 @@
 
 // A router that has just begun may have backed a leader in its life before.
 func TestWhatWasPromisedBeforeTheStartIsNotKnown(t *testing.T) {
-	f := &follow{started: time.Now().Add(-3 * time.Second)}
+	f := &subscription{started: time.Now().Add(-3 * time.Second)}
 	about := func(got, want time.Duration) {
 		t.Helper()
 		assert.Assert(t, got > want-time.Second && got <= want, "%v", got)
--- a/gateway/beliefs.go
+++ b/gateway/clusterstate.go
@@ -22,8 +22,8 @@
 	routerPrefix = "tarragongw/routers/"
 )
 
-// beliefs is the duty that turns what the store says into what the request path reads.
-type beliefs struct {
+// clusterState is the duty that turns what the store says into what the request path reads.
+type clusterState struct {
 	g    *Gateway
 	duty *duty.Duty
 
@@ -48,8 +48,8 @@
 	message any
 }
 
-func newBeliefs(g *Gateway) *beliefs {
-	b := &beliefs{
+func newClusterState(g *Gateway) *clusterState {
+	b := &clusterState{
 		g: g, directory: directory.New(), tables: map[string]feed.Table{}, routers: map[string]bool{}, known: map[string]bool{},
 		tableLogs: map[string]tableLog{},
 	}
@@ -57,48 +57,48 @@
 	return b
 }
 
-func (b *beliefs) handle(message any) {
+func (b *clusterState) handle(message any) {
 	switch m := message.(type) {
 	case *fromPrefix:
-		b.hear(m)
+		b.handleChange(m)
 	case *feed.Update:
 		b.adopt(m)
 	case *feed.Table:
-		b.takeTable(m)
+		b.useNewerTable(m)
 	case tick:
-		b.settle(b.directory.Tick(time.Now()))
+		b.publishTargets(b.directory.Tick(time.Now()))
 	}
 }
 
 // adopt takes over what the leader tells.
-func (b *beliefs) adopt(u *feed.Update) {
+func (b *clusterState) adopt(u *feed.Update) {
 	if len(u.ConfigValue) > 0 {
-		b.hearConfig(&change{records: []kv.Record{{Key: b.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
+		b.handleConfig(&change{records: []kv.Record{{Key: b.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
 	}
 	changed := b.directory.Adopt(time.Now(), u.Whole, u.Targets, u.Gone)
-	b.settle(changed)
+	b.publishTargets(changed)
 	for _, t := range u.Tables {
-		b.takeTable(&t)
+		b.useNewerTable(&t)
 	}
 	if u.Routers > 0 && u.Routers != b.g.countedRouters() {
 		b.g.setRouters(u.Routers)
 	}
 	if !u.Stale {
-		b.hearFrom(b.g.opts.Adapter.TargetPrefix)
+		b.markKnown(b.g.opts.Adapter.TargetPrefix)
 	}
 }
 
-// hearFrom notes that what stands under the prefix is known.
-func (b *beliefs) hearFrom(prefix string) {
+// markKnown notes that what stands under the prefix is known.
+func (b *clusterState) markKnown(prefix string) {
 	b.known[prefix] = true
 	a := &b.g.opts.Adapter
 	if prefix == a.TargetPrefix {
-		b.g.follow.source.SetKnown()
+		b.g.subscription.source.SetKnown()
 	}
 	b.g.setKnown(b.config != nil && b.known[a.TargetPrefix])
 }
 
-func (b *beliefs) hear(m *fromPrefix) {
+func (b *clusterState) handleChange(m *fromPrefix) {
 	if lost, ok := m.message.(*absence); ok {
 		if m.prefix == b.g.opts.Adapter.TargetPrefix {
 			b.directory.StoreAway()
@@ -112,22 +112,22 @@
 	}
 	switch m.prefix {
 	case b.g.opts.Adapter.ConfigPrefix:
-		b.hearConfig(c)
+		b.handleConfig(c)
 	case b.g.opts.Adapter.TargetPrefix:
-		b.hearTargets(c)
+		b.handleTargets(c)
 	case leaderPrefix:
-		b.hearLeader(c)
+		b.handleLeader(c)
 	case routerPrefix:
-		b.hearRouters(c)
+		b.handleRouters(c)
 	case tablePrefix:
-		b.hearTables(c)
+		b.handleTables(c)
 	}
-	b.hearFrom(m.prefix)
+	b.markKnown(m.prefix)
 }
 
-// hearConfig puts a configuration in force unless a newer one is. One that can't be read
+// handleConfig puts a configuration in force unless a newer one is. One that can't be read
 // leaves the one in force.
-func (b *beliefs) hearConfig(c *change) {
+func (b *clusterState) handleConfig(c *change) {
 	for _, r := range c.records {
 		if r.Key != b.g.opts.Adapter.ConfigKey || r.Deleted {
 			continue
@@ -147,12 +147,12 @@
 		b.config = config
 		b.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
 			"routes", len(config.Routes), "services", len(config.Services))
-		b.g.follow.source.SetConfig(config.Version, r.Value)
+		b.g.subscription.source.SetConfig(config.Version, r.Value)
 		b.putInForce(config)
 	}
 }
 
-func (b *beliefs) putInForce(config *routes.Config) {
+func (b *clusterState) putInForce(config *routes.Config) {
 	g := b.g
 	g.setServices(config)
 	g.view.Store(newView(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
@@ -163,19 +163,19 @@
 	// Before the targets are known there are none to hand out: the leader would take the
 	// holders of all keys for gone.
 	if b.known[g.opts.Adapter.TargetPrefix] {
-		b.settle(true)
+		b.publishTargets(true)
 	}
 }
 
-// hearTargets notes what targets say of themselves.
-func (b *beliefs) hearTargets(c *change) {
+// handleTargets notes what targets say of themselves.
+func (b *clusterState) handleTargets(c *change) {
 	a := &b.g.opts.Adapter
 	if c.absent >= outage {
 		b.directory.StoreAway()
 	}
 	b.directory.StoreBack(c.at)
 	if c.listed {
-		b.settle(b.directory.Replace(c.at, b.readTargets(c.records)))
+		b.publishTargets(b.directory.Replace(c.at, b.readTargets(c.records)))
 		return
 	}
 	changed := false
@@ -186,10 +186,10 @@
 			changed = b.directory.Put(c.at, t) || changed
 		}
 	}
-	b.settle(changed)
+	b.publishTargets(changed)
 }
 
-func (b *beliefs) readTargets(records []kv.Record) []directory.Target {
+func (b *clusterState) readTargets(records []kv.Record) []directory.Target {
 	var all []directory.Target
 	for _, r := range records {
 		if t, ok := b.readTarget(r); ok {
@@ -200,7 +200,7 @@
 }
 
 // readTarget reads an entry; one that can't be read names no target.
-func (b *beliefs) readTarget(r kv.Record) (directory.Target, bool) {
+func (b *clusterState) readTarget(r kv.Record) (directory.Target, bool) {
 	t, err := b.g.opts.Adapter.DecodeTarget(r.Key, r.Value)
 	if err != nil {
 		b.g.log.Warn("entry of a target passed over", "key", r.Key, "err", err)
@@ -208,13 +208,13 @@
 	return t, err == nil
 }
 
-// settle hands the targets out where they have changed, and sees to it that what becomes
+// publishTargets hands the targets out where they have changed, and sees to it that what becomes
 // due later is looked at.
-func (b *beliefs) settle(changed bool) {
+func (b *clusterState) publishTargets(changed bool) {
 	if changed {
 		targets := b.directory.Targets()
 		b.g.setTargets(targets)
-		b.g.follow.source.SetTargets(targets)
+		b.g.subscription.source.SetTargets(targets)
 		b.g.leader.duty.Tell(&targetsSeen{targets, b.directory.Ended()})
 		b.g.log.Info("targets changed", "known", len(targets))
 	}
@@ -228,39 +228,39 @@
 	b.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() { b.duty.Tell(tick{}) })
 }
 
-// hearLeader notes who leads.
-func (b *beliefs) hearLeader(c *change) {
+// handleLeader notes who leads.
+func (b *clusterState) handleLeader(c *change) {
 	there := false
 	for _, r := range c.records {
 		if r.Key == leaderKey {
 			there = true
-			b.seeLeader(r)
+			b.observeLeader(r)
 		}
 	}
 	if c.listed && !there {
-		b.seeLeader(kv.Record{Key: leaderKey, Deleted: true})
+		b.observeLeader(kv.Record{Key: leaderKey, Deleted: true})
 	}
 }
 
-func (b *beliefs) seeLeader(r kv.Record) {
+func (b *clusterState) observeLeader(r kv.Record) {
 	seen := &leaderSeen{revision: r.Revision, present: !r.Deleted}
 	seen.name, seen.address, _ = strings.Cut(string(r.Value), leaderSeparator)
 	b.g.leader.duty.Tell(seen)
-	b.g.follow.set(*seen)
+	b.g.subscription.setLeader(*seen)
 }
 
-// hearRouters notes who is there.
-func (b *beliefs) hearRouters(c *change) {
+// handleRouters notes who is there.
+func (b *clusterState) handleRouters(c *change) {
 	before, changed := len(b.routers), 0
 	seen := make(map[string]bool, len(c.records))
 	for _, r := range c.records {
 		name := strings.TrimPrefix(r.Key, routerPrefix)
 		seen[name] = !r.Deleted
-		changed += b.hearRouter(name, !r.Deleted)
+		changed += b.setRouter(name, !r.Deleted)
 	}
 	for name := range b.routers {
 		if c.listed && !seen[name] {
-			changed += b.hearRouter(name, false)
+			changed += b.setRouter(name, false)
 		}
 	}
 	if changed == 0 && !c.listed {
@@ -268,12 +268,12 @@
 	}
 	b.g.log.Info("routers changed", "changes", changed, "before", before, "known", len(b.routers))
 	b.g.setRouters(max(len(b.routers), 1))
-	b.g.follow.source.SetRouters(max(len(b.routers), 1))
+	b.g.subscription.source.SetRouters(max(len(b.routers), 1))
 	b.g.leader.duty.Tell(routersCounted{})
 }
 
-// hearRouter notes whether a router is there, and returns 1 where that has changed.
-func (b *beliefs) hearRouter(name string, there bool) int {
+// setRouter notes whether a router is there, and returns 1 where that has changed.
+func (b *clusterState) setRouter(name string, there bool) int {
 	if there == b.routers[name] {
 		return 0
 	}
@@ -288,8 +288,8 @@
 	return 1
 }
 
-// hearTables notes divisions of keys as they stand in the store.
-func (b *beliefs) hearTables(c *change) {
+// handleTables notes divisions of keys as they stand in the store.
+func (b *clusterState) handleTables(c *change) {
 	for _, r := range c.records {
 		if r.Deleted {
 			continue
@@ -299,18 +299,18 @@
 			b.g.log.Error("division of keys not readable", "key", r.Key, "revision", r.Revision, "err", err)
 			continue
 		}
-		b.takeTable(&feed.Table{Revision: uint64(r.Revision), Table: t})
+		b.useNewerTable(&feed.Table{Revision: uint64(r.Revision), Table: t})
 	}
 }
 
-// takeTable puts a division in force unless a newer one is.
-func (b *beliefs) takeTable(t *feed.Table) {
+// useNewerTable puts a division in force unless a newer one is.
+func (b *clusterState) useNewerTable(t *feed.Table) {
 	name := t.Table.Service
 	if old, known := b.tables[name]; known && !t.Newer(&old) {
 		return
 	}
 	b.tables[name] = *t
-	b.g.follow.source.SetTable(*t)
+	b.g.subscription.source.SetTable(*t)
 	b.logTable(t)
 	b.useTable(t.Table)
 }
@@ -325,7 +325,7 @@
 	skipped int
 }
 
-func (b *beliefs) logTable(t *feed.Table) {
+func (b *clusterState) logTable(t *feed.Table) {
 	l := b.tableLogs[t.Table.Service]
 	if now := time.Now(); now.Sub(l.at) >= tableLogInterval {
 		b.g.log.Info("key table updated", "service", t.Table.Service, "revision", t.Revision, "sequence", t.Sequence,
@@ -337,7 +337,7 @@
 	b.tableLogs[t.Table.Service] = l
 }
 
-func (b *beliefs) useTable(t *keyspace.Table) {
+func (b *clusterState) useTable(t *keyspace.Table) {
 	if s := b.g.service(t.Service); s != nil && s.byKey {
 		s.setTable(t)
 	}
--- a/gateway/fleet_test.go
+++ b/gateway/fleet_test.go
@@ -283,7 +283,7 @@
 	waittest.Until(t, "its record stands", func() bool { return f.store.Value(routerPrefix+g.opts.Name) != nil })
 	go g.Stop()
 	waittest.Until(t, "its record is gone", func() bool { return f.store.Value(routerPrefix+g.opts.Name) == nil })
-	for end := time.Now().Add(memberKeep + 300*time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(memberRenewInterval + 300*time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		assert.Assert(t, f.store.Value(routerPrefix+g.opts.Name) == nil)
 	}
 }
@@ -294,11 +294,11 @@
 	waittest.Until(t, "all others are fed", func() bool {
 		fed := 0
 		for _, g := range f.gateways {
-			g.follow.mu.Lock()
-			if g.follow.fed {
+			g.subscription.mu.Lock()
+			if g.subscription.subscribed {
 				fed++
 			}
-			g.follow.mu.Unlock()
+			g.subscription.mu.Unlock()
 		}
 		return fed == 3
 	})
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -100,7 +100,7 @@
 			return nil, f
 		}
 		x.key = key
-		s.heat.add(*key)
+		s.keyLoad.add(*key)
 	}
 	keepTarget(r)
 	return x, nil
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,17 +29,17 @@
 	system  *actor.ActorSystem
 	workers *duty.Workers
 
-	view     atomic.Pointer[view]
-	handler  *caller.Handler
-	callers  *caller.Server
-	pools    *pools
-	beliefs  *beliefs
-	leader   *leader
-	members  *members
-	follow   *follow
-	gate     storeGate
-	sizes    sizes
-	patience patience
+	view         atomic.Pointer[view]
+	handler      *caller.Handler
+	callers      *caller.Server
+	pools        *pools
+	state        *clusterState
+	leader       *leader
+	members      *members
+	subscription *subscription
+	gate         storeGate
+	sizes        sizes
+	patience     patience
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -124,9 +124,9 @@
 func (g *Gateway) Start() {
 	g.leader = newLeader(g)
 	g.members = newMembers(g)
-	g.beliefs = newBeliefs(g)
-	g.follow = newFollow(g)
-	g.goRun(g.follow.run)
+	g.state = newClusterState(g)
+	g.subscription = newSubscription(g)
+	g.goRun(g.subscription.run)
 	if g.peerListener != nil {
 		g.goRun(g.serveFollowers)
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -270,9 +270,9 @@
 // leader is the gateway that leads, or nil.
 func (f *fleet) leader() *Gateway {
 	for _, g := range f.gateways {
-		g.follow.mu.Lock()
-		leads := g.follow.term != nil && g.lifetime.Err() == nil
-		g.follow.mu.Unlock()
+		g.subscription.mu.Lock()
+		leads := g.subscription.term != nil && g.lifetime.Err() == nil
+		g.subscription.mu.Unlock()
 		if leads {
 			return g
 		}
--- a/gateway/heat.go
+++ b/gateway/keysamples.go
@@ -7,25 +7,25 @@
 	"tarragongw/core/keyspace"
 )
 
-// heatMost bounds the keys that are kept for the leader between two looks.
-const heatMost = 4096
+// maxKeySamples bounds the keys that are kept for the leader between two looks.
+const maxKeySamples = 4096
 
-// heatBuffer gathers the keys that were asked for.
-type heatBuffer struct {
+// keySamples gathers the keys that were asked for.
+type keySamples struct {
 	mu   sync.Mutex
 	keys []keyspace.Key
 }
 
-func (b *heatBuffer) add(k keyspace.Key) {
+func (b *keySamples) add(k keyspace.Key) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.keys) < heatMost {
+	if len(b.keys) < maxKeySamples {
 		b.keys = append(b.keys, k)
 	}
 }
 
 // take returns the keys since the last call.
-func (b *heatBuffer) take() []keyspace.Key {
+func (b *keySamples) take() []keyspace.Key {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	keys := b.keys
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -19,8 +19,8 @@
 const (
 	// leaderTTL is how long the keys go without a leader that was lost without a word. With
 	// the keep interval it is short enough that another renews all grants before they lapse.
-	leaderTTL  = 1200 * time.Millisecond
-	leaderKeep = 400 * time.Millisecond
+	leaderTTL           = 1200 * time.Millisecond
+	leaderRenewInterval = 400 * time.Millisecond
 	// aloneBound is how long after the last renewal of its lease a leader goes on renewing
 	// grants that no other router backs, see backing: time enough to be backed.
 	aloneBound = 2 * time.Second
@@ -34,9 +34,9 @@
 	// the old one as it has to in any case, since a router that began of late doesn't know
 	// whether it backed one.
 	longHold = 6 * time.Second
-	// storeDoubt is how long after the last good renewal of the lease the store counts as
+	// storeSuspectAfter is how long after the last good renewal of the lease the store counts as
 	// away: two renewals were lost.
-	storeDoubt = 1100 * time.Millisecond
+	storeSuspectAfter = 1100 * time.Millisecond
 	// campaignSpread is the longest pause for each router that there is before one asks for
 	// the lead, and mostSpread the longest of all, drawn at random: all see at once that there
 	// is none. The first of many draws a short one, and the others hear of it before they ask.
@@ -52,8 +52,8 @@
 	// campaignPause is kept after a try that failed: another router has the lead by then, or
 	// the store doesn't answer.
 	campaignPause = 150 * time.Millisecond
-	// campaignAgain is how often a router without a leader looks again.
-	campaignAgain = 700 * time.Millisecond
+	// campaignRetryInterval is how often a router without a leader looks again.
+	campaignRetryInterval = 700 * time.Millisecond
 	// rebalanceEvery is how often the leader looks for keys to move; within it some dozen
 	// requests have come.
 	rebalanceEvery = 250 * time.Millisecond
@@ -71,8 +71,8 @@
 	// publishInterval is the least time between two states of a table that the routers are
 	// sent: the targets' answers to orders come one by one, and each state goes to all.
 	publishInterval = 50 * time.Millisecond
-	// writeAgain is the pause after a write that failed.
-	writeAgain = 50 * time.Millisecond
+	// writeRetryDelay is the pause after a write that failed.
+	writeRetryDelay = 50 * time.Millisecond
 )
 
 // leaderSeen is what the store says of the leader.
@@ -273,7 +273,7 @@
 // next does what is due: asks for the lead where nobody has it, or steps.
 func (l *leader) next() {
 	now := time.Now()
-	due := now.Add(campaignAgain)
+	due := now.Add(campaignRetryInterval)
 	switch {
 	case l.g.lifetime.Err() != nil:
 		return
@@ -327,7 +327,7 @@
 		}
 		duty.Sleep(l.g.lifetime, campaignAfter(l.g.opts.CPUShare, routers))
 		l.g.gate.wait(l.g.lifetime)
-		if l.g.follow.sees() {
+		if l.g.subscription.leaderKnown() {
 			l.duty.Tell(&campaigned{nil, errLed})
 			return
 		}
@@ -388,18 +388,18 @@
 		return
 	}
 	l.term = m.term
-	own := l.g.follow.promisedElsewhere(leaderSeen{revision: m.term.revision})
+	own := l.g.subscription.promisedElsewhere(leaderSeen{revision: m.term.revision})
 	l.term.backing = newBacking(l.g.opts.Name, l.g.opts.Clock.Now()+own)
 	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision, present: true}
 	l.g.log.Info("leadership taken", "revision", m.term.revision)
-	l.g.follow.lead(m.term)
+	l.g.subscription.setTerm(m.term)
 	l.g.workers.Run(func() { l.keep(m.term) })
 	l.g.workers.Run(func() { l.beat(m.term) })
 }
 
 // keep renews the lease until the term ends.
 func (l *leader) keep(t *term) {
-	for duty.Sleep(t.ctx, leaderKeep) {
+	for duty.Sleep(t.ctx, leaderRenewInterval) {
 		sent := l.g.opts.Clock.Now()
 		err := l.g.opts.Store.KeepLease(t.ctx, t.lease)
 		l.duty.Tell(&leaseKept{t, sent, err})
@@ -417,5 +417,5 @@
 	l.g.log.Info("leadership lost", "why", why, "revision", l.term.revision)
 	l.term.end()
 	l.term = nil
-	l.g.follow.lead(nil)
+	l.g.subscription.setTerm(nil)
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -35,12 +35,12 @@
 	t := l.term
 	l.adopt(t)
 	boot := l.g.opts.Clock.Now()
-	away := t.age(boot) > storeDoubt && t.backing.backed(boot, l.g.countedRouters())
+	away := t.age(boot) > storeSuspectAfter && t.backing.backed(boot, l.g.countedRouters())
 	if away != l.away {
 		l.away = away
 		l.g.log.Info("store counts as away for grants", "away", away, "lease_age", t.age(l.g.opts.Clock.Now()))
 	}
-	due := now.Add(campaignAgain)
+	due := now.Add(campaignRetryInterval)
 	for name, p := range t.post {
 		if p.assigner == nil {
 			continue
@@ -137,7 +137,7 @@
 	left, err := l.mayOrder(t, now)
 	if err != nil {
 		m.err, m.outcome = err, assign.NotSent
-		duty.Sleep(t.ctx, leaderKeep)
+		duty.Sleep(t.ctx, leaderRenewInterval)
 		return m
 	}
 	// What is begun in time must not go out late.
@@ -244,7 +244,7 @@
 func (l *leader) publish(p *post, now time.Time) {
 	p.told++
 	p.unpublished, p.publishDue = false, now.Add(publishInterval)
-	l.g.beliefs.duty.Tell(&feed.Table{Revision: uint64(p.revision), Sequence: p.told, Table: p.assigner.Overlay(p.stored)})
+	l.g.state.duty.Tell(&feed.Table{Revision: uint64(p.revision), Sequence: p.told, Table: p.assigner.Overlay(p.stored)})
 }
 
 func errText(err error) string {
@@ -285,7 +285,7 @@
 		p.stored, p.unpublished = m.table, true
 		return
 	}
-	p.notBefore = time.Now().Add(writeAgain)
+	p.notBefore = time.Now().Add(writeRetryDelay)
 	l.g.log.Warn("division of keys not written", "service", m.service, "err", m.err)
 	for _, r := range m.conflict {
 		switch {
@@ -311,10 +311,10 @@
 		if p.assigner == nil || s == nil {
 			continue
 		}
-		for _, k := range s.heat.take() {
+		for _, k := range s.keyLoad.take() {
 			p.assigner.Load().Add(now, k, 1)
 		}
-		for _, m := range p.assigner.Rebalance(now, s.speed, l.g.follow.unseen()) {
+		for _, m := range p.assigner.Rebalance(now, s.speed, l.g.subscription.unseen()) {
 			if p.assigner.Begin(now, m) {
 				l.logMove(name, m)
 			}
@@ -326,7 +326,7 @@
 // limit tells all routers which keys are asked for more than their holders can do, where that
 // has changed, and again while any are.
 func (l *leader) limit(now time.Time, name string, p *post, s *service) {
-	limits := p.assigner.Limits(now, s.speed, s.pressed, l.g.follow.unseen())
+	limits := p.assigner.Limits(now, s.speed, s.pressed, l.g.subscription.unseen())
 	renew := len(limits) > 0 && now.Sub(p.limitedAt) >= limitsRenewInterval
 	if !renew && !limitsDiffer(p.limits, limits) {
 		return
@@ -336,7 +336,7 @@
 	}
 	p.limits, p.limitedAt = limits, now
 	s.setLimits(limits)
-	l.g.follow.source.SetLimits(feed.Limits{Service: name, Limits: limits})
+	l.g.subscription.source.SetLimits(feed.Limits{Service: name, Limits: limits})
 }
 
 // limitsDiffer reports whether other keys are limited, or some by more than limitsChange.
@@ -362,7 +362,7 @@
 		}
 		s.drainServiceTimes() // its own answers are in what it tells
 		if news := s.changedServiceTimes(); len(news) > 0 {
-			l.g.follow.source.SetServiceTimes(feed.ServiceTimes{Service: name, Targets: news})
+			l.g.subscription.source.SetServiceTimes(feed.ServiceTimes{Service: name, Targets: news})
 		}
 	}
 }
@@ -400,7 +400,7 @@
 				break
 			}
 			l.g.log.Warn("lease not ended; leads on", "err", err)
-			if !duty.Sleep(t.ctx, leaderKeep) {
+			if !duty.Sleep(t.ctx, leaderRenewInterval) {
 				break
 			}
 		}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -17,13 +17,13 @@
 	memberTTL = 30 * time.Second
 	// The renewal is also what shows that the store answers this router: watches that it
 	// never answered would else be waited for to their end.
-	memberKeep = time.Second
-	// fedKeep is that of a router that is fed: it waits for no watch, and its leader says
+	memberRenewInterval = time.Second
+	// subscribedRenewInterval is that of a router that is fed: it waits for no watch, and its leader says
 	// when the store doesn't answer.
-	fedKeep = 8 * time.Second
-	// keepJitter is the part by which that is shortened at random, so that a fleet that
+	subscribedRenewInterval = 8 * time.Second
+	// renewJitter is the part by which that is shortened at random, so that a fleet that
 	// started together doesn't call together.
-	keepJitter = 0.25
+	renewJitter = 0.25
 	// probeEvery is how often a store that doesn't answer is asked, on average, and maxProbe
 	// the longest such pause.
 	probeEvery = 400 * time.Millisecond
@@ -62,9 +62,9 @@
 	for ctx.Err() == nil {
 		err := m.keep(ctx)
 		m.judge(err)
-		pause := memberKeep
-		if m.g.follow.isFed() {
-			pause = time.Duration(float64(fedKeep) * (1 - keepJitter*rand.Float64()))
+		pause := memberRenewInterval
+		if m.g.subscription.isSubscribed() {
+			pause = time.Duration(float64(subscribedRenewInterval) * (1 - renewJitter*rand.Float64()))
 		}
 		if m.failing {
 			pause = m.probePause()
@@ -82,7 +82,7 @@
 // asks less and less often.
 func (m *members) probePause() time.Duration {
 	pause := probeEvery
-	if m.g.follow.waits() {
+	if m.g.subscription.waits() {
 		pause = min(m.probe, maxProbe)
 		m.probe = 2 * pause
 	}
@@ -103,7 +103,7 @@
 	m.probe = probeEvery
 	if m.failing {
 		m.failing = false
-		m.g.follow.rewatch()
+		m.g.subscription.rewatch()
 	}
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -35,14 +35,14 @@
 	table *keyspace.Table
 	// changed is closed when the table changes.
 	changed chan struct{}
-	heat    *heatBuffer
+	keyLoad *keySamples
 }
 
 func newService(spec routes.Service, dataCentre string, budget *retry.Budget) *service {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &service{
 		name: spec.Name, byKey: spec.ByKey, core: dispatch.New(dataCentre, spec.ByKey, random), budget: budget,
-		waiting: map[uint64]chan dispatch.Decision{}, changed: make(chan struct{}), heat: &heatBuffer{},
+		waiting: map[uint64]chan dispatch.Decision{}, changed: make(chan struct{}), keyLoad: &keySamples{},
 	}
 }
 
--- a/gateway/follow.go
+++ b/gateway/subscription.go
@@ -65,9 +65,9 @@
 	reconnectInterval = 300 * time.Millisecond
 )
 
-// follow sees to it that this router knows the targets and the division of keys: from the
+// subscription sees to it that this router knows the targets and the division of keys: from the
 // leader where it is fed, else from the store.
-type follow struct {
+type subscription struct {
 	g *Gateway
 	// source is what this router tells others while it leads.
 	source *feed.Source
@@ -85,12 +85,12 @@
 	leaderWatch, configWatch, targetsWatch *watch
 	restWatches                            []*watch
 	// fed says that the leader tells this router what the store knows.
-	fed bool
+	subscribed bool
 	// connected says that a leader tells this router anything, searching that the store is
 	// asked after a delay who leads.
 	connected, searching bool
-	// asking says that the store is asked after a delay unless a leader feeds this router.
-	asking bool
+	// fallbackPending says that the store is asked after a delay unless a leader feeds this router.
+	fallbackPending bool
 	// backs is the term of the leader that this router backs, until backsUntil.
 	backs      kv.Revision
 	backsUntil time.Time
@@ -106,19 +106,19 @@
 	stop context.CancelFunc
 }
 
-func newFollow(g *Gateway) *follow {
-	return &follow{g: g, source: feed.NewSource(), moved: make(chan struct{}), started: time.Now()}
+func newSubscription(g *Gateway) *subscription {
+	return &subscription{g: g, source: feed.NewSource(), moved: make(chan struct{}), started: time.Now()}
 }
 
 // startWatch begins to watch a prefix; the lock is held.
-func (f *follow) startWatch(prefix string, pause func([]kv.Record) time.Duration, wait time.Duration) *watch {
+func (f *subscription) startWatch(prefix string, pause func([]kv.Record) time.Duration, wait time.Duration) *watch {
 	ctx, cancel := context.WithCancel(f.g.lifetime)
 	w := &watch{stop: cancel, watcher: &watcher{
 		store: f.g.opts.Store, log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
 		gate: &f.g.gate, probe: f.g.members.wake,
 		tell: func(message any) {
 			if ctx.Err() == nil {
-				f.g.beliefs.duty.Tell(&fromPrefix{prefix, message})
+				f.g.state.duty.Tell(&fromPrefix{prefix, message})
 			}
 		},
 	}}
@@ -139,7 +139,7 @@
 }
 
 // restingWait is how long a watch for what changes seldom waits.
-func (f *follow) restingWait() time.Duration {
+func (f *subscription) restingWait() time.Duration {
 	wait := maxRestingWait
 	if history := f.g.opts.StoreHistory; history > 0 {
 		wait = min(wait, time.Duration(restingShare*float64(history)))
@@ -148,19 +148,19 @@
 }
 
 // fallbackDelay is how long this router goes without a leader before it asks the store.
-func (f *follow) fallbackDelay() time.Duration {
+func (f *subscription) fallbackDelay() time.Duration {
 	delay := min(max(f.g.opts.KnownWithin-fallbackRest, minFallbackDelay), maxFallbackDelay)
 	return delay + rand.N(fallbackJitter)
 }
 
 // staleDelay is how long this router waits for another leader where its own says that it
 // doesn't hear from the store; that took it freshFor.
-func (f *follow) staleDelay() time.Duration {
+func (f *subscription) staleDelay() time.Duration {
 	return max(f.fallbackDelay()-minFallbackDelay, 0)
 }
 
 // rewatch has all watches asked anew.
-func (f *follow) rewatch() {
+func (f *subscription) rewatch() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.watches() {
@@ -169,7 +169,7 @@
 }
 
 // watches returns those that run; the lock is held.
-func (f *follow) watches() []*watch {
+func (f *subscription) watches() []*watch {
 	all := slices.Clone(f.restWatches)
 	for _, w := range []*watch{f.leaderWatch, f.configWatch, f.targetsWatch} {
 		if w != nil {
@@ -179,15 +179,15 @@
 	return all
 }
 
-// sees reports whether a router is known to lead.
-func (f *follow) sees() bool {
+// leaderKnown reports whether a router is known to lead.
+func (f *subscription) leaderKnown() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.leader.present
 }
 
-// set tells who leads.
-func (f *follow) set(leader leaderSeen) {
+// setLeader notes who leads.
+func (f *subscription) setLeader(leader leaderSeen) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !leader.present && leader.revision != 0 && leader.revision < f.leader.revision {
@@ -197,50 +197,50 @@
 		return // a listing that says the same again ends no feed
 	}
 	f.leader = leader
-	f.wake()
+	f.signal()
 }
 
-// lead tells that this router leads, or that it doesn't any more.
-func (f *follow) lead(t *term) {
+// setTerm notes that this router leads, or that it doesn't any more.
+func (f *subscription) setTerm(t *term) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.term = t
-	f.wake()
+	f.signal()
 }
 
-// wake has the loop look again; the lock is held.
-func (f *follow) wake() {
+// signal has the loop look again; the lock is held.
+func (f *subscription) signal() {
 	close(f.moved)
 	f.moved = make(chan struct{})
 }
 
 // run follows one leader after the other until the router ends.
 //
-// The watches begin here and not with the follow itself: a store that answers before the
+// The watches begin here and not with the subscription itself: a store that answers before the
 // router has it finds beliefs that rest on nothing, and its first answer is lost.
-func (f *follow) run() {
+func (f *subscription) run() {
 	f.watchLeader()
-	f.unfed(initialFeedTimeout)
+	f.unsubscribed(initialFeedTimeout)
 	for f.g.lifetime.Err() == nil {
 		f.mu.Lock()
 		leader, leads, moved := f.leader, f.term != nil, f.moved
 		f.mu.Unlock()
 		if leads {
-			f.askStore(false)
+			f.watchStore(false)
 		} else {
 			if leader.present && leader.name != f.g.opts.Name && leader.address != "" {
-				err := f.followOnce(leader, moved)
+				err := f.subscribe(leader, moved)
 				f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
 			}
 			f.searchLeader()
-			f.unfed(f.fallbackDelay())
+			f.unsubscribed(f.fallbackDelay())
 		}
 		f.pause(moved, leads)
 	}
 }
 
 // pause waits for a change of the leader, or for the time to try again.
-func (f *follow) pause(moved <-chan struct{}, leads bool) {
+func (f *subscription) pause(moved <-chan struct{}, leads bool) {
 	again := reconnectInterval
 	if leads {
 		again = time.Hour
@@ -254,8 +254,8 @@
 	}
 }
 
-// followOnce follows the leader until it is lost or another one leads.
-func (f *follow) followOnce(leader leaderSeen, moved <-chan struct{}) error {
+// subscribe follows the leader until it is lost or another one leads.
+func (f *subscription) subscribe(leader leaderSeen, moved <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(f.g.lifetime)
 	defer cancel()
 	go func() {
@@ -278,9 +278,9 @@
 					f.g.members.wake()
 				}
 				fed = false
-				f.unfed(f.staleDelay())
+				f.unsubscribed(f.staleDelay())
 				if len(u.Tables) > 0 {
-					f.g.beliefs.duty.Tell(u)
+					f.g.state.duty.Tell(u)
 				}
 				return
 			}
@@ -288,14 +288,14 @@
 				fed = true
 				f.g.log.Info("fed", "leader", leader.name, "term", leader.revision)
 				f.setConnected(true)
-				f.leaveStore()
+				f.stopWatching()
 				f.g.members.wake()
 			}
 			f.compare(u.Config)
 			f.g.setServiceTimes(u.ServiceTimes)
 			f.g.setLimits(u.Limits)
 			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
-				f.g.beliefs.duty.Tell(u)
+				f.g.state.duty.Tell(u)
 			}
 		},
 	}
@@ -304,7 +304,7 @@
 
 // compare asks the store where the leader has a newer configuration than this router for
 // longer than the feed takes to bring it: one that is too long for it.
-func (f *follow) compare(version uint64) {
+func (f *subscription) compare(version uint64) {
 	v := f.g.view.Load()
 	if v == nil || v.config.Version >= version {
 		return
@@ -326,18 +326,18 @@
 }
 
 // fetchConfig reads the configuration from the store.
-func (f *follow) fetchConfig() {
+func (f *subscription) fetchConfig() {
 	a := &f.g.opts.Adapter
 	r, err := f.g.opts.Store.Get(f.g.lifetime, a.ConfigKey)
 	if err != nil {
 		f.g.log.Warn("configuration not read", "err", err)
 		return
 	}
-	f.g.beliefs.duty.Tell(&fromPrefix{a.ConfigPrefix, &change{records: []kv.Record{r}, at: time.Now()}})
+	f.g.state.duty.Tell(&fromPrefix{a.ConfigPrefix, &change{records: []kv.Record{r}, at: time.Now()}})
 }
 
 // promise notes that this router backs a leader until a time, and follows no other before.
-func (f *follow) promise(leader leaderSeen, until time.Time) {
+func (f *subscription) promise(leader leaderSeen, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.backs, f.backsUntil = leader.revision, until
@@ -346,7 +346,7 @@
 // promisedElsewhere is for how long this router still backs another leader; negative is how
 // long ago that has ended. What it did before its start it doesn't know, and so may have
 // backed one until then.
-func (f *follow) promisedElsewhere(leader leaderSeen) time.Duration {
+func (f *subscription) promisedElsewhere(leader leaderSeen) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.backs == leader.revision || f.backsUntil.Before(f.started) {
@@ -356,20 +356,20 @@
 }
 
 // reports returns what this router saw of its services since the last call.
-func (f *follow) reports() []feed.Report {
+func (f *subscription) reports() []feed.Report {
 	var all []feed.Report
 	f.g.mu.RLock()
 	defer f.g.mu.RUnlock()
 	for name, s := range f.g.services {
 		if s.byKey {
-			all = append(all, feed.Report{Service: name, Keys: s.heat.take(), ServiceTimes: s.drainServiceTimes()})
+			all = append(all, feed.Report{Service: name, Keys: s.keyLoad.take(), ServiceTimes: s.drainServiceTimes()})
 		}
 	}
 	return all
 }
 
 // watchLeader has this router ask the store who leads.
-func (f *follow) watchLeader() {
+func (f *subscription) watchLeader() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.leaderWatch == nil {
@@ -377,9 +377,9 @@
 	}
 }
 
-// askStore begins to watch the store for the configuration and the targets, and for the
+// watchStore begins to watch the store for the configuration and the targets, and for the
 // division of keys unless this router is the one that writes it.
-func (f *follow) askStore(tables bool) {
+func (f *subscription) watchStore(tables bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.configWatch == nil {
@@ -400,48 +400,48 @@
 	}
 }
 
-// unfed notes that no leader tells this router what the store knows. It asks the store
+// unsubscribed notes that no leader tells this router what the store knows. It asks the store
 // itself unless one does again within the delay.
-func (f *follow) unfed(delay time.Duration) {
+func (f *subscription) unsubscribed(delay time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fed = false
-	if !f.asking && !f.asksForTables() {
-		f.asking = true
-		time.AfterFunc(delay, f.askUnlessFed)
+	f.subscribed = false
+	if !f.fallbackPending && !f.watchesTables() {
+		f.fallbackPending = true
+		time.AfterFunc(delay, f.fallBack)
 	}
 }
 
-// asksForTables reports whether this router asks the store for all it needs; the lock is
+// watchesTables reports whether this router asks the store for all it needs; the lock is
 // held.
-func (f *follow) asksForTables() bool { return f.targetsWatch != nil && len(f.restWatches) > 1 }
+func (f *subscription) watchesTables() bool { return f.targetsWatch != nil && len(f.restWatches) > 1 }
 
-// askUnlessFed asks the store for all, but for a store that doesn't answer: once it does, the
+// fallBack asks the store for all, but for a store that doesn't answer: once it does, the
 // leader may feed this router again within the usual delay, and a store that returns isn't
 // asked for everything by a whole fleet at once.
-func (f *follow) askUnlessFed() {
+func (f *subscription) fallBack() {
 	if f.g.gate.isShut() {
 		f.g.goRun(func() {
 			if f.g.gate.wait(f.g.lifetime) {
-				time.AfterFunc(f.fallbackDelay(), f.askUnlessFed)
+				time.AfterFunc(f.fallbackDelay(), f.fallBack)
 			}
 		})
 		return
 	}
 	f.mu.Lock()
-	f.asking = false
-	needless := f.fed || f.term != nil || f.asksForTables()
+	f.fallbackPending = false
+	needless := f.subscribed || f.term != nil || f.watchesTables()
 	f.mu.Unlock()
 	if !needless && f.g.lifetime.Err() == nil {
 		f.watchLeader()
-		f.askStore(true)
+		f.watchStore(true)
 	}
 }
 
 // searchLeader has this router ask the store who leads. A small VM, which is to lead last,
 // waits a little: where the leader stopped in an orderly way the next one is there by then,
 // and one call finds it.
-func (f *follow) searchLeader() {
+func (f *subscription) searchLeader() {
 	if !f.g.weak() {
 		f.watchLeader()
 		return
@@ -455,7 +455,7 @@
 	time.AfterFunc(minSearchDelay+rand.N(maxSearchDelay-minSearchDelay), func() {
 		f.mu.Lock()
 		f.searching = false
-		needless := f.fed || f.g.lifetime.Err() != nil
+		needless := f.subscribed || f.g.lifetime.Err() != nil
 		f.mu.Unlock()
 		if !needless {
 			f.watchLeader()
@@ -465,7 +465,7 @@
 
 // setConnected notes whether a leader, fed by the store or not, tells this router anything,
 // and returns what was noted before.
-func (f *follow) setConnected(connected bool) bool {
+func (f *subscription) setConnected(connected bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.connected
@@ -474,32 +474,32 @@
 }
 
 // waits reports whether a leader will tell this router when the store answers again.
-func (f *follow) waits() bool {
+func (f *subscription) waits() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.connected && f.term == nil
 }
 
-// leaveStore ends all watches, because a leader tells it all.
-func (f *follow) leaveStore() {
+// stopWatching ends all watches, because a leader tells it all.
+func (f *subscription) stopWatching() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.fed = true
+	f.subscribed = true
 	for _, w := range f.watches() {
 		w.stop()
 	}
 	f.leaderWatch, f.configWatch, f.targetsWatch, f.restWatches = nil, nil, nil, nil
 }
 
-// isFed reports whether a leader tells this router what the store knows.
-func (f *follow) isFed() bool {
+// isSubscribed reports whether a leader tells this router what the store knows.
+func (f *subscription) isSubscribed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.fed
+	return f.subscribed
 }
 
 // fresh reports whether this router has heard of the targets from the store of late.
-func (f *follow) fresh() bool {
+func (f *subscription) fresh() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.targetsWatch == nil {
@@ -510,19 +510,19 @@
 }
 
 // unseen is by how much the routers' requests exceed those that this router hears of.
-func (f *follow) unseen() float64 {
+func (f *subscription) unseen() float64 {
 	return float64(f.g.routerCount()) / float64(min(int(f.followers.Load())+1, f.g.routerCount()))
 }
 
 // serveFollowers feeds the routers that follow this one.
 func (g *Gateway) serveFollowers() {
 	server := &feed.Server{
-		Log: g.log, Fresh: g.follow.fresh, Lead: g.follow.leads,
-		Reported: g.hearReport, Clock: g.opts.Clock,
+		Log: g.log, Fresh: g.subscription.fresh, Lead: g.subscription.leads,
+		Reported: g.handleReport, Clock: g.opts.Clock,
 		Joined: func(router string, term uint64, promised time.Duration) {
 			g.leader.duty.Tell(&followerJoined{router, kv.Revision(term), promised})
 		},
-		Backed: g.follow.backed,
+		Backed: g.subscription.backed,
 	}
 	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
 		g.log.Error("followers are fed no more", "err", err)
@@ -530,7 +530,7 @@
 }
 
 // leads returns what followers of the term are told.
-func (f *follow) leads(term uint64) (context.Context, *feed.Source) {
+func (f *subscription) leads(term uint64) (context.Context, *feed.Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.term == nil || uint64(f.term.revision) != term {
@@ -542,7 +542,7 @@
 }
 
 // backed notes that a router backs this one as the leader of a term.
-func (f *follow) backed(router string, term uint64, until time.Duration) {
+func (f *subscription) backed(router string, term uint64, until time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.term != nil && uint64(f.term.revision) == term {
@@ -550,14 +550,14 @@
 	}
 }
 
-// hearReport takes in what another router saw of a service.
-func (g *Gateway) hearReport(r feed.Report) {
+// handleReport takes in what another router saw of a service.
+func (g *Gateway) handleReport(r feed.Report) {
 	s := g.service(r.Service)
 	if s == nil {
 		return
 	}
 	for _, k := range r.Keys {
-		s.heat.add(k)
+		s.keyLoad.add(k)
 	}
 	s.learnServiceTimes(r.ServiceTimes)
 }
--- a/gateway/follow_test.go
+++ b/gateway/subscription_test.go
@@ -28,7 +28,7 @@
 	g.lifetime, g.cancel = context.WithCancel(t.Context())
 	defer g.running.Wait()
 	defer g.cancel()
-	f := &follow{g: g}
+	f := &subscription{g: g}
 	g.view.Store(&view{config: &routes.Config{Version: 1}})
 	begin, reads := time.Now(), func() int { return store.Calls()["kv-key"] }
 	for time.Since(begin) < configLagTimeout-100*time.Millisecond {
@@ -58,7 +58,7 @@
 	defer g.running.Wait()
 	defer g.cancel()
 	g.members = newMembers(g)
-	newFollow(g)
+	newSubscription(g)
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, len(store.Calls()), 0)
 }
@@ -68,7 +68,7 @@
 	f := newFleet(t, 4, plainConfig, plainTarget("a"))
 	fed := func() (n int) {
 		for _, g := range f.gateways {
-			if g.follow.isFed() {
+			if g.subscription.isSubscribed() {
 				n++
 			}
 		}
@@ -95,7 +95,7 @@
 // Guards against watches that wait for longer than the store keeps history, and against
 // routers that all ask again at one moment.
 func TestWatchesAtRestEndWithinTheHistory(t *testing.T) {
-	f := &follow{g: &Gateway{opts: Options{StoreHistory: 20 * time.Second}}}
+	f := &subscription{g: &Gateway{opts: Options{StoreHistory: 20 * time.Second}}}
 	waits := map[time.Duration]bool{}
 	for range 100 {
 		wait := f.restingWait()
@@ -110,17 +110,17 @@
 // Guards against feeds that end, on all routers at once, because the store is asked once more
 // who leads.
 func TestSameLeaderEndsNoFeed(t *testing.T) {
-	f := newFollow(&Gateway{})
+	f := newSubscription(&Gateway{})
 	leader := leaderSeen{name: "a", address: "a:1", revision: 7, present: true}
-	f.set(leader)
+	f.setLeader(leader)
 	moved := f.moved
-	f.set(leader)
+	f.setLeader(leader)
 	select {
 	case <-moved:
 		t.Fatal("the feed is ended")
 	default:
 	}
-	f.set(leaderSeen{revision: 9})
+	f.setLeader(leaderSeen{revision: 9})
 	<-moved
 }
 
@@ -130,7 +130,7 @@
 	f := newFleet(t, 3, plainConfig, plainTarget("a"))
 	old := f.leader()
 	for _, g := range f.gateways {
-		waittest.Until(t, "it is fed or leads", func() bool { return g == old || g.follow.isFed() })
+		waittest.Until(t, "it is fed or leads", func() bool { return g == old || g.subscription.isSubscribed() })
 	}
 	f.ways[old.opts.Name].cut.Store(true)
 	began := time.Now()
@@ -150,7 +150,7 @@
 	f := newFleet(t, 5, plainConfig, plainTarget("a"))
 	old := f.leader()
 	for _, g := range f.gateways {
-		waittest.Until(t, "it is fed or leads", func() bool { return g == old || g.follow.isFed() })
+		waittest.Until(t, "it is fed or leads", func() bool { return g == old || g.subscription.isSubscribed() })
 	}
 	f.store.Refuse(http.StatusServiceUnavailable)
 	before := f.store.Calls()
@@ -159,11 +159,11 @@
 	during := f.store.Calls()
 	f.store.Refuse(0)
 	for _, g := range f.gateways {
-		waittest.Until(t, "it is fed again or leads", func() bool { return g == f.leader() || g.follow.isFed() })
+		waittest.Until(t, "it is fed again or leads", func() bool { return g == f.leader() || g.subscription.isSubscribed() })
 	}
 	after := f.store.Calls()
 	// A leader tries its lease and its record; each of the others some few times.
-	own := int(outage/leaderKeep + 2*outage/probeEvery)
+	own := int(outage/leaderRenewInterval + 2*outage/probeEvery)
 	probes := during["kv-keep"] - before["kv-keep"] - own
 	assert.Assert(t, probes <= 4*4, "%d probes of four routers", probes)
 	listings := after["kv-range "+platform.TargetPrefix] - during["kv-range "+platform.TargetPrefix]
