--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,85 +98,10 @@
 	newerAt time.Time
 }
 
-// watch is a watcher that runs until it is stopped.
-type watch struct {
-	*watcher
-	stop context.CancelFunc
-}
-
 func newSubscription(g *Gateway) *subscription {
 	return &subscription{g: g, source: feed.NewSource(), moved: make(chan struct{}), started: time.Now()}
 }
 
-// startWatch begins to watch a prefix; the lock is held.
-func (f *subscription) startWatch(prefix string, pause func([]kv.Record) time.Duration, wait time.Duration) *watch {
-	ctx, cancel := context.WithCancel(f.g.lifetime)
-	w := &watch{stop: cancel, watcher: &watcher{
-		store: f.g.opts.Store, log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
-		gate: &f.g.gate, probe: f.g.members.wake,
-		tell: func(message any) {
-			if ctx.Err() == nil {
-				f.g.state.duty.Tell(&fromPrefix{prefix, message})
-			}
-		},
-	}}
-	f.g.goRun(func() { w.run(ctx) })
-	return w
-}
-
-// always is a pause that doesn't depend on what has changed.
-func always(pause time.Duration) func([]kv.Record) time.Duration {
-	return func([]kv.Record) time.Duration { return pause }
-}
-
-func pauseAfterLeader(changed []kv.Record) time.Duration {
-	if changed[len(changed)-1].Deleted {
-		return leaderPause
-	}
-	return subscribePause
-}
-
-// restingWait is how long a watch for what changes seldom waits.
-func (f *subscription) restingWait() time.Duration {
-	wait := maxRestingWait
-	if history := f.g.opts.StoreHistory; history > 0 {
-		wait = min(wait, time.Duration(restingShare*float64(history)))
-	}
-	return time.Duration(float64(wait) * (1 - restingJitter*rand.Float64()))
-}
-
-// fallbackDelay is how long this router goes without a leader before it asks the store.
-func (f *subscription) fallbackDelay() time.Duration {
-	delay := min(max(f.g.opts.KnownWithin-fallbackRest, minFallbackDelay), maxFallbackDelay)
-	return delay + rand.N(fallbackJitter)
-}
-
-// staleDelay is how long this router waits for another leader where its own says that it
-// doesn't hear from the store; that took it freshFor.
-func (f *subscription) staleDelay() time.Duration {
-	return max(f.fallbackDelay()-minFallbackDelay, 0)
-}
-
-// rewatch has all watches asked anew.
-func (f *subscription) rewatch() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, w := range f.watches() {
-		w.again()
-	}
-}
-
-// watches returns those that run; the lock is held.
-func (f *subscription) watches() []*watch {
-	all := slices.Clone(f.restWatches)
-	for _, w := range []*watch{f.leaderWatch, f.configWatch, f.targetsWatch} {
-		if w != nil {
-			all = append(all, w)
-		}
-	}
-	return all
-}
-
 // leaderKnown reports whether a router is known to lead.
 func (f *subscription) leaderKnown() bool {
 	f.mu.Lock()
@@ -355,114 +278,6 @@
 	return time.Until(f.backsUntil)
 }
 
-// reports returns what this router saw of its services since the last call.
-func (f *subscription) reports() []feed.Report {
-	var all []feed.Report
-	f.g.mu.RLock()
-	defer f.g.mu.RUnlock()
-	for name, s := range f.g.services {
-		if s.byKey {
-			all = append(all, feed.Report{Service: name, Keys: s.keyLoad.take(), ServiceTimes: s.drainServiceTimes()})
-		}
-	}
-	return all
-}
-
-// watchLeader has this router ask the store who leads.
-func (f *subscription) watchLeader() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.leaderWatch == nil {
-		f.leaderWatch = f.startWatch(leaderPrefix, pauseAfterLeader, f.restingWait())
-	}
-}
-
-// watchStore begins to watch the store for the configuration and the targets, and for the
-// division of keys unless this router is the one that writes it.
-func (f *subscription) watchStore(tables bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.configWatch == nil {
-		f.configWatch = f.startWatch(f.g.opts.Adapter.ConfigPrefix, always(configPause), f.restingWait())
-	}
-	if f.targetsWatch == nil {
-		f.targetsWatch = f.startWatch(f.g.opts.Adapter.TargetPrefix, always(targetsPause), targetsWait)
-	}
-	if len(f.restWatches) > 0 && (len(f.restWatches) > 1 || !tables) {
-		return
-	}
-	for _, w := range f.restWatches {
-		w.stop()
-	}
-	f.restWatches = []*watch{f.startWatch(routerPrefix, always(routersPause), f.restingWait())}
-	if tables {
-		f.restWatches = append(f.restWatches, f.startWatch(tablePrefix, always(tablesPause), f.restingWait()))
-	}
-}
-
-// unsubscribed notes that no leader tells this router what the store knows. It asks the store
-// itself unless one does again within the delay.
-func (f *subscription) unsubscribed(delay time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.subscribed = false
-	if !f.fallbackPending && !f.watchesTables() {
-		f.fallbackPending = true
-		time.AfterFunc(delay, f.fallBack)
-	}
-}
-
-// watchesTables reports whether this router asks the store for all it needs; the lock is
-// held.
-func (f *subscription) watchesTables() bool { return f.targetsWatch != nil && len(f.restWatches) > 1 }
-
-// fallBack asks the store for all, but for a store that doesn't answer: once it does, the
-// leader may feed this router again within the usual delay, and a store that returns isn't
-// asked for everything by a whole fleet at once.
-func (f *subscription) fallBack() {
-	if f.g.gate.isShut() {
-		f.g.goRun(func() {
-			if f.g.gate.wait(f.g.lifetime) {
-				time.AfterFunc(f.fallbackDelay(), f.fallBack)
-			}
-		})
-		return
-	}
-	f.mu.Lock()
-	f.fallbackPending = false
-	needless := f.subscribed || f.term != nil || f.watchesTables()
-	f.mu.Unlock()
-	if !needless && f.g.lifetime.Err() == nil {
-		f.watchLeader()
-		f.watchStore(true)
-	}
-}
-
-// searchLeader has this router ask the store who leads. A small VM, which is to lead last,
-// waits a little: where the leader stopped in an orderly way the next one is there by then,
-// and one call finds it.
-func (f *subscription) searchLeader() {
-	if !f.g.weak() {
-		f.watchLeader()
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.searching || f.leaderWatch != nil {
-		return
-	}
-	f.searching = true
-	time.AfterFunc(minSearchDelay+rand.N(maxSearchDelay-minSearchDelay), func() {
-		f.mu.Lock()
-		f.searching = false
-		needless := f.subscribed || f.g.lifetime.Err() != nil
-		f.mu.Unlock()
-		if !needless {
-			f.watchLeader()
-		}
-	})
-}
-
 // setConnected notes whether a leader, fed by the store or not, tells this router anything,
 // and returns what was noted before.
 func (f *subscription) setConnected(connected bool) bool {
@@ -480,102 +295,9 @@
 	return f.connected && f.term == nil
 }
 
-// stopWatching ends all watches, because a leader tells it all.
-func (f *subscription) stopWatching() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.subscribed = true
-	for _, w := range f.watches() {
-		w.stop()
-	}
-	f.leaderWatch, f.configWatch, f.targetsWatch, f.restWatches = nil, nil, nil, nil
-}
-
 // isSubscribed reports whether a leader tells this router what the store knows.
 func (f *subscription) isSubscribed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.subscribed
 }
-
-// fresh reports whether this router has heard of the targets from the store of late.
-func (f *subscription) fresh() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.targetsWatch == nil {
-		return false
-	}
-	heard := f.targetsWatch.heard.Load()
-	return heard != nil && time.Since(*heard) < freshFor
-}
-
-// unseen is by how much the routers' requests exceed those that this router hears of.
-func (f *subscription) unseen() float64 {
-	return float64(f.g.routerCount()) / float64(min(int(f.followers.Load())+1, f.g.routerCount()))
-}
-
-// serveFollowers feeds the routers that follow this one.
-func (g *Gateway) serveFollowers() {
-	server := &feed.Server{
-		Log: g.log, Fresh: g.subscription.fresh, Lead: g.subscription.leads,
-		Reported: g.handleReport, Clock: g.opts.Clock,
-		Joined: func(router string, term uint64, promised time.Duration) {
-			g.leader.duty.Tell(&followerJoined{router, kv.Revision(term), promised})
-		},
-		Backed: g.subscription.backed,
-	}
-	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
-		g.log.Error("followers are fed no more", "err", err)
-	}
-}
-
-// leads returns what followers of the term are told.
-func (f *subscription) leads(term uint64) (context.Context, *feed.Source) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.term == nil || uint64(f.term.revision) != term {
-		return nil, nil
-	}
-	f.followers.Add(1)
-	context.AfterFunc(f.term.ctx, func() { f.followers.Store(0) })
-	return f.term.ctx, f.source
-}
-
-// backed notes that a router backs this one as the leader of a term.
-func (f *subscription) backed(router string, term uint64, until time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.term != nil && uint64(f.term.revision) == term {
-		f.term.backing.back(router, until)
-	}
-}
-
-// handleReport takes in what another router saw of a service.
-func (g *Gateway) handleReport(r feed.Report) {
-	s := g.service(r.Service)
-	if s == nil {
-		return
-	}
-	for _, k := range r.Keys {
-		s.keyLoad.add(k)
-	}
-	s.learnServiceTimes(r.ServiceTimes)
-}
-
-// setServiceTimes puts in force what the leader tells of the targets' speed.
-func (g *Gateway) setServiceTimes(all []feed.ServiceTimes) {
-	for _, p := range all {
-		if s := g.service(p.Service); s != nil {
-			s.setServiceTimes(p.Targets)
-		}
-	}
-}
-
-// setLimits puts in force which keys the leader limits.
-func (g *Gateway) setLimits(all []feed.Limits) {
-	for _, l := range all {
-		if s := g.service(l.Service); s != nil {
-			s.setLimits(l.Limits)
-		}
-	}
-}
