--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -300,5 +300,5 @@
 // Service is the name of the service.
 func (a *Assigner) Service() string { return a.service }
 
-// SetStoreAway tells whether the store is not reached: grants then last longer.
+// SetStoreAway notes whether the store is not reached: grants then last longer.
 func (a *Assigner) SetStoreAway(away bool) { a.storeAway = away }
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -17,7 +17,7 @@
 	lost     bool
 }
 
-// SetTargets tells the targets that there are.
+// SetTargets notes the targets that there are.
 func (a *Assigner) SetTargets(now time.Time, targets []directory.Target) {
 	candidates := make(map[string]*candidate, len(targets))
 	for _, t := range targets {
@@ -35,7 +35,7 @@
 	a.candidates = candidates
 }
 
-// SetEnded tells which lives of targets have ended for certain; they hold nothing any more.
+// SetEnded notes which lives of targets have ended for certain; they hold nothing any more.
 func (a *Assigner) SetEnded(ended []keyspace.Holder) {
 	a.ended = make(map[keyspace.Holder]bool, len(ended))
 	for _, h := range ended {
--- a/core/dispatch/load.go
+++ b/core/dispatch/load.go
@@ -76,8 +76,8 @@
 	// service is the mean time of an answer without its wait, in seconds; zero before the
 	// first.
 	service float64
-	// told is what ChangedServiceTimes told of service last.
-	told float64
+	// published is the service time that ChangedServiceTimes returned last.
+	published float64
 	// failing is the share of work that failed, as of failedAt.
 	failing  float64
 	failedAt time.Time
@@ -88,9 +88,9 @@
 	unreached  time.Duration
 	triedAgain time.Time
 	// progressAt is when work at the target last ended, or began where there was none, and
-	// stallTold the stall that DrainServiceTimes told last of the present one.
-	progressAt time.Time
-	stallTold  time.Duration
+	// stallReported the stall that DrainServiceTimes returned last of the present one.
+	progressAt    time.Time
+	stallReported time.Duration
 	// pressedAt is when the target last showed that it has too much to do.
 	pressedAt time.Time
 }
@@ -124,7 +124,7 @@
 	}
 	l.usedAt = now
 	if l.inFlight == 0 {
-		l.progressAt, l.stallTold = now, 0
+		l.progressAt, l.stallReported = now, 0
 	}
 	l.inFlight++
 	l.conns = max(l.conns, l.inFlight)
@@ -134,7 +134,7 @@
 func (l *Load) end(now time.Time) {
 	l.inFlight = max(l.inFlight-1, 0)
 	l.usedAt = now
-	l.progressAt, l.stallTold = now, 0
+	l.progressAt, l.stallReported = now, 0
 }
 
 // stall is how long this router's work at the target has made no progress, where that is
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -107,7 +107,7 @@
 	mean       float64
 	random     *rand.Rand
 	queue      queue
-	// serviceTimes are what answers told since DrainServiceTimes.
+	// serviceTimes are what answers showed since DrainServiceTimes.
 	serviceTimes map[string]*TargetStats
 	limits       limits
 }
--- a/core/dispatch/targetstats.go
+++ b/core/dispatch/targetstats.go
@@ -27,7 +27,7 @@
 // pressedFor is for how long a target counts as pressed after the last sign of it.
 const pressedFor = 500 * time.Millisecond
 
-// serviceTimeChange is by which part a target's service time must have changed to be told again;
+// serviceTimeChange is by which part a target's service time must have changed to be published again;
 // the time of one request differs from the next by more than that.
 const serviceTimeChange = 0.15
 
@@ -76,7 +76,7 @@
 	return l != nil && !l.pressedAt.IsZero() && now.Sub(l.pressedAt) < pressedFor
 }
 
-// DrainServiceTimes returns what answers told since the last call.
+// DrainServiceTimes returns what answers showed since the last call.
 //
 // It answers a target that is half as fast as the others, or turns slow: one router of
 // nine gets an answer of it every two seconds, and knows after twenty seconds what all of
@@ -112,14 +112,14 @@
 		}
 		usual := math.Max(l.service, s.mean)
 		stall := time.Duration(l.stall(now, usual*l.stayed(now, 1)) * float64(time.Second))
-		if stall > 0 && stall >= 2*l.stallTold {
-			l.stallTold = stall
+		if stall > 0 && stall >= 2*l.stallReported {
+			l.stallReported = stall
 			s.serviceTimeOf(l.ID).Stalled = stall
 		}
 	}
 }
 
-// LearnServiceTimes takes in what answers told another router.
+// LearnServiceTimes takes in what another router learned from answers.
 func (s *Service) LearnServiceTimes(now time.Time, serviceTimes []TargetStats) {
 	for _, p := range serviceTimes {
 		l := s.loads[p.Target]
@@ -142,10 +142,10 @@
 func (s *Service) ChangedServiceTimes() []TargetStats {
 	var all []TargetStats
 	for _, l := range s.order {
-		if l.service == 0 || l.told != 0 && math.Abs(l.service-l.told) < serviceTimeChange*l.told {
+		if l.service == 0 || l.published != 0 && math.Abs(l.service-l.published) < serviceTimeChange*l.published {
 			continue
 		}
-		l.told = l.service
+		l.published = l.service
 		all = append(all, TargetStats{Target: l.ID, Mean: time.Duration(l.service * float64(time.Second))})
 	}
 	return all
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -22,12 +22,12 @@
 	Term    uint64
 	// Promised is for how long this router still backs another leader.
 	Promised time.Duration
-	// Update is told what the leader tells, heartbeats included.
+	// Update is given what the leader sends, heartbeats included.
 	Update func(u *Update)
 	// Reports returns what is to be reported since the last call.
 	Reports func() []Report
 	// Backs says whether this router doesn't reach the store, so that it backs a leader
-	// that doesn't either; Backed is told until when it does so.
+	// that doesn't either; Backed is called until when it does so.
 	Backs  func() bool
 	Backed func(until time.Time)
 
@@ -81,7 +81,7 @@
 	}
 }
 
-// report tells the leader which keys were asked for, and whether it is backed. A report
+// report sends the leader which keys were asked for, and whether it is backed. A report
 // that can't be written is lost with the connection, whose end Run notices.
 func (f *Follower) report(ctx context.Context, conn net.Conn) {
 	ticker := time.NewTicker(reportEvery)
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -33,7 +33,7 @@
 	dialTimeout = 300 * time.Millisecond
 	// writeTimeout ends the feed of a follower that doesn't read.
 	writeTimeout = 500 * time.Millisecond
-	// reportEvery is how often a follower tells the leader which keys were asked for.
+	// reportEvery is how often a follower reports to the leader which keys were asked for.
 	reportEvery = 200 * time.Millisecond
 	// maxFrame bounds a frame: the targets and tables of the largest fleet that one leader
 	// tells of, 20,000 targets of some 100 bytes.
@@ -41,7 +41,7 @@
 )
 
 // Table is the division of a service's keys with the store's revision of it, and the count
-// of what the leader told of that revision; zero is the store's own word.
+// of what the leader published of that revision; zero is the store's own word.
 type Table struct {
 	Revision, Sequence uint64
 	Table              *keyspace.Table
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -41,7 +41,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		source := NewSource()
 		source.SetKnown()
-		seen, known := map[string]*keyspace.Table{}, told{}
+		seen, known := map[string]*keyspace.Table{}, sentState{}
 		table := keyspace.New("s")
 		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			table = drawTable(t, table)
@@ -213,7 +213,7 @@
 func TestTargetsThatWereNotReadYetAreNotToldAsNone(t *testing.T) {
 	source := NewSource()
 	source.SetTargets(nil)
-	u, known, _ := source.since(told{}, false)
+	u, known, _ := source.since(sentState{}, false)
 	assert.Assert(t, u.Stale && !u.Whole)
 	source.SetTargets([]directory.Target{{ID: "a"}})
 	source.SetKnown()
@@ -238,13 +238,13 @@
 	source.SetKnown()
 	value := bytes.Repeat([]byte(`{"name":"a","prefix":"/a/"},`), 4000)
 	source.SetConfig(9, value)
-	decode := func(known told) (*Update, told) {
+	decode := func(known sentState) (*Update, sentState) {
 		p, after, _ := source.since(known, false)
 		u, err := decodeUpdate(p, map[string]*keyspace.Table{})
 		assert.NilError(t, err)
 		return u, after
 	}
-	u, known := decode(told{})
+	u, known := decode(sentState{})
 	assert.Equal(t, u.Config, uint64(9))
 	assert.Assert(t, bytes.Equal(u.ConfigValue, value))
 	u, _ = decode(known)
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -19,18 +19,18 @@
 
 // Server feeds those who follow this router.
 type Server struct {
-	// Lead returns what this router tells as the leader of the term, and a context that
+	// Lead returns what this router publishes as the leader of the term, and a context that
 	// ends with the term; nil where it doesn't lead then.
 	Lead func(term uint64) (context.Context, *Source)
-	// Fresh says whether this router has heard from the store of late. Without that it says
+	// Fresh says whether this router has had an answer of the store of late. Without that it says
 	// that it doesn't know, and its followers ask the store themselves.
 	Fresh func() bool
-	// Joined is told who follows, and for how long that router still backs another leader.
+	// Joined is given who follows, and for how long that router still backs another leader.
 	Joined func(router string, term uint64, promised time.Duration)
-	// Backed is told that a router backs this leader until a time of Clock: until then it
+	// Backed is called that a router backs this leader until a time of Clock: until then it
 	// follows no other.
 	Backed func(router string, term uint64, until time.Duration)
-	// Reported is told what a follower reports.
+	// Reported is given what a follower reports.
 	Reported func(r Report)
 	Clock    clock.Clock
 	Log      *slog.Logger
@@ -89,15 +89,15 @@
 		f.listen()
 	}()
 	s.Log.Info("follower fed", "follower", f.hello.GetRouter(), "term", term)
-	err := f.tell(ctx, source)
+	err := f.send(ctx, source)
 	s.Log.Info("follower lost", "follower", f.hello.GetRouter(), "err", err)
 }
 
-// tell writes what changes, and a beat at least every HeartbeatEvery.
-func (f *follower) tell(ctx context.Context, source *Source) error {
+// send writes what changes, and a beat at least every HeartbeatEvery.
+func (f *follower) send(ctx context.Context, source *Source) error {
 	heartbeat := time.NewTicker(HeartbeatEvery)
 	defer heartbeat.Stop()
-	var known told
+	var known sentState
 	for {
 		update, after, changed := source.since(known, !f.server.Fresh())
 		known = after
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -9,7 +9,7 @@
 	"tarragongw/peer/feedpb"
 )
 
-// Source is what a leader tells, with what changed when, so that each follower gets just
+// Source is what a leader publishes, with what changed when, so that each follower gets just
 // what it doesn't have. It is safe for concurrent use.
 type Source struct {
 	mu      sync.Mutex
@@ -55,7 +55,7 @@
 	version uint64
 }
 
-// NewSource returns a source that has nothing to tell yet.
+// NewSource returns a source that has nothing to publish yet.
 func NewSource() *Source {
 	return &Source{
 		targets: map[string]versionedTarget{}, gone: map[string]uint64{}, tables: map[string][]versionedTable{},
@@ -70,7 +70,7 @@
 	s.changed = make(chan struct{})
 }
 
-// SetTargets tells all targets that there are.
+// SetTargets publishes all targets that there are.
 func (s *Source) SetTargets(targets []directory.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,7 +104,7 @@
 	}
 }
 
-// SetConfig tells the configuration that is in force, and its version.
+// SetConfig publishes the configuration that is in force, and its version.
 func (s *Source) SetConfig(version uint64, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +120,7 @@
 	return s.configValue
 }
 
-// SetRouters tells the number of live routers.
+// SetRouters publishes the number of live routers.
 func (s *Source) SetRouters(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,7 +128,7 @@
 	s.routers = n
 }
 
-// SetServiceTimes tells how fast some targets of a service are. It wakes nobody: the next beat
+// SetServiceTimes publishes how fast some targets of a service are. It wakes nobody: the next beat
 // brings it soon enough.
 func (s *Source) SetServiceTimes(p ServiceTimes) {
 	s.mu.Lock()
@@ -144,7 +144,7 @@
 	}
 }
 
-// SetLimits tells which keys of a service are limited.
+// SetLimits publishes which keys of a service are limited.
 func (s *Source) SetLimits(l Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,7 +152,7 @@
 	s.limits[l.Service] = versionedLimits{l, s.version}
 }
 
-// SetTable tells a division that the store has.
+// SetTable publishes a division that the store has.
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,15 +186,15 @@
 	return encodeTable(last.table)
 }
 
-// told is what a follower has been told last.
-type told struct {
+// sentState is what a follower has been sent last.
+type sentState struct {
 	// all and tables are the versions up to which it knows everything, and the tables.
 	all, tables uint64
 }
 
 // since returns what a follower doesn't know, and what is closed at the next change. A
-// stale source tells tables alone: these are true by the leader's own writes.
-func (s *Source) since(t told, stale bool) (*feedpb.Update, told, <-chan struct{}) {
+// stale source publishes tables alone: these are true by the leader's own writes.
+func (s *Source) since(t sentState, stale bool) (*feedpb.Update, sentState, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stale = stale || !s.known
@@ -206,14 +206,14 @@
 	}
 	t.tables = s.version
 	if !stale {
-		s.tellTargets(u, t.all)
+		s.addTargets(u, t.all)
 		t.all = s.version
 	}
 	return u, t, s.changed
 }
 
-// tellTargets adds the targets and the configuration after a version; the lock is held.
-func (s *Source) tellTargets(u *feedpb.Update, version uint64) {
+// addTargets adds the targets and the configuration after a version; the lock is held.
+func (s *Source) addTargets(u *feedpb.Update, version uint64) {
 	now := time.Now()
 	u.Whole, u.Config, u.Routers = version == 0, s.config, uint32(s.routers)
 	if s.configChanged > version {
