--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"tarragongw/core/routes"
@@ -169,3 +170,36 @@
 	listings := after["kv-range "+platform.TargetPrefix] - during["kv-range "+platform.TargetPrefix]
 	assert.Assert(t, listings <= 1, "%d listings of all targets", listings)
 }
+
+// Guards against a router that serves by an old configuration for seconds after the store
+// answers it again, because it waited for word of a leader that was cut off with it.
+func TestRouterCutOffWithItsLeaderFindsTheStoreSoon(t *testing.T) {
+	unstalled(t, func() error {
+		f := newFleet(t, 5, plainConfig, plainTarget("a"))
+		old := f.leader()
+		var with *Gateway
+		for _, g := range f.gateways {
+			waittest.Until(t, "it is fed or leads", func() bool { return g == old || g.subscription.isSubscribed() })
+			if g != old {
+				with = g
+			}
+		}
+		both := []*Gateway{old, with}
+		for _, g := range both {
+			f.ways[g.opts.Name].cut.Store(true)
+		}
+		time.Sleep(6 * time.Second)
+		for _, g := range both {
+			f.ways[g.opts.Name].cut.Store(false)
+		}
+		began := time.Now()
+		f.configure(plainConfig)
+		for _, g := range both {
+			waittest.Until(t, "the configuration is in force", func() bool { return int(g.view.Load().config.Version) == f.version })
+		}
+		if took := time.Since(began); took > 1900*time.Millisecond {
+			return errors.Errorf("after %v", took)
+		}
+		return nil
+	})
+}
