--- a/gateway/members.go
+++ b/gateway/members.go
@@ -25,9 +25,10 @@
 	// started together doesn't call together.
 	renewJitter = 0.25
 	// probeEvery is how often a store that doesn't answer is asked, on average, and maxProbe
-	// the longest such pause.
+	// the longest such pause: the leader that a router waits for may be cut off for longer
+	// than the router, which must then find the store by itself.
 	probeEvery = 400 * time.Millisecond
-	maxProbe   = 3200 * time.Millisecond
+	maxProbe   = 800 * time.Millisecond
 )
 
 // members keeps this router's own record in the store, by which the others count it.
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -188,7 +188,10 @@
 		case <-ctx.Done():
 		}
 	}()
-	defer f.setConnected(false)
+	defer func() {
+		f.setConnected(false)
+		f.g.members.wake() // nobody says any more when the store is back
+	}()
 	fed := false
 	follower := &feed.Follower{
 		Router: f.g.opts.Name, Address: leader.address, Term: uint64(leader.revision), Reports: f.reports,
