Read a first configuration that is too long for the feed from the store

Read in the diff: a router without any configuration never compared its version with the leader's, so that one of more than 64 kB deflated would have kept every router that starts from becoming ready. TestFirstConfigurationIsReadWhereTheFeedDoesNotBringIt fails before. The probe is woken by the end of a feed that had begun, not by each try to reach a leader that is gone.

--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -82,7 +82,7 @@
 	// nothing, because a leader feeds it.
 	leaderWatch, configWatch, targetsWatch *watch
 	restWatches                            []*watch
-	// fed says that the leader tells this router what the store knows.
+	// subscribed says that the leader tells this router what the store knows.
 	subscribed bool
 	// connected says that a leader tells this router anything, searching that the store is
 	// asked after a delay who leads.
@@ -140,7 +140,7 @@
 // run follows one leader after the other until the router ends.
 //
 // The watches begin here and not with the subscription itself: a store that answers before the
-// router has it finds beliefs that rest on nothing, and its first answer is lost.
+// router has it finds state that rests on nothing, and its first answer is lost.
 func (f *subscription) run() {
 	f.watchLeader()
 	f.unsubscribed(initialFeedTimeout)
@@ -189,8 +189,9 @@
 		}
 	}()
 	defer func() {
-		f.setConnected(false)
-		f.g.members.wake() // nobody says any more when the store is back
+		if f.setConnected(false) {
+			f.g.members.wake() // nobody says any more when the store is back
+		}
 	}()
 	fed := false
 	follower := &feed.Follower{
@@ -231,8 +232,11 @@
 // compare asks the store where the leader has a newer configuration than this router for
 // longer than the feed takes to bring it: one that is too long for it.
 func (f *subscription) compare(version uint64) {
-	v := f.g.view.Load()
-	if v == nil || v.config.Version >= version {
+	inForce := uint64(0) // without a configuration
+	if v := f.g.view.Load(); v != nil {
+		inForce = v.config.Version
+	}
+	if inForce >= version {
 		return
 	}
 	f.mu.Lock()
@@ -246,7 +250,7 @@
 	}
 	f.mu.Unlock()
 	if late {
-		f.g.log.Info("leader has a newer configuration", "version", version, "in_force", v.config.Version)
+		f.g.log.Info("leader has a newer configuration", "version", version, "in_force", inForce)
 		f.g.goRun(f.fetchConfig)
 	}
 }
--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -203,3 +203,23 @@
 		return nil
 	})
 }
+
+// Guards against a router that never gets its first configuration because it is too long for
+// the feed.
+func TestFirstConfigurationIsReadWhereTheFeedDoesNotBringIt(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	client := platform.NewStore(store.Address())
+	defer client.Close()
+	g := &Gateway{log: slog.New(slog.DiscardHandler), opts: Options{Store: client}}
+	g.opts.Adapter.ConfigKey = platform.ConfigKey
+	g.lifetime, g.cancel = context.WithCancel(t.Context())
+	defer g.running.Wait()
+	defer g.cancel()
+	f := &subscription{g: g}
+	f.compare(0)
+	for begin := time.Now(); time.Since(begin) < configLagTimeout+200*time.Millisecond; time.Sleep(10 * time.Millisecond) {
+		f.compare(2)
+	}
+	assert.Equal(t, store.Calls()["kv-key"], 1)
+}
