Take nothing on in a planned stop once the platform knows of it

Cause: a stop takes requests on until half of the grace, which is 3 s where the grace is 6, and 5 s here; the platform knows after 2 s that this router stops, so that only kept connections still bring requests, and those have less time to end the later they come. Nothing is taken on after 2.9 s now, whatever the grace; what still comes is refused as "stopping", not run, as before.

TestNothingIsTakenOnLateInALongGrace fails before (5 s of 10, 30 s of a minute).

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// leaveShare is the part of the grace after which no connection is accepted any more:
-	// by then the platform has asked twice whether this router is ready, and sends no more.
+	// leaveShare is the part of the grace after which nothing is taken on any more, and
+	// maxLeave the longest such time: by then the platform has asked twice whether this router
+	// is ready, and sends no more. What is taken on later has less time to end, however long
+	// the grace is.
 	leaveShare = 0.5
+	maxLeave   = 2900 * time.Millisecond
 	// cutShare is the part of the grace that requests in flight have to end. The others are
 	// told so in the rest of it; of the usual grace of 6 s that is 0.7 s.
 	cutShare = 0.88
@@ -26,7 +29,7 @@
 	g.leader.duty.Tell(down)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(part(g.opts.Grace, cutShare)))
 	defer cancel()
-	leave := time.After(part(g.opts.Grace, leaveShare))
+	leave := time.After(leaveAfter(g.opts.Grace))
 	select {
 	case <-down.done:
 		g.members.leave(ctx)
@@ -50,4 +53,7 @@
 	return cut
 }
 
+// leaveAfter is how long after the request to stop a router takes nothing on any more.
+func leaveAfter(grace time.Duration) time.Duration { return min(part(grace, leaveShare), maxLeave) }
+
 func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -170,3 +170,12 @@
 	}
 	assert.Assert(t, served > 0)
 }
+
+// Guards against requests that are taken on late in a long grace, and cut off at its end.
+func TestNothingIsTakenOnLateInALongGrace(t *testing.T) {
+	for _, grace := range []time.Duration{6 * time.Second, 10 * time.Second, time.Minute} {
+		assert.Assert(t, leaveAfter(grace) < 3*time.Second, "%v", grace)
+		assert.Assert(t, leaveAfter(grace) > 2*time.Second, "two questions of the platform come before: %v", grace)
+	}
+	assert.Equal(t, leaveAfter(2*time.Second), time.Second)
+}
