Set up an idle gateway and the even share of a load in one place each

Three tests of the subscription built the same gateway on a store; of and weight of the load tracker wrote the same term. No change of behaviour, assertions as they were.

--- a/core/assign/keyload.go
+++ b/core/assign/keyload.go
@@ -96,7 +96,12 @@
 
 // of is the load of a range in requests within the span, with its even share.
 func (l *LoadTracker) of(from, to keyspace.Key) float64 {
-	return l.between(l.index(int(from)), l.index(int(to)+1))*(1-evenShare) + (l.total()*evenShare+1)*partOf(from, to)
+	return l.between(l.index(int(from)), l.index(int(to)+1))*(1-evenShare) + l.even(from, to)
+}
+
+// even is the share of a range in the load that is taken to lie evenly on all keys.
+func (l *LoadTracker) even(from, to keyspace.Key) float64 {
+	return (l.total()*evenShare + 1) * partOf(from, to)
 }
 
 // partOf is a range's part of all keys.
@@ -121,7 +126,7 @@
 func (l *LoadTracker) weight(from, to keyspace.Key) float64 {
 	first, end := l.index(int(from)), l.index(int(to)+1)
 	recent := (l.recent[end] - l.recent[first]) * (l.span.Seconds() / recentMemory.Seconds())
-	return (l.sums[end]-l.sums[first]+recent)*(1-evenShare) + (l.total()*evenShare+1)*partOf(from, to)
+	return (l.sums[end]-l.sums[first]+recent)*(1-evenShare) + l.even(from, to)
 }
 
 // tightest returns the range within the given one that has the weight on the fewest keys;
--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -17,18 +17,25 @@
 	"tarragongw/platform/platformtest"
 )
 
-// Guards against a store that each router asks for a configuration again and again while the
-// feed is bringing it.
-func TestConfigurationIsReadFromTheStoreOnceTheFeedLags(t *testing.T) {
+// idleGateway is a gateway on a store of its own of which no part has begun.
+func idleGateway(t *testing.T) (*Gateway, *platformtest.Store) {
+	t.Helper()
 	store := platformtest.NewStore()
-	defer store.Close()
+	t.Cleanup(store.Close)
 	client := platform.NewStore(store.Address())
-	defer client.Close()
+	t.Cleanup(client.Close)
 	g := &Gateway{log: slog.New(slog.DiscardHandler), opts: Options{Store: client}}
 	g.opts.Adapter.ConfigKey = platform.ConfigKey
 	g.lifetime, g.cancel = context.WithCancel(t.Context())
-	defer g.running.Wait()
-	defer g.cancel()
+	t.Cleanup(g.running.Wait)
+	t.Cleanup(g.cancel)
+	return g, store
+}
+
+// Guards against a store that each router asks for a configuration again and again while the
+// feed is bringing it.
+func TestConfigurationIsReadFromTheStoreOnceTheFeedLags(t *testing.T) {
+	g, store := idleGateway(t)
 	f := &subscription{g: g}
 	g.view.Store(&view{config: &routes.Config{Version: 1}})
 	begin, reads := time.Now(), func() int { return store.Calls()["kv-key"] }
@@ -50,14 +57,7 @@
 // Sequence: the store answers the first watch before the router has put together what its
 // answer is told to; the configuration that it brings is lost.
 func TestNothingIsAskedBeforeTheRouterIsWhole(t *testing.T) {
-	store := platformtest.NewStore()
-	defer store.Close()
-	client := platform.NewStore(store.Address())
-	defer client.Close()
-	g := &Gateway{log: slog.New(slog.DiscardHandler), opts: Options{Store: client}}
-	g.lifetime, g.cancel = context.WithCancel(t.Context())
-	defer g.running.Wait()
-	defer g.cancel()
+	g, store := idleGateway(t)
 	g.members = newMembers(g)
 	newSubscription(g)
 	time.Sleep(100 * time.Millisecond)
@@ -207,15 +207,7 @@
 // Guards against a router that never gets its first configuration because it is too long for
 // the feed.
 func TestFirstConfigurationIsReadWhereTheFeedDoesNotBringIt(t *testing.T) {
-	store := platformtest.NewStore()
-	defer store.Close()
-	client := platform.NewStore(store.Address())
-	defer client.Close()
-	g := &Gateway{log: slog.New(slog.DiscardHandler), opts: Options{Store: client}}
-	g.opts.Adapter.ConfigKey = platform.ConfigKey
-	g.lifetime, g.cancel = context.WithCancel(t.Context())
-	defer g.running.Wait()
-	defer g.cancel()
+	g, store := idleGateway(t)
 	f := &subscription{g: g}
 	f.compare(0)
 	for begin := time.Now(); time.Since(begin) < configLagTimeout+200*time.Millisecond; time.Sleep(10 * time.Millisecond) {
