Begin no handler of a sample target beside its close

Cause: WaitGroup.Add from zero beside Wait. A handler is now counted in under the server's lock, and not at all once Close has begun; its connection ends without an answer, as every other connection at that moment.

--- a/target/sample/server.go
+++ b/target/sample/server.go
@@ -67,13 +67,14 @@
 	arrivals int
 	busyUnit map[string]int
 	draining bool
+	closed   bool
 
 	http     *http.Server
 	listener net.Listener
 	stop     context.CancelFunc
 	stopped  context.Context
 	served   chan struct{}
-	handlers sync.WaitGroup
+	handlers sync.WaitGroup // counted up under mu, so that none begins beside Close's wait
 }
 
 // entry is the state of one key.
@@ -143,6 +144,9 @@
 // waits for it.
 func (s *Server) Close() {
 	s.stop()
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	if s.http != nil {
 		_ = s.http.Close()
 		<-s.served
@@ -194,12 +198,24 @@
 	mux.HandleFunc("GET "+target.PathHealth, s.serveHealth)
 	mux.HandleFunc("/", s.serveWork)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.handlers.Add(1)
+		if !s.arrive() {
+			panic(http.ErrAbortHandler) // ends the connection without an answer
+		}
 		defer s.handlers.Done()
 		mux.ServeHTTP(w, r)
 	})
 }
 
+// arrive counts a handler in, unless the server is closed.
+func (s *Server) arrive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.handlers.Add(1)
+	}
+	return !s.closed
+}
+
 func (s *Server) cold() bool { return s.cfg.Now().Sub(s.started) < s.cfg.ColdFor }
 
 // load is called with mu held.
--- a/target/sample/server_test.go
+++ b/target/sample/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -204,6 +205,34 @@
 	assert.Equal(t, s.Log().Runs("a"), 0)
 }
 
+// It guards against handlers that begin after Close has returned, or race with its wait.
+func TestCloseWaitsForRequestsThatArriveWithIt(t *testing.T) {
+	for round := range 600 {
+		s := sample.New(sample.Config{Work: time.Millisecond})
+		assert.NilError(t, s.Start())
+		var callers sync.WaitGroup
+		callers.Go(func() { askUntilCut(s.Addr()) })
+		time.Sleep(time.Duration(round%30) * 70 * time.Microsecond)
+		s.Close()
+		arrived := s.Arrivals()
+		callers.Wait()
+		assert.Equal(t, s.Arrivals(), arrived)
+	}
+}
+
+// askUntilCut sends one request after the other until one fails.
+func askUntilCut(address string) {
+	client := &http.Client{Transport: &http.Transport{}}
+	for {
+		resp, err := client.Get("http://" + address + "/stall/x")
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
+
 func TestOverlapsAreFound(t *testing.T) {
 	log := sample.NewLog(100)
 	run := func(name, id string, token uint64) {
