Count the calls to the store by what they are for

serve had no metric of its calls to the platform's store, so that which duty makes them could only be found with a changed copy. store_calls_total and store_call_seconds now carry the call and its purpose (list_lead, watch_targets, commit_keys, ...); the purposes are a closed list.

--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -357,7 +357,7 @@
 func (g *Gateway) weak() bool { return isWeak(g.opts.CPUShare) }
 
 func (l *leader) acquire() (*term, error) {
-	ctx, store := l.g.lifetime, l.g.opts.Store
+	ctx, store := l.g.lifetime, l.g.storeFor(forLead)
 	sent := l.g.opts.Clock.Now()
 	lease, _, err := store.NewLease(ctx, max(leaderTTL, l.g.opts.LeaseMin))
 	if err != nil {
@@ -401,7 +401,7 @@
 func (l *leader) keep(t *term) {
 	for duty.Sleep(t.ctx, leaderRenewInterval) {
 		sent := l.g.opts.Clock.Now()
-		err := l.g.opts.Store.KeepLease(t.ctx, t.lease)
+		err := l.g.storeFor(forLead).KeepLease(t.ctx, t.lease)
 		l.duty.Tell(&leaseKept{t, sent, err})
 	}
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -82,7 +82,7 @@
 
 func (l *leader) readTable(t *term, service string) *tableRead {
 	m := &tableRead{term: t, service: service}
-	r, err := l.g.opts.Store.Get(t.ctx, tablePrefix+service)
+	r, err := l.g.storeFor(forKeys).Get(t.ctx, tablePrefix+service)
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
 	case err != nil:
@@ -264,7 +264,7 @@
 		m.err = err
 		return m
 	}
-	m.revision, m.conflict, m.err = l.g.opts.Store.Commit(t.ctx, kv.Txn{
+	m.revision, m.conflict, m.err = l.g.storeFor(forKeys).Commit(t.ctx, kv.Txn{
 		Conditions: []kv.Condition{{Key: leaderKey, Revision: t.revision}, {Key: tablePrefix + service, Revision: revision}},
 		Puts:       []kv.Put{{Key: tablePrefix + service, Value: data}},
 	})
@@ -411,7 +411,7 @@
 func (l *leader) endLease(t *term) error {
 	ctx, cancel := context.WithTimeout(l.g.lifetime, leaderTTL)
 	defer cancel()
-	return l.g.opts.Store.EndLease(ctx, t.lease)
+	return l.g.storeFor(forLead).EndLease(ctx, t.lease)
 }
 
 func (l *leader) ended(m *leaseEnded) {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -115,17 +115,17 @@
 		return nil
 	}
 	if m.lease != 0 {
-		err := m.g.opts.Store.KeepLease(ctx, m.lease)
+		err := m.g.storeFor(forOwn).KeepLease(ctx, m.lease)
 		if !errors.Is(err, kv.ErrLeaseLost) {
 			return err
 		}
 		m.lease = 0
 	}
-	lease, _, err := m.g.opts.Store.NewLease(ctx, max(memberTTL, m.g.opts.LeaseMin))
+	lease, _, err := m.g.storeFor(forOwn).NewLease(ctx, max(memberTTL, m.g.opts.LeaseMin))
 	if err != nil {
 		return err
 	}
-	_, _, err = m.g.opts.Store.Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: routerPrefix + m.g.opts.Name, Value: []byte(m.g.opts.DataCentre), Lease: lease}}})
+	_, _, err = m.g.storeFor(forOwn).Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: routerPrefix + m.g.opts.Name, Value: []byte(m.g.opts.DataCentre), Lease: lease}}})
 	if err != nil {
 		return err
 	}
@@ -144,7 +144,7 @@
 	if m.lease == 0 {
 		return
 	}
-	if err := m.g.opts.Store.EndLease(ctx, m.lease); err != nil {
+	if err := m.g.storeFor(forOwn).EndLease(ctx, m.lease); err != nil {
 		m.g.log.Warn("own record not removed; it lapses", "err", err)
 	}
 }
--- /dev/null
+++ b/gateway/storecalls.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"tarragongw/kv"
+	"tarragongw/telemetry"
+)
+
+// What calls to the store are for, as store_calls_total names it.
+const (
+	forLead    = "lead"
+	forKeys    = "keys"
+	forConfig  = "config"
+	forTargets = "targets"
+	forRouters = "routers"
+	forOwn     = "own_record"
+)
+
+// storeFor returns the store for calls that are counted under the purpose.
+func (g *Gateway) storeFor(purpose string) kv.Ledger {
+	if g.opts.Telemetry == nil {
+		return g.opts.Store
+	}
+	return &countedStore{store: g.opts.Store, telemetry: g.opts.Telemetry, purpose: purpose}
+}
+
+// purposeOf returns what a watch of the prefix is for.
+func (g *Gateway) purposeOf(prefix string) string {
+	switch prefix {
+	case leaderPrefix:
+		return forLead
+	case routerPrefix:
+		return forRouters
+	case tablePrefix:
+		return forKeys
+	case g.opts.Adapter.TargetPrefix:
+		return forTargets
+	default:
+		return forConfig
+	}
+}
+
+// countedStore counts the calls to a store.
+type countedStore struct {
+	store     kv.Ledger
+	telemetry *telemetry.Telemetry
+	purpose   string
+}
+
+var _ kv.Ledger = (*countedStore)(nil)
+
+func (s *countedStore) count(call string, began time.Time, err error) {
+	s.telemetry.StoreCall(call+"_"+s.purpose, kv.Code(err), time.Since(began))
+}
+
+// Get implements kv.Ledger.
+func (s *countedStore) Get(ctx context.Context, key string) (kv.Record, error) {
+	began := time.Now()
+	r, err := s.store.Get(ctx, key)
+	s.count("get", began, err)
+	return r, err
+}
+
+// List implements kv.Ledger.
+func (s *countedStore) List(ctx context.Context, prefix string) ([]kv.Record, kv.Revision, error) {
+	began := time.Now()
+	records, at, err := s.store.List(ctx, prefix)
+	s.count("list", began, err)
+	return records, at, err
+}
+
+// Watch implements kv.Ledger.
+func (s *countedStore) Watch(ctx context.Context, prefix string, since kv.Revision, wait time.Duration) ([]kv.Record, kv.Revision, error) {
+	began := time.Now()
+	records, at, err := s.store.Watch(ctx, prefix, since, wait)
+	s.count("watch", began, err)
+	return records, at, err
+}
+
+// Commit implements kv.Ledger.
+func (s *countedStore) Commit(ctx context.Context, txn kv.Txn) (kv.Revision, []kv.Record, error) {
+	began := time.Now()
+	revision, conflict, err := s.store.Commit(ctx, txn)
+	s.count("commit", began, err)
+	return revision, conflict, err
+}
+
+// NewLease implements kv.Ledger.
+func (s *countedStore) NewLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, time.Duration, error) {
+	began := time.Now()
+	id, granted, err := s.store.NewLease(ctx, ttl)
+	s.count("lease", began, err)
+	return id, granted, err
+}
+
+// KeepLease implements kv.Ledger.
+func (s *countedStore) KeepLease(ctx context.Context, id kv.LeaseID) error {
+	began := time.Now()
+	err := s.store.KeepLease(ctx, id)
+	s.count("renew", began, err)
+	return err
+}
+
+// EndLease implements kv.Ledger.
+func (s *countedStore) EndLease(ctx context.Context, id kv.LeaseID) error {
+	began := time.Now()
+	err := s.store.EndLease(ctx, id)
+	s.count("release", began, err)
+	return err
+}
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -19,7 +19,7 @@
 func (f *subscription) startWatch(prefix string, pause func([]kv.Record) time.Duration, wait time.Duration) *watch {
 	ctx, cancel := context.WithCancel(f.g.lifetime)
 	w := &watch{stop: cancel, watcher: &watcher{
-		store: f.g.opts.Store, log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
+		store: f.g.storeFor(f.g.purposeOf(prefix)), log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
 		gate: &f.g.gate, probe: f.g.members.wake,
 		tell: func(message any) {
 			if ctx.Err() == nil {
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -258,7 +258,7 @@
 // fetchConfig reads the configuration from the store.
 func (f *subscription) fetchConfig() {
 	a := &f.g.opts.Adapter
-	r, err := f.g.opts.Store.Get(f.g.lifetime, a.ConfigKey)
+	r, err := f.g.storeFor(forConfig).Get(f.g.lifetime, a.ConfigKey)
 	if err != nil {
 		f.g.log.Warn("configuration not read", "err", err)
 		return
