Have few routers look for the next leader at once

Cause: nobody looked for the next leader until the moment at which everything was to be listed. Now some ten routers, drawn by chance, ask who leads as soon as their leader is lost or stale, so that one of them follows when its lease ends; the others ask 150 to 450 ms later (250 more where the leader still lives), by when one call tells them. Small VMs did so already. A delay that began before the last feed no longer has everything listed in the next loss.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -37,6 +37,8 @@
 	client   *http.Client
 	// ways are the gateways' ways to the store, by name.
 	ways map[string]*way
+	// knownWithin is Options.KnownWithin of gateways that start.
+	knownWithin time.Duration
 	// slow is a prefix whose listings take slowListing for gateways that start.
 	slow string
 }
@@ -176,7 +178,7 @@
 	f.ways[name] = &way{Ledger: platform.NewStore(f.store.Address()), slow: f.slow, slowFor: slowListing}
 	g, err := New(Options{
 		Name: name, DataCentre: "hall", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		Store: f.ways[name], LeaseMin: time.Second, HoldMax: 10 * time.Second, Grace: 3 * time.Second,
+		Store: f.ways[name], LeaseMin: time.Second, KnownWithin: f.knownWithin, HoldMax: 10 * time.Second, Grace: 3 * time.Second,
 		RetryShare: 0.2, RetryMin: 60, RetryWindow: 10 * time.Second,
 		Logger: slog.New(slog.NewTextHandler(&f.log, nil)).With("router", name),
 		Adapter: Adapter{
@@ -269,11 +271,16 @@
 
 // leader is the gateway that leads, or nil.
 func (f *fleet) leader() *Gateway {
+	return f.leaderBut(nil)
+}
+
+// leaderBut is the gateway that leads and is not the one given, or nil.
+func (f *fleet) leaderBut(other *Gateway) *Gateway {
 	for _, g := range f.gateways {
 		g.subscription.mu.Lock()
 		leads := g.subscription.term != nil && g.lifetime.Err() == nil
 		g.subscription.mu.Unlock()
-		if leads {
+		if leads && g != other {
 			return g
 		}
 	}
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -124,7 +124,8 @@
 	f.subscribed = false
 	if !f.fallbackPending && !f.watchesTables() {
 		f.fallbackPending = true
-		time.AfterFunc(delay, f.fallBack)
+		loss := f.losses
+		time.AfterFunc(delay, func() { f.fallBack(loss) })
 	}
 }
 
@@ -135,18 +136,22 @@
 // fallBack asks the store for all, but for a store that doesn't answer: once it does, the
 // leader may feed this router again within the usual delay, and a store that returns isn't
 // asked for everything by a whole fleet at once.
-func (f *subscription) fallBack() {
+func (f *subscription) fallBack(loss int) {
 	if f.g.gate.isShut() {
 		f.g.goRun(func() {
 			if f.g.gate.wait(f.g.lifetime) {
-				time.AfterFunc(f.fallbackDelay(), f.fallBack)
+				time.AfterFunc(f.fallbackDelay(), func() { f.fallBack(loss) })
 			}
 		})
 		return
 	}
 	f.mu.Lock()
+	if loss != f.losses {
+		f.mu.Unlock()
+		return
+	}
 	f.fallbackPending = false
-	needless := f.subscribed || f.term != nil || f.watchesTables()
+	needless := f.term != nil || f.watchesTables()
 	f.mu.Unlock()
 	if !needless && f.g.lifetime.Err() == nil {
 		f.watchLeader()
@@ -154,11 +159,28 @@
 	}
 }
 
-// searchLeader has this router ask the store who leads. A small VM, which is to lead last,
-// waits a little: where the leader stopped in an orderly way the next one is there by then,
-// and one call finds it.
-func (f *subscription) searchLeader() {
-	if !f.g.weak() {
+// searchDelay is the pause before one of so many routers asks the store who leads, once it
+// has lost its leader.
+//
+// It answers a leader that stops or loses the store: its followers notice at one moment, and
+// a watch of each would cost the store twice as many calls as there are routers. Some few
+// see the lease end and campaign; the others learn by one call who has won. A small VM,
+// which is to lead last, is never among the first.
+func searchDelay(routers int, weak bool) time.Duration {
+	if routers == 0 {
+		routers = unknownRouters
+	}
+	if !weak && rand.Float64()*float64(routers) < firstSearchers {
+		return 0
+	}
+	return minSearchDelay + rand.N(maxSearchDelay-minSearchDelay)
+}
+
+// searchLeader has this router ask the store who leads, now or after a delay; those that
+// are not among the first wait for the additional delay too.
+func (f *subscription) searchLeader(additional time.Duration) {
+	delay := searchDelay(f.g.countedRouters(), f.g.weak())
+	if delay == 0 {
 		f.watchLeader()
 		return
 	}
@@ -168,7 +190,7 @@
 		return
 	}
 	f.searching = true
-	time.AfterFunc(minSearchDelay+rand.N(maxSearchDelay-minSearchDelay), func() {
+	time.AfterFunc(delay+additional, func() {
 		f.mu.Lock()
 		f.searching = false
 		needless := f.subscribed || f.g.lifetime.Err() != nil
@@ -183,7 +205,8 @@
 func (f *subscription) stopWatching() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.subscribed = true
+	f.subscribed, f.fallbackPending = true, false
+	f.losses++
 	for _, w := range f.watches() {
 		w.stop()
 	}
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -52,10 +52,14 @@
 	fallbackRest = 1400 * time.Millisecond
 	// fallbackJitter spreads the routers' calls when all lose their leader at once.
 	fallbackJitter = 100 * time.Millisecond
-	// minSearchDelay and maxSearchDelay bound the delay with which a small VM looks for the
-	// next leader.
+	// firstSearchers is how many routers of a fleet, on average, ask the store at once who
+	// leads; the others do after a delay between minSearchDelay and maxSearchDelay.
+	firstSearchers = 10
 	minSearchDelay = 150 * time.Millisecond
 	maxSearchDelay = 450 * time.Millisecond
+	// staleSearchDelay is added to it where the leader lives but doesn't hear from the
+	// store: its lease lapses about then.
+	staleSearchDelay = 250 * time.Millisecond
 	// configLagTimeout is how long after the leader has a configuration a router asks the
 	// store for it, where the feed didn't bring it.
 	configLagTimeout = 900 * time.Millisecond
@@ -87,8 +91,10 @@
 	// connected says that a leader tells this router anything, searching that the store is
 	// asked after a delay who leads.
 	connected, searching bool
-	// fallbackPending says that the store is asked after a delay unless a leader feeds this router.
+	// fallbackPending says that the store is asked after a delay unless a leader feeds this
+	// router before. losses counts the times that one has: a delay belongs to one loss.
 	fallbackPending bool
+	losses          int
 	// backs is the term of the leader that this router backs, until backsUntil.
 	backs      kv.Revision
 	backsUntil time.Time
@@ -155,7 +161,7 @@
 				err := f.subscribe(leader, moved)
 				f.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
 			}
-			f.searchLeader()
+			f.searchLeader(0)
 			f.unsubscribed(f.fallbackDelay())
 		}
 		f.pause(moved, leads)
@@ -204,6 +210,9 @@
 					f.g.log.Info("leader doesn't hear from the store", "leader", leader.name, "term", leader.revision)
 					f.g.members.wake()
 				}
+				if fed {
+					f.searchLeader(staleSearchDelay)
+				}
 				fed = false
 				f.unsubscribed(f.staleDelay())
 				if len(u.Tables) > 0 {
--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"strings"
@@ -145,6 +146,53 @@
 	assert.Assert(t, time.Since(began) < 2*time.Second, "after %v", time.Since(began))
 }
 
+// Guards against a fleet that lists everything in the store because its leader alone is cut
+// off, although another leads soon.
+func TestFollowersOfACutOffLeaderLookForTheNextOneFirst(t *testing.T) {
+	f := newFleet(t, 0, plainConfig, plainTarget("a"))
+	f.knownWithin = 3 * time.Second
+	for i := range 5 {
+		f.start(fmt.Sprintf("router-%d", i))
+	}
+	waittest.Until(t, "a router leads", func() bool { return f.leader() != nil })
+	old := f.leader()
+	for _, g := range f.gateways {
+		waittest.Until(t, "it is fed or leads", func() bool { return g == old || g.subscription.isSubscribed() })
+	}
+	before := f.store.Calls()
+	f.ways[old.opts.Name].cut.Store(true)
+	waittest.Until(t, "another leads", func() bool { return f.leaderBut(old) != nil })
+	for _, g := range f.gateways {
+		waittest.Until(t, "it is fed or leads", func() bool {
+			return g == old || g == f.leaderBut(old) || g.subscription.isSubscribed()
+		})
+	}
+	after := f.store.Calls()
+	listings := after["kv-range "+platform.TargetPrefix] - before["kv-range "+platform.TargetPrefix]
+	assert.Assert(t, listings <= 1, "%d listings of all targets", listings)
+}
+
+// Guards against watches of all followers at the moment at which their leader is lost, and
+// against a small fleet, or the small VMs of a large one, that wait or don't.
+func TestFewOfManyRoutersLookForTheNextLeaderAtOnce(t *testing.T) {
+	const draws = 2000
+	first := func(routers int, weak bool) (n int) {
+		for range draws {
+			delay := searchDelay(routers, weak)
+			if delay == 0 {
+				n++
+				continue
+			}
+			assert.Assert(t, delay >= minSearchDelay && delay < maxSearchDelay)
+		}
+		return n
+	}
+	assert.Equal(t, first(5, false), draws)
+	assert.Equal(t, first(5, true), 0)
+	share := float64(first(200, false)) / draws
+	assert.Assert(t, share > 0.5*firstSearchers/200.0 && share < 2*firstSearchers/200.0, "%v", share)
+}
+
 // Guards against a fleet that asks a store which returns for everything at once, and against
 // refused calls of each router all through an outage.
 func TestStoreThatReturnsIsAskedByTheLeaderFirst(t *testing.T) {
