Wait for the feed of a leader just found before the store is asked for everything

Where changes have to be known within the longest delay, a router that finds a leader waits 0.3 s more for its feed. The delay ends within the time allowed still: silence 0.7 s or 1.3 s of a stale leader, 1.4 or 0.9 s of delay, 0.3 s, and the listing. Where less time is allowed nothing changes.

--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -123,12 +123,22 @@
 	defer f.mu.Unlock()
 	f.subscribed = false
 	if !f.fallbackPending && !f.watchesTables() {
-		f.fallbackPending = true
+		f.fallbackPending, f.fallbackDue = true, time.Now().Add(delay)
 		loss := f.losses
 		time.AfterFunc(delay, func() { f.fallBack(loss) })
 	}
 }
 
+// awaitFeed puts off what is pending, because a leader was found; the lock is held.
+func (f *subscription) awaitFeed() {
+	if f.fallbackPending && f.g.opts.KnownWithin >= fallbackRest+maxFallbackDelay {
+		earliest := time.Now().Add(newLeaderGrace)
+		if f.fallbackDue.Before(earliest) {
+			f.fallbackDue = earliest
+		}
+	}
+}
+
 // watchesTables reports whether this router asks the store for all it needs; the lock is
 // held.
 func (f *subscription) watchesTables() bool { return f.targetsWatch != nil && len(f.restWatches) > 1 }
@@ -150,6 +160,11 @@
 		f.mu.Unlock()
 		return
 	}
+	if early := time.Until(f.fallbackDue); early > 0 {
+		time.AfterFunc(early, func() { f.fallBack(loss) })
+		f.mu.Unlock()
+		return
+	}
 	f.fallbackPending = false
 	needless := f.term != nil || f.watchesTables()
 	f.mu.Unlock()
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -50,6 +50,9 @@
 	// fallbackRest is what of the time within which changes must be known is left for the
 	// silence after which a leader counts as lost, and for asking the store.
 	fallbackRest = 1400 * time.Millisecond
+	// newLeaderGrace is by how much longer a router waits once it has found the next leader,
+	// which has to read the store first, where changes need not be known any sooner.
+	newLeaderGrace = 300 * time.Millisecond
 	// fallbackJitter spreads the routers' calls when all lose their leader at once.
 	fallbackJitter = 100 * time.Millisecond
 	// firstSearchers is how many routers of a fleet, on average, ask the store at once who
@@ -93,7 +96,9 @@
 	connected, searching bool
 	// fallbackPending says that the store is asked after a delay unless a leader feeds this
 	// router before. losses counts the times that one has: a delay belongs to one loss.
+	// fallbackDue is when that is.
 	fallbackPending bool
+	fallbackDue     time.Time
 	losses          int
 	// backs is the term of the leader that this router backs, until backsUntil.
 	backs      kv.Revision
@@ -126,6 +131,9 @@
 		return // a listing that says the same again ends no feed
 	}
 	f.leader = leader
+	if leader.present {
+		f.awaitFeed()
+	}
 	f.signal()
 }
 
--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -172,6 +172,32 @@
 	assert.Assert(t, listings <= 1, "%d listings of all targets", listings)
 }
 
+// Guards against routers that list everything right after they found the next leader, which
+// has not read the store yet.
+func TestLeaderJustFoundIsAwaited(t *testing.T) {
+	g, store := idleGateway(t)
+	g.members = newMembers(g)
+	g.opts.KnownWithin = 3 * time.Second
+	f := newSubscription(g)
+	f.unsubscribed(newLeaderGrace / 10)
+	f.setLeader(leaderSeen{name: "a", address: "a:1", revision: 2, present: true})
+	time.Sleep(newLeaderGrace / 2)
+	f.stopWatching() // the leader feeds it
+	time.Sleep(newLeaderGrace)
+	assert.Equal(t, len(store.Calls()), 0)
+}
+
+// Guards against a change that is known too late where little time is allowed.
+func TestLeaderJustFoundIsNotAwaitedWhereChangesMustBeKnownSooner(t *testing.T) {
+	g, _ := idleGateway(t)
+	g.opts.KnownWithin = 2 * time.Second
+	f := newSubscription(g)
+	f.unsubscribed(time.Minute)
+	due := f.fallbackDue
+	f.setLeader(leaderSeen{name: "a", address: "a:1", revision: 2, present: true})
+	assert.Equal(t, f.fallbackDue, due)
+}
+
 // Guards against watches of all followers at the moment at which their leader is lost, and
 // against a small fleet, or the small VMs of a large one, that wait or don't.
 func TestFewOfManyRoutersLookForTheNextLeaderAtOnce(t *testing.T) {
