Encode what followers lack once for all, and pack long updates

Cause: each follower that subscribed was sent all targets and tables, some 360 kB, looked up and encoded for it alone; and each change woke all followers, each of which went over all targets under the source's lock. 300 followers at once fill a link of 200 Mbit/s for longer than the 700 ms within which a follower expects a whole update, so that they gave the leader up and began anew.

Followers that know the same now share one encoded frame.

--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -64,10 +63,10 @@
 }
 
 func (f *Follower) listen(conn net.Conn) error {
-	reader, tables := bufio.NewReader(conn), map[string]*keyspace.Table{}
+	reader, tables := newUpdateReader(conn), map[string]*keyspace.Table{}
 	for {
-		p := &feedpb.Update{}
-		if err := read(conn, reader, p, Silence); err != nil {
+		p, err := reader.next()
+		if err != nil {
 			return err
 		}
 		f.mu.Lock()
--- a/peer/feed/deflate.go
+++ b/peer/feed/deflate.go
@@ -19,27 +19,41 @@
 // deflate packs a configuration, which repeats itself from route to route; nil where it is
 // too long for a feed.
 func deflate(value []byte) []byte {
+	packed, err := deflateAll(value)
+	if err != nil || len(packed) > maxDeflated {
+		return nil
+	}
+	return packed
+}
+
+func inflate(packed []byte) ([]byte, error) {
+	value, err := inflateAll(packed, maxInflated)
+	return value, errors.Wrap(err, "configuration")
+}
+
+func deflateAll(data []byte) ([]byte, error) {
 	var packed bytes.Buffer
 	w, err := flate.NewWriter(&packed, flate.BestSpeed)
 	if err != nil {
-		return nil // the level is a valid one
+		return nil, errors.Wrap(err, "deflate")
 	}
-	if _, err := w.Write(value); err != nil {
-		return nil
+	if _, err := w.Write(data); err != nil {
+		return nil, errors.Wrap(err, "deflate")
 	}
-	if err := w.Close(); err != nil || packed.Len() > maxDeflated {
-		return nil
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "deflate")
 	}
-	return packed.Bytes()
+	return packed.Bytes(), nil
 }
 
-func inflate(packed []byte) ([]byte, error) {
-	value, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxInflated+1))
+// inflateAll returns at most so many bytes; more are an error.
+func inflateAll(packed []byte, most int) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), int64(most)+1))
 	if err != nil {
-		return nil, errors.Wrap(err, "unpack a configuration")
+		return nil, errors.Wrap(err, "inflate")
 	}
-	if len(value) > maxInflated {
-		return nil, errors.New("unpack a configuration: too long")
+	if len(data) > most {
+		return nil, errors.New("inflate: too long")
 	}
-	return value, nil
+	return data, nil
 }
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -1,9 +1,11 @@
 package feed
 
 import (
+	"bufio"
 	"bytes"
 	"compress/flate"
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -11,7 +13,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -36,6 +37,24 @@
 	return next
 }
 
+// received returns what a follower gets, through the bytes on the wire, and then knows.
+func received(t interface {
+	assert.TestingT
+	Helper()
+}, source *Source, known sentState, stale bool) (*feedpb.Update, sentState) {
+	t.Helper()
+	f, _, err := source.frameSince(known, stale)
+	assert.NilError(t, err)
+	data, err := f.withBeat(3)
+	assert.NilError(t, err)
+	u := &feedpb.Update{}
+	assert.NilError(t, unmarshalFrom(bufio.NewReader(bytes.NewReader(data)), u))
+	u, err = unpack(u)
+	assert.NilError(t, err)
+	assert.Equal(t, u.GetBeat(), uint64(3))
+	return u, f.after
+}
+
 // Whatever changes, and however far a follower is behind, it ends with the leader's table.
 func TestFollowersEndWithTheLeadersTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -50,12 +69,8 @@
 				continue
 			}
 			var p *feedpb.Update
-			p, known, _ = source.since(known, rapid.Bool().Draw(t, "stale"))
-			data, err := proto.Marshal(p)
-			assert.NilError(t, err)
-			again := &feedpb.Update{}
-			assert.NilError(t, proto.Unmarshal(data, again))
-			_, err = decodeUpdate(again, seen)
+			p, known = received(t, source, known, rapid.Bool().Draw(t, "stale"))
+			_, err := decodeUpdate(p, seen)
 			assert.NilError(t, err)
 			assert.DeepEqual(t, seen["s"], table)
 		}
@@ -213,11 +228,11 @@
 func TestTargetsThatWereNotReadYetAreNotToldAsNone(t *testing.T) {
 	source := NewSource()
 	source.SetTargets(nil)
-	u, known, _ := source.since(sentState{}, false)
+	u, known := received(t, source, sentState{}, false)
 	assert.Assert(t, u.Stale && !u.Whole)
 	source.SetTargets([]directory.Target{{ID: "a"}})
 	source.SetKnown()
-	u, _, _ = source.since(known, false)
+	u, _ = received(t, source, known, false)
 	assert.Assert(t, u.Whole && len(u.Targets) == 1)
 }
 
@@ -239,7 +254,7 @@
 	value := bytes.Repeat([]byte(`{"name":"a","prefix":"/a/"},`), 4000)
 	source.SetConfig(9, value)
 	decode := func(known sentState) (*Update, sentState) {
-		p, after, _ := source.since(known, false)
+		p, after := received(t, source, known, false)
 		u, err := decodeUpdate(p, map[string]*keyspace.Table{})
 		assert.NilError(t, err)
 		return u, after
@@ -271,3 +286,89 @@
 	_, err = inflate([]byte{0xff, 1})
 	assert.Assert(t, err != nil)
 }
+
+// manyTargets is a source that publishes so many targets and a table in which each holds
+// some keys.
+func manyTargets(n int) *Source {
+	source, table := NewSource(), keyspace.New("s")
+	targets := make([]directory.Target, n)
+	width := (int(keyspace.LastKey) + 1) / n
+	for i := range targets {
+		id := fmt.Sprintf("i-%010x", uint64(i)*2654435761)
+		targets[i] = directory.Target{
+			ID: id, Born: 3, Address: fmt.Sprintf("10.%d.64.%d:8568", i%5, i%250), Service: "s", DataCentre: "hall", Slots: 6,
+		}
+		table.Carve(keyspace.Key(i*width), keyspace.Key((i+1)*width-1)).Holder = keyspace.Holder{Target: id, Born: 3}
+	}
+	source.SetTargets(targets)
+	source.SetTable(Table{Revision: 2, Table: table})
+	source.SetKnown()
+	return source
+}
+
+// Guards against a leader that looks up, encodes and packs for each of hundreds of followers
+// what all of them lack alike.
+func TestFollowersThatKnowTheSameShareAFrame(t *testing.T) {
+	source := manyTargets(10)
+	first, _, err := source.frameSince(sentState{}, false)
+	assert.NilError(t, err)
+	for range 300 {
+		next, _, err := source.frameSince(sentState{}, false)
+		assert.NilError(t, err)
+		assert.Assert(t, next == first)
+	}
+	stale, _, err := source.frameSince(sentState{}, true)
+	assert.NilError(t, err)
+	assert.Assert(t, stale != first, "what a stale leader tells is another frame")
+	source.SetLimits(Limits{Service: "s"})
+	next, _, err := source.frameSince(sentState{}, false)
+	assert.NilError(t, err)
+	assert.Assert(t, next != first, "what has changed is missing")
+}
+
+// Guards against a fleet whose routers all start at once and fill the leader's link for
+// longer than they wait for a word from it.
+func TestWholeStateOfThousandsOfTargetsIsShort(t *testing.T) {
+	const targets, perTarget = 3000, 60
+	source := manyTargets(targets)
+	f, _, err := source.frameSince(sentState{}, false)
+	assert.NilError(t, err)
+	assert.Assert(t, len(f.data) < targets*perTarget, "%d bytes", len(f.data))
+	u, _ := received(t, source, sentState{}, false)
+	assert.Equal(t, len(u.GetTargets()), targets)
+	assert.Equal(t, len(u.GetTables()), 1)
+}
+
+// Guards against followers that give up a leader whose long update is still coming in over a
+// full link, against waiting for one that has stopped, and against a trickle without end.
+func TestLongFramesAreWaitedForWhileTheyProgress(t *testing.T) {
+	f, _, err := manyTargets(3000).frameSince(sentState{}, false)
+	assert.NilError(t, err)
+	data, err := f.withBeat(1)
+	assert.NilError(t, err)
+	receive := func(parts int, pause time.Duration, sent int) error {
+		leader, follower := net.Pipe()
+		defer leader.Close()
+		defer follower.Close()
+		go func() {
+			for i := range sent {
+				if _, err := leader.Write(data[len(data)*i/parts : len(data)*(i+1)/parts]); err != nil {
+					return
+				}
+				time.Sleep(pause)
+			}
+		}()
+		_, err := newUpdateReader(follower).next()
+		return err
+	}
+	assert.NilError(t, receive(4, Silence/2, 4))
+	assert.Assert(t, receive(4, 0, 2) != nil, "a leader that has stopped is waited for")
+	assert.Assert(t, receive(20, Silence/2, 20) != nil, "a trickle is waited for without end")
+}
+
+func TestPackedUpdateThatIsTooLongIsRefused(t *testing.T) {
+	packed, err := deflateAll(make([]byte, maxFrame+1))
+	assert.NilError(t, err)
+	_, err = unpack(&feedpb.Update{Packed: packed})
+	assert.Assert(t, err != nil)
+}
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -99,10 +99,16 @@
 	defer heartbeat.Stop()
 	var known sentState
 	for {
-		update, after, changed := source.since(known, !f.server.Fresh())
-		known = after
-		update.Beat = f.nextBeat()
-		if err := write(f.conn, update); err != nil {
+		frame, changed, err := source.frameSince(known, !f.server.Fresh())
+		if err != nil {
+			return err
+		}
+		known = frame.after
+		data, err := frame.withBeat(f.nextBeat())
+		if err != nil {
+			return err
+		}
+		if err := writeAll(f.conn, data); err != nil {
 			return err
 		}
 		select {
@@ -176,6 +182,9 @@
 	if err := conn.SetReadDeadline(until); err != nil {
 		return errors.Wrap(err, "read from a router")
 	}
-	err := protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(reader, m)
-	return errors.Wrap(err, "read from a router")
+	return errors.Wrap(unmarshalFrom(reader, m), "read from a router")
+}
+
+func unmarshalFrom(reader *bufio.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(reader, m)
 }
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -33,6 +33,15 @@
 	// known says that the targets have been read from the store once.
 	known   bool
 	changed chan struct{}
+	// frames are the updates of this version that were encoded already: followers that know
+	// the same share them.
+	frames map[frameKey]*frame
+}
+
+// frameKey is what a follower knows, and whether it is told that the leader is stale.
+type frameKey struct {
+	known sentState
+	stale bool
 }
 
 type versionedTarget struct {
@@ -60,12 +69,14 @@
 	return &Source{
 		targets: map[string]versionedTarget{}, gone: map[string]uint64{}, tables: map[string][]versionedTable{},
 		serviceTimes: map[string]map[string]versionedServiceTime{}, limits: map[string]versionedLimits{}, changed: make(chan struct{}),
+		frames: map[frameKey]*frame{},
 	}
 }
 
 // bump begins a new version and wakes the followers' feeds; the lock is held.
 func (s *Source) bump() {
 	s.version++
+	clear(s.frames)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -134,6 +145,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	clear(s.frames)
 	of := s.serviceTimes[p.Service]
 	if of == nil {
 		of = map[string]versionedServiceTime{}
@@ -192,12 +204,31 @@
 	all, tables uint64
 }
 
-// since returns what a follower doesn't know, and what is closed at the next change. A
-// stale source publishes tables alone: these are true by the leader's own writes.
-func (s *Source) since(t sentState, stale bool) (*feedpb.Update, sentState, <-chan struct{}) {
+// frameSince returns what a follower doesn't know as it is sent, and what is closed at the
+// next change.
+//
+// It answers hundreds of followers that each change wakes at one moment: what they lack is
+// looked up among thousands of targets, encoded and deflated once for all that know the
+// same, not once for each.
+func (s *Source) frameSince(t sentState, stale bool) (*frame, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stale = stale || !s.known
+	key, now := frameKey{t, stale || !s.known}, time.Now()
+	if f := s.frames[key]; f != nil && now.Sub(f.made) < frameLife {
+		return f, s.changed, nil
+	}
+	u, after := s.since(t, key.stale)
+	f, err := newFrame(u, after, now)
+	if err != nil {
+		return nil, nil, err
+	}
+	s.frames[key] = f
+	return f, s.changed, nil
+}
+
+// since returns what a follower doesn't know, and what it knows after it; the lock is held.
+// A stale source publishes tables alone: these are true by the leader's own writes.
+func (s *Source) since(t sentState, stale bool) (*feedpb.Update, sentState) {
 	u := &feedpb.Update{Stale: stale}
 	for _, kept := range s.tables {
 		if table := tableSince(kept, t.tables); table != nil {
@@ -209,7 +240,7 @@
 		s.addTargets(u, t.all)
 		t.all = s.version
 	}
-	return u, t, s.changed
+	return u, t
 }
 
 // addTargets adds the targets and the configuration after a version; the lock is held.
