Step the leader's assignment at most every 5 ms

Each message to the leader's duty had it go over all ranges of keys: the answers to some thousand renewals a second, times some thousand ranges. Work grew with the square of the targets. A step is now put off until 5 ms after the one before; the timer had that pause already.

--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -60,7 +60,8 @@
 	// serviceTimesInterval is how often the leader tells the others how fast targets are; about as
 	// long as it takes to learn it.
 	serviceTimesInterval = time.Second
-	// minStep keeps the leader from stepping again and again at one moment.
+	// minStep is the least time between two steps. Each goes over all ranges, of which there
+	// are as many as orders whose answers come in within a renewal.
 	minStep = 5 * time.Millisecond
 	// tableWriteInterval is the least time between two writes of a service's table.
 	tableWriteInterval = 100 * time.Millisecond
@@ -206,6 +207,7 @@
 	away     bool
 	timer    *time.Timer
 	due      time.Time
+	steps    pacer
 	// serviceTimesDue is when the targets' speeds are told next.
 	serviceTimesDue time.Time
 }
@@ -278,7 +280,10 @@
 	case l.g.lifetime.Err() != nil:
 		return
 	case l.term != nil:
-		due = l.step(now)
+		var ok bool
+		if due, ok = l.steps.begin(now); ok {
+			due = l.step(now)
+		}
 	case l.stopping:
 		return
 	case l.heard && !l.seen.present && !l.campaigning:
@@ -291,6 +296,18 @@
 	l.arm(now, due)
 }
 
+// pacer keeps minStep between two steps.
+type pacer struct{ last time.Time }
+
+// begin reports whether a step may begin now, or else when.
+func (p *pacer) begin(now time.Time) (due time.Time, ok bool) {
+	if due = p.last.Add(minStep); now.Before(due) {
+		return due, false
+	}
+	p.last = now
+	return due, true
+}
+
 func (l *leader) arm(now, due time.Time) {
 	if l.timer != nil && !l.due.After(due) && l.due.After(now) {
 		return
