Send packed updates only to routers that say they unpack

A router of an older version would take a packed update for an empty one, and so believe that there are no targets while a fleet is upgraded. Followers now say in their first frame that they unpack; others are sent plain updates.

--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	hello := &feedpb.Hello{Router: f.Router, Term: f.Term, PromisedMs: f.Promised.Milliseconds()}
+	hello := &feedpb.Hello{Router: f.Router, Term: f.Term, PromisedMs: f.Promised.Milliseconds(), Unpacks: true}
 	if err := write(conn, hello); err != nil {
 		return err
 	}
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
@@ -43,7 +44,7 @@
 	Helper()
 }, source *Source, known sentState, stale bool) (*feedpb.Update, sentState) {
 	t.Helper()
-	f, _, err := source.frameSince(known, stale)
+	f, _, err := source.frameSince(known, true, stale)
 	assert.NilError(t, err)
 	data, err := f.withBeat(3)
 	assert.NilError(t, err)
@@ -310,18 +311,18 @@
 // what all of them lack alike.
 func TestFollowersThatKnowTheSameShareAFrame(t *testing.T) {
 	source := manyTargets(10)
-	first, _, err := source.frameSince(sentState{}, false)
+	first, _, err := source.frameSince(sentState{}, true, false)
 	assert.NilError(t, err)
 	for range 300 {
-		next, _, err := source.frameSince(sentState{}, false)
+		next, _, err := source.frameSince(sentState{}, true, false)
 		assert.NilError(t, err)
 		assert.Assert(t, next == first)
 	}
-	stale, _, err := source.frameSince(sentState{}, true)
+	stale, _, err := source.frameSince(sentState{}, true, true)
 	assert.NilError(t, err)
 	assert.Assert(t, stale != first, "what a stale leader tells is another frame")
 	source.SetLimits(Limits{Service: "s"})
-	next, _, err := source.frameSince(sentState{}, false)
+	next, _, err := source.frameSince(sentState{}, true, false)
 	assert.NilError(t, err)
 	assert.Assert(t, next != first, "what has changed is missing")
 }
@@ -331,7 +332,7 @@
 func TestWholeStateOfThousandsOfTargetsIsShort(t *testing.T) {
 	const targets, perTarget = 3000, 60
 	source := manyTargets(targets)
-	f, _, err := source.frameSince(sentState{}, false)
+	f, _, err := source.frameSince(sentState{}, true, false)
 	assert.NilError(t, err)
 	assert.Assert(t, len(f.data) < targets*perTarget, "%d bytes", len(f.data))
 	u, _ := received(t, source, sentState{}, false)
@@ -342,7 +343,7 @@
 // Guards against followers that give up a leader whose long update is still coming in over a
 // full link, against waiting for one that has stopped, and against a trickle without end.
 func TestLongFramesAreWaitedForWhileTheyProgress(t *testing.T) {
-	f, _, err := manyTargets(3000).frameSince(sentState{}, false)
+	f, _, err := manyTargets(3000).frameSince(sentState{}, true, false)
 	assert.NilError(t, err)
 	data, err := f.withBeat(1)
 	assert.NilError(t, err)
@@ -366,6 +367,17 @@
 	assert.Assert(t, receive(20, Silence/2, 20) != nil, "a trickle is waited for without end")
 }
 
+// Guards against a router of an older version that takes a packed update for an empty one
+// while the fleet is being upgraded.
+func TestFollowerThatDoesNotUnpackIsSentPlainUpdates(t *testing.T) {
+	f, _, err := manyTargets(3000).frameSince(sentState{}, false, false)
+	assert.NilError(t, err)
+	u := &feedpb.Update{}
+	assert.NilError(t, proto.Unmarshal(f.data, u))
+	assert.Equal(t, len(u.GetPacked()), 0)
+	assert.Equal(t, len(u.GetTargets()), 3000)
+}
+
 func TestPackedUpdateThatIsTooLongIsRefused(t *testing.T) {
 	packed, err := deflateAll(make([]byte, maxFrame+1))
 	assert.NilError(t, err)
--- a/peer/feed/frame.go
+++ b/peer/feed/frame.go
@@ -31,13 +31,14 @@
 	made  time.Time
 }
 
-// newFrame encodes an update after which a follower is in the state.
-func newFrame(u *feedpb.Update, after sentState, now time.Time) (*frame, error) {
+// newFrame encodes an update after which a follower is in the state, packed if it is long and
+// the follower unpacks.
+func newFrame(u *feedpb.Update, after sentState, unpacks bool, now time.Time) (*frame, error) {
 	data, err := proto.Marshal(u)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode an update")
 	}
-	if len(data) >= packFrom {
+	if unpacks && len(data) >= packFrom {
 		packed, err := deflateAll(data)
 		if err != nil {
 			return nil, err
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -99,7 +99,7 @@
 	defer heartbeat.Stop()
 	var known sentState
 	for {
-		frame, changed, err := source.frameSince(known, !f.server.Fresh())
+		frame, changed, err := source.frameSince(known, f.hello.GetUnpacks(), !f.server.Fresh())
 		if err != nil {
 			return err
 		}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -38,10 +38,11 @@
 	frames map[frameKey]*frame
 }
 
-// frameKey is what a follower knows, and whether it is told that the leader is stale.
+// frameKey is what a follower knows, whether it unpacks, and whether it is told that the
+// leader is stale.
 type frameKey struct {
-	known sentState
-	stale bool
+	known          sentState
+	unpacks, stale bool
 }
 
 type versionedTarget struct {
@@ -210,15 +211,15 @@
 // It answers hundreds of followers that each change wakes at one moment: what they lack is
 // looked up among thousands of targets, encoded and deflated once for all that know the
 // same, not once for each.
-func (s *Source) frameSince(t sentState, stale bool) (*frame, <-chan struct{}, error) {
+func (s *Source) frameSince(t sentState, unpacks, stale bool) (*frame, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	key, now := frameKey{t, stale || !s.known}, time.Now()
+	key, now := frameKey{t, unpacks, stale || !s.known}, time.Now()
 	if f := s.frames[key]; f != nil && now.Sub(f.made) < frameLife {
 		return f, s.changed, nil
 	}
 	u, after := s.since(t, key.stale)
-	f, err := newFrame(u, after, now)
+	f, err := newFrame(u, after, unpacks, now)
 	if err != nil {
 		return nil, nil, err
 	}
