--- a/Makefile
+++ b/Makefile
@@ -46,8 +46,8 @@
 	$(GO) run ./lab/gen errors
 	$(GO) test ./config -count=1 -run Generated -update
 
-# measure prints the table of measurements, and the slopes and sums of
-# docs/CAPACITY.md; PARTS="path memory" runs these parts of the table only.
+# measure prints the table of measurements, and the tables of docs/CAPACITY.md;
+# PARTS="path memory" runs these parts of the first only.
 .PHONY: measure
 PARTS ?=
 measure:
