Undo the look at the clock when a suspension follows it

What callers saw: a router that was stopped past the end of its right to send, between its look at the gate and the system call, sent that request when it went on; a target that checks nothing ran it after the key had moved (TestPausedProcessDoesNotActOnItsLapsedAuthority).

Why this holds: reading the clock and sendto are one restartable sequence, whose last instruction is the system call. The kernel sends a thread that was taken off the processor in it to the abort handler, and clears the armed field when that happens in the vDSO's clock; either way the clock is read again.

--- a/core/ownership/gate.go
+++ b/core/ownership/gate.go
@@ -68,6 +68,16 @@
 	return ok && now >= h.until
 }
 
+// Until returns when the right to send to the target ends by this router's clock, and whether
+// there is one.
+func (g *Gate) Until(target string) (time.Duration, bool) {
+	if g == nil {
+		return 0, false
+	}
+	h, ok := g.held[target]
+	return h.until, ok
+}
+
 // Holds reports whether this router may send to the target now, whatever the unit;
 // it is the check for services that are not divided by key.
 func (g *Gate) Holds(now time.Duration, target string) bool {
--- a/router/serve.go
+++ b/router/serve.go
@@ -2,10 +2,12 @@
 
 import (
 	"maps"
+	"math"
 	"net/http"
 	"time"
 
 	"tarragongw/caller"
+	"tarragongw/clock"
 	"tarragongw/core/admission"
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
@@ -62,6 +64,7 @@
 	resp, f := u.pool.AttemptOn(req.Context(), r.outgoing(req, u, job), target.Terms{
 		Allowed: func() *fault.Fault { return r.maySend(u, job) },
 		Still:   func(begun bool) *fault.Fault { return r.stillSends(u, job, begun) },
+		Until:   func(begun bool) time.Duration { return r.sendsUntil(u, begun) },
 		Cut:     &job.flight.cut,
 	})
 	if f != nil {
@@ -115,6 +118,18 @@
 	return nil
 }
 
+// sendsUntil returns until when bytes may go out, by clock.Boot. A target that was given up in
+// order gets the rest of what has begun.
+func (r *Router) sendsUntil(u *upstream, begun bool) time.Duration {
+	until, held := r.gate.Load().Until(u.spec.Name)
+	if !held && begun {
+		return math.MaxInt64
+	}
+	// In this order a suspension between the two readings shortens the right.
+	boot := clock.Boot{}.Now()
+	return boot + until - r.clock.Now()
+}
+
 // outgoing puts the order into the request, whose header belongs to this request
 // alone. The context of the attempt goes beside it, which saves a copy. A body is
 // written beside the attempt and may outlast it, so that a request with one gets a
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -9,6 +9,7 @@
 	"net/textproto"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"tarragongw/core/fault"
 	"tarragongw/reqctx"
@@ -84,6 +85,10 @@
 	// act on a right that has lapsed when it goes on; one would notice a request that runs
 	// at a key's former owner.
 	Still func(begun bool) *fault.Fault
+	// Until returns when the right to send ends, by clock.Boot; no byte is handed to the kernel
+	// later, also where the process is suspended after Still. It is asked after Still. Nil
+	// leaves it at Still.
+	Until func(begun bool) time.Duration
 	// Cut ends the attempt from outside.
 	Cut *Cut
 }
@@ -104,7 +109,7 @@
 		}
 	}
 	c.attach()
-	c.guard(terms.Still)
+	c.begin(terms)
 	x := &exchange{pool: p, conn: c, ctx: ctx, cut: terms.Cut, sentBefore: c.sent.Load()}
 	x.watch()
 	resp, err := x.run(r)
--- a/target/conn.go
+++ b/target/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tarragongw/core/fault"
+	"tarragongw/leasewrite"
 )
 
 var (
@@ -57,9 +58,9 @@
 
 	writeMu sync.Mutex
 	sealed  bool
-	// still is asked before each write of an exchange, begun says that one has been made, and
-	// refused is what still has answered. All are guarded by writeMu.
-	still   func(begun bool) *fault.Fault
+	// terms are those of the exchange, begun says that bytes of it have been written, and
+	// refused is why no more may be. All are guarded by writeMu.
+	terms   Terms
 	begun   bool
 	refused *fault.Fault
 	abort   func()
@@ -128,12 +129,17 @@
 		if !c.mayWrite() { // last, so that as little as can be lies between the look and the bytes
 			return total, errLapsed
 		}
-		n, err := c.raw.Write(b[total:])
+		n, err := c.writeRaw(b[total:])
 		total += n
 		c.sent.Add(int64(n))
+		c.begun = c.begun || n > 0
 		if err == nil {
 			return total, nil
 		}
+		if leasewrite.GaveUp(err) {
+			c.refuse(fault.Wrap(fault.StaleRoute, err, "the right to send has lapsed"))
+			return total, errLapsed
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.writeFailed.Store(true)
 			return total, err
@@ -147,27 +153,40 @@
 	}
 }
 
-// guard has still asked before each write of an exchange, see Terms.Still.
-func (c *conn) guard(still func(begun bool) *fault.Fault) {
+// writeRaw writes without a look at the terms other than until when the right to send lasts.
+func (c *conn) writeRaw(b []byte) (int, error) {
+	if c.terms.Until == nil || c.sock == nil {
+		return c.raw.Write(b)
+	}
+	return leasewrite.Write(c.sock, b, c.terms.Until(c.begun))
+}
+
+// begin sets the terms of an exchange.
+func (c *conn) begin(terms Terms) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	c.still, c.begun = still, false
+	c.terms, c.begun = terms, false
 }
 
-// mayWrite asks what guard has set; where that refuses, the connection ends. The lock is held.
+// mayWrite asks whether the terms still hold. The lock is held.
 func (c *conn) mayWrite() bool {
-	if c.still == nil {
+	if c.terms.Still == nil {
 		return true
 	}
-	if c.refused = c.still(c.begun); c.refused != nil {
-		c.sealed = true
-		c.raw.Close()
+	if f := c.terms.Still(c.begun); f != nil {
+		c.refuse(f)
 		return false
 	}
-	c.begun = true
 	return true
 }
 
+// refuse ends the connection before another byte is written. The lock is held.
+func (c *conn) refuse(f *fault.Fault) {
+	c.refused = f
+	c.sealed = true
+	c.raw.Close()
+}
+
 // refusal returns what refused a write of the exchange; nil where none was refused.
 func (c *conn) refusal() *fault.Fault {
 	c.writeMu.Lock()
