Name what the leader of a term keeps, and split what a feed brings from the subscription

No change of behaviour: post is serviceAssignment, kept is renewedAt, see is observeLeader, heard is lastContact; the handling of a feed's updates has a file of its own, and the end of the fallback delay a function.

--- a/gateway/backing_test.go
+++ b/gateway/backing_test.go
@@ -155,7 +155,7 @@
 // Sequence: targets change between the begin of its term and the answer of the store with
 // the division of the keys.
 func TestTargetsMayChangeWhileTheDivisionIsRead(t *testing.T) {
-	l := &leader{term: &term{post: map[string]*post{"s": {}}}}
+	l := &leader{term: &term{services: map[string]*serviceAssignment{"s": {}}}}
 	l.setTargets(&targetsSeen{targets: []directory.Target{{ID: "a", Service: "s"}}})
 	assert.Equal(t, len(l.targets.targets), 1)
 }
--- /dev/null
+++ b/gateway/feedupdates.go
@@ -0,0 +1,49 @@
+package gateway
+
+import "tarragongw/peer/feed"
+
+// updateHandler handles what one leader sends to this router.
+type updateHandler struct {
+	f      *subscription
+	leader leaderSeen
+	// fed says that the last update was of a leader that hears from the store.
+	fed bool
+}
+
+func (h *updateHandler) handle(u *feed.Update) {
+	if u.Stale {
+		h.handleStale(u)
+		return
+	}
+	f := h.f
+	if !h.fed {
+		h.fed = true
+		f.g.log.Info("fed", "leader", h.leader.name, "term", h.leader.revision)
+		f.setConnected(true)
+		f.stopWatching()
+		f.g.members.wake()
+	}
+	f.compare(u.Config)
+	f.g.setServiceTimes(u.ServiceTimes)
+	f.g.setLimits(u.Limits)
+	if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
+		f.g.state.duty.Tell(u)
+	}
+}
+
+// handleStale handles what a leader sends that doesn't hear from the store: tables at most.
+func (h *updateHandler) handleStale(u *feed.Update) {
+	f := h.f
+	if h.fed || !f.setConnected(true) {
+		f.g.log.Info("leader doesn't hear from the store", "leader", h.leader.name, "term", h.leader.revision)
+		f.g.members.wake()
+	}
+	if h.fed {
+		f.searchLeader(staleSearchDelay)
+	}
+	h.fed = false
+	f.unsubscribed(f.staleDelay())
+	if len(u.Tables) > 0 {
+		f.g.state.duty.Tell(u)
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,7 +70,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
-	g.pools = newPools(opts.Adapter.Dialect, g.hear, g.countOpened)
+	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
 	if err := g.listen(); err != nil {
 		g.cancel()
@@ -257,8 +257,8 @@
 // defaultConns is used where the configuration sets no bound on connections.
 const defaultConns = 8
 
-// hear notes what an answer's header tells of its target.
-func (g *Gateway) hear(t *directory.Target, h http.Header) {
+// observeAnswer notes what an answer's header tells of its target.
+func (g *Gateway) observeAnswer(t *directory.Target, h http.Header) {
 	report, ok := g.opts.Adapter.DecodeLoad(h)
 	if !ok {
 		return
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -93,7 +93,7 @@
 		term *term
 		err  error
 	}
-	leaseKept struct {
+	leaseRenewed struct {
 		term *term
 		// sent is when the renewal left, by the clock that counts suspension.
 		sent time.Duration
@@ -144,8 +144,8 @@
 	ended []keyspace.Holder
 }
 
-// tell tells an assigner what is known of the targets.
-func (m *targetsSeen) tell(a *assign.Assigner) {
+// apply hands an assigner what is known of the targets.
+func (m *targetsSeen) apply(a *assign.Assigner) {
 	a.SetTargets(time.Now(), m.targets)
 	a.SetEnded(m.ended)
 }
@@ -154,13 +154,13 @@
 type term struct {
 	revision kv.Revision
 	lease    kv.LeaseID
-	// kept is when the last good renewal left, in nanoseconds of the clock that counts
+	// renewedAt is when the last good renewal left, in nanoseconds of the clock that counts
 	// suspension; orders read it from their own goroutines.
-	kept atomic.Int64
+	renewedAt atomic.Int64
 	// ctx ends with the term.
-	ctx  context.Context
-	end  context.CancelFunc
-	post map[string]*post
+	ctx      context.Context
+	end      context.CancelFunc
+	services map[string]*serviceAssignment
 	// backing has the routers that back and follow this leader.
 	backing *backing
 	// oldStops has when older leaders have stopped; nil where that isn't known.
@@ -168,17 +168,18 @@
 }
 
 // age is how long ago the last good renewal of the lease left.
-func (t *term) age(now time.Duration) time.Duration { return now - time.Duration(t.kept.Load()) }
+func (t *term) age(now time.Duration) time.Duration { return now - time.Duration(t.renewedAt.Load()) }
 
-// post is the assignment of one service's keys during a term.
-type post struct {
+// serviceAssignment is the assignment of one service's keys during a term.
+type serviceAssignment struct {
 	assigner *assign.Assigner
 	revision kv.Revision
 	// notBefore is when the next write may go out, after one that failed.
 	notBefore time.Time
-	// stored is the division as it was written last; told counts what was told of it.
-	stored *keyspace.Table
-	told   uint64
+	// stored is the division as it was written last; published counts the states of it that
+	// the routers were sent.
+	stored    *keyspace.Table
+	published uint64
 	// unpublished says that the routers have not been sent what holds; they are at
 	// publishDue.
 	unpublished bool
@@ -194,9 +195,9 @@
 	g    *Gateway
 	duty *duty.Duty
 
-	seen        leaderSeen
-	heard       bool
-	campaigning bool
+	seen           leaderSeen
+	leaderObserved bool
+	campaigning    bool
 	// notBefore is when the lead may be asked for again after a try that failed. Without a
 	// pause each router asks a store that refuses at once some thirty times a second.
 	notBefore time.Time
@@ -221,14 +222,14 @@
 func (l *leader) handle(message any) {
 	switch m := message.(type) {
 	case *leaderSeen:
-		l.see(m)
+		l.observeLeader(m)
 	case *targetsSeen:
 		l.setTargets(m)
 	case *absence, tick:
 	case *campaigned:
 		l.begin(m)
-	case *leaseKept:
-		l.kept(m)
+	case *leaseRenewed:
+		l.recordRenewal(m)
 	case *tableRead:
 		l.read(m)
 	case *written:
@@ -249,9 +250,9 @@
 	l.next()
 }
 
-// see notes who leads.
-func (l *leader) see(m *leaderSeen) {
-	l.heard = true
+// observeLeader notes who leads.
+func (l *leader) observeLeader(m *leaderSeen) {
+	l.leaderObserved = true
 	if m.present || m.revision >= l.seen.revision || m.revision == 0 {
 		l.seen = *m
 	}
@@ -265,9 +266,9 @@
 	if l.term == nil {
 		return
 	}
-	for _, p := range l.term.post {
+	for _, p := range l.term.services {
 		if p.assigner != nil { // its division is being read
-			m.tell(p.assigner)
+			m.apply(p.assigner)
 		}
 	}
 }
@@ -286,7 +287,7 @@
 		}
 	case l.stopping:
 		return
-	case l.heard && !l.seen.present && !l.campaigning:
+	case l.leaderObserved && !l.seen.present && !l.campaigning:
 		if l.notBefore.After(now) {
 			due = l.notBefore
 			break
@@ -387,8 +388,8 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &term{revision: revision, lease: lease, post: map[string]*post{}}
-	t.kept.Store(int64(sent))
+	t := &term{revision: revision, lease: lease, services: map[string]*serviceAssignment{}}
+	t.renewedAt.Store(int64(sent))
 	t.ctx, t.end = context.WithCancel(ctx)
 	return t, nil
 }
@@ -419,7 +420,7 @@
 	for duty.Sleep(t.ctx, leaderRenewInterval) {
 		sent := l.g.opts.Clock.Now()
 		err := l.g.storeFor(forLead).KeepLease(t.ctx, t.lease)
-		l.duty.Tell(&leaseKept{t, sent, err})
+		l.duty.Tell(&leaseRenewed{t, sent, err})
 	}
 }
 
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -16,13 +16,14 @@
 	"tarragongw/peer/feed"
 )
 
-func (l *leader) kept(m *leaseKept) {
+// recordRenewal notes how a renewal of the lease ended.
+func (l *leader) recordRenewal(m *leaseRenewed) {
 	if m.term != l.term {
 		return
 	}
 	switch {
 	case m.err == nil:
-		l.term.kept.Store(int64(m.sent))
+		l.term.renewedAt.Store(int64(m.sent))
 	case errors.Is(m.err, kv.ErrLeaseLost):
 		l.endTerm("the lease has ended")
 		l.seen.present = false
@@ -42,7 +43,7 @@
 		l.g.log.Info("store counts as away for grants", "away", away, "lease_age", t.age(l.g.opts.Clock.Now()))
 	}
 	due := now.Add(campaignRetryInterval)
-	for name, p := range t.post {
+	for name, p := range t.services {
 		if p.assigner == nil {
 			continue
 		}
@@ -73,10 +74,10 @@
 		return
 	}
 	for _, s := range l.divided() {
-		if t.post[s.Name] != nil {
+		if t.services[s.Name] != nil {
 			continue
 		}
-		t.post[s.Name] = &post{}
+		t.services[s.Name] = &serviceAssignment{}
 		l.g.workers.Run(func() { l.duty.Tell(l.readTable(t, s.Name)) })
 	}
 }
@@ -101,20 +102,20 @@
 	}
 	if m.err != nil {
 		l.g.log.Error("division of keys not read", "service", m.service, "err", m.err)
-		delete(m.term.post, m.service)
+		delete(m.term.services, m.service)
 		return
 	}
 	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound, WriteInterval: tableWriteInterval}
 	a := assign.TakeOver(time.Now(), cfg, m.service, m.table)
-	l.targets.tell(a)
+	l.targets.apply(a)
 	if m.term.oldStops != nil {
 		a.OldLeaderStops(m.term.oldStops.usual, m.term.oldStops.long)
 	}
-	m.term.post[m.service] = &post{assigner: a, revision: m.revision}
+	m.term.services[m.service] = &serviceAssignment{assigner: a, revision: m.revision}
 	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.revision)
 }
 
-func (l *leader) carryOut(t *term, service string, p *post, actions assign.Actions, now time.Time) {
+func (l *leader) carryOut(t *term, service string, p *serviceAssignment, actions assign.Actions, now time.Time) {
 	for _, o := range actions.Orders {
 		l.g.workers.Run(func() { l.duty.Tell(l.order(t, service, o)) })
 	}
@@ -202,7 +203,7 @@
 		t.oldStops = stops
 		l.g.log.Info("old leader stops", "alone_in", time.Until(t.oldStops.usual), "backed_in", promised, "term", t.revision)
 	}
-	for _, p := range t.post {
+	for _, p := range t.services {
 		if p.assigner != nil {
 			p.assigner.OldLeaderStops(t.oldStops.usual, t.oldStops.long)
 		}
@@ -232,7 +233,7 @@
 	if m.term != l.term {
 		return
 	}
-	if p := m.term.post[m.service]; p != nil && p.assigner != nil {
+	if p := m.term.services[m.service]; p != nil && p.assigner != nil {
 		p.assigner.Done(time.Now(), o.ID, m.outcome, m.handover)
 		if o.First && m.outcome == assign.Accepted && p.stored != nil {
 			p.unpublished = true
@@ -242,10 +243,10 @@
 
 // publish puts the division as it is stored, less what its new holders have not accepted
 // yet, in force on all routers.
-func (l *leader) publish(p *post, now time.Time) {
-	p.told++
+func (l *leader) publish(p *serviceAssignment, now time.Time) {
+	p.published++
 	p.unpublished, p.publishDue = false, now.Add(publishInterval)
-	l.g.state.duty.Tell(&feed.Table{Revision: uint64(p.revision), Sequence: p.told, Table: p.assigner.Overlay(p.stored)})
+	l.g.state.duty.Tell(&feed.Table{Revision: uint64(p.revision), Sequence: p.published, Table: p.assigner.Overlay(p.stored)})
 }
 
 func errText(err error) string {
@@ -276,7 +277,7 @@
 	if m.term != l.term {
 		return
 	}
-	p := m.term.post[m.service]
+	p := m.term.services[m.service]
 	if p == nil || p.assigner == nil {
 		return
 	}
@@ -307,7 +308,7 @@
 	}
 	now := time.Now()
 	l.publishServiceTimes()
-	for name, p := range l.term.post {
+	for name, p := range l.term.services {
 		s := l.g.service(name)
 		if p.assigner == nil || s == nil {
 			continue
@@ -326,7 +327,7 @@
 
 // limit tells all routers which keys are asked for more than their holders can do, where that
 // has changed, and again while any are.
-func (l *leader) limit(now time.Time, name string, p *post, s *service) {
+func (l *leader) limit(now time.Time, name string, p *serviceAssignment, s *service) {
 	limits := p.assigner.Limits(now, s.speed, s.pressed, l.g.subscription.unseen())
 	renew := len(limits) > 0 && now.Sub(p.limitedAt) >= limitsRenewInterval
 	if !renew && !limitsDiffer(p.limits, limits) {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -62,7 +62,7 @@
 func (m *members) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := m.keep(ctx)
-		m.judge(err)
+		m.recordResult(err)
 		pause := memberRenewInterval
 		if m.g.subscription.isSubscribed() {
 			pause = time.Duration(float64(subscribedRenewInterval) * (1 - renewJitter*rand.Float64()))
@@ -90,8 +90,8 @@
 	return time.Duration(float64(pause) * (0.5 + rand.Float64()))
 }
 
-// judge opens or shuts the gate for all other calls by how this one ended.
-func (m *members) judge(err error) {
+// recordResult opens or shuts the gate for all other calls by how this one ended.
+func (m *members) recordResult(err error) {
 	if err != nil {
 		if !m.failing {
 			m.g.log.Warn("own record not kept", "err", err)
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -31,8 +31,8 @@
 // pools keeps the connections to each life of each target.
 type pools struct {
 	dialect target.Dialect
-	// heard is told the header of each answer of a target.
-	heard func(t *directory.Target, h http.Header)
+	// observe is given the header of each answer of a target.
+	observe func(t *directory.Target, h http.Header)
 	// opening is told of each connection that is opened, and why.
 	opening func(service string, cause target.OpenCause)
 
@@ -41,9 +41,9 @@
 }
 
 func newPools(
-	dialect target.Dialect, heard func(*directory.Target, http.Header), opening func(string, target.OpenCause),
+	dialect target.Dialect, observe func(*directory.Target, http.Header), opening func(string, target.OpenCause),
 ) *pools {
-	return &pools{dialect: dialect, heard: heard, opening: opening, all: map[directory.Target]*target.Pool{}}
+	return &pools{dialect: dialect, observe: observe, opening: opening, all: map[directory.Target]*target.Pool{}}
 }
 
 // identity is what a pool belongs to: one life of a target at one address.
@@ -60,7 +60,7 @@
 		return pool, nil
 	}
 	dialect := p.dialect
-	dialect.Heard = func(h http.Header) { p.heard(&key, h) }
+	dialect.Heard = func(h http.Header) { p.observe(&key, h) }
 	pool, err := target.New(target.PoolConfig{
 		Address: t.Address, MaxConns: max(maxConns, minConns), ControlConns: -1, MaxIdle: maxIdle,
 		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Wait: -1,
--- a/gateway/storecalls.go
+++ b/gateway/storecalls.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"tarragongw/kv"
-	"tarragongw/telemetry"
 )
 
 // What calls to the store are for, as store_calls_total names it.
@@ -23,7 +22,7 @@
 	if g.opts.Telemetry == nil {
 		return g.opts.Store
 	}
-	return &countedStore{store: g.opts.Store, telemetry: g.opts.Telemetry, purpose: purpose}
+	return &countedStore{store: g.opts.Store, observer: g.opts.Telemetry, purpose: purpose}
 }
 
 // purposeOf returns what a watch of the prefix is for.
@@ -44,15 +43,15 @@
 
 // countedStore counts the calls to a store.
 type countedStore struct {
-	store     kv.Ledger
-	telemetry *telemetry.Telemetry
-	purpose   string
+	store    kv.Ledger
+	observer kv.Observer
+	purpose  string
 }
 
 var _ kv.Ledger = (*countedStore)(nil)
 
 func (s *countedStore) count(call string, began time.Time, err error) {
-	s.telemetry.StoreCall(call+"_"+s.purpose, kv.Code(err), time.Since(began))
+	s.observer.StoreCall(call+"_"+s.purpose, kv.Code(err), time.Since(began))
 }
 
 // Get implements kv.Ledger.
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -124,11 +124,14 @@
 	f.subscribed = false
 	if !f.fallbackPending && !f.watchesTables() {
 		f.fallbackPending, f.fallbackDue = true, time.Now().Add(delay)
-		loss := f.losses
-		time.AfterFunc(delay, func() { f.fallBack(loss) })
+		f.fallBackIn(delay, f.losses)
 	}
 }
 
+func (f *subscription) fallBackIn(delay time.Duration, loss int) {
+	time.AfterFunc(delay, func() { f.fallBack(loss) })
+}
+
 // awaitFeed puts off what is pending, because a leader was found; the lock is held.
 func (f *subscription) awaitFeed() {
 	if f.fallbackPending && f.g.opts.KnownWithin >= fallbackRest+maxFallbackDelay {
@@ -150,28 +153,31 @@
 	if f.g.gate.isShut() {
 		f.g.goRun(func() {
 			if f.g.gate.wait(f.g.lifetime) {
-				time.AfterFunc(f.fallbackDelay(), func() { f.fallBack(loss) })
+				f.fallBackIn(f.fallbackDelay(), loss)
 			}
 		})
 		return
 	}
+	if f.endFallbackDelay(loss) && f.g.lifetime.Err() == nil {
+		f.watchLeader()
+		f.watchStore(true)
+	}
+}
+
+// endFallbackDelay ends the delay of a loss, and reports whether the store is to be asked for
+// all now: a leader may feed this router again, or the delay may have been prolonged.
+func (f *subscription) endFallbackDelay(loss int) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if loss != f.losses {
-		f.mu.Unlock()
-		return
+		return false
 	}
 	if early := time.Until(f.fallbackDue); early > 0 {
-		time.AfterFunc(early, func() { f.fallBack(loss) })
-		f.mu.Unlock()
-		return
+		f.fallBackIn(early, loss)
+		return false
 	}
 	f.fallbackPending = false
-	needless := f.term != nil || f.watchesTables()
-	f.mu.Unlock()
-	if !needless && f.g.lifetime.Err() == nil {
-		f.watchLeader()
-		f.watchStore(true)
-	}
+	return f.term == nil && !f.watchesTables()
 }
 
 // searchDelay is the pause before one of so many routers asks the store who leads, once it
@@ -235,6 +241,6 @@
 	if f.targetsWatch == nil {
 		return false
 	}
-	heard := f.targetsWatch.heard.Load()
-	return heard != nil && time.Since(*heard) < freshFor
+	last := f.targetsWatch.lastContact.Load()
+	return last != nil && time.Since(*last) < freshFor
 }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -207,41 +207,12 @@
 			f.g.members.wake() // nobody says any more when the store is back
 		}
 	}()
-	fed := false
+	handler := &updateHandler{f: f, leader: leader}
 	follower := &feed.Follower{
 		Router: f.g.opts.Name, Address: leader.address, Term: uint64(leader.revision), Reports: f.reports,
 		Promised: f.promisedElsewhere(leader), Backs: f.g.gate.isShut,
 		Backed: func(until time.Time) { f.promise(leader, until) },
-		Update: func(u *feed.Update) {
-			if u.Stale {
-				if fed || !f.setConnected(true) {
-					f.g.log.Info("leader doesn't hear from the store", "leader", leader.name, "term", leader.revision)
-					f.g.members.wake()
-				}
-				if fed {
-					f.searchLeader(staleSearchDelay)
-				}
-				fed = false
-				f.unsubscribed(f.staleDelay())
-				if len(u.Tables) > 0 {
-					f.g.state.duty.Tell(u)
-				}
-				return
-			}
-			if !fed {
-				fed = true
-				f.g.log.Info("fed", "leader", leader.name, "term", leader.revision)
-				f.setConnected(true)
-				f.stopWatching()
-				f.g.members.wake()
-			}
-			f.compare(u.Config)
-			f.g.setServiceTimes(u.ServiceTimes)
-			f.g.setLimits(u.Limits)
-			if u.Whole || len(u.Targets)+len(u.Gone)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != f.g.routerCount() {
-				f.g.state.duty.Tell(u)
-			}
-		},
+		Update: handler.handle,
 	}
 	return follower.Run(ctx)
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -64,9 +64,9 @@
 	failing time.Time
 	backoff time.Duration
 
-	// heard is when the store answered last; nil before the first time. It keeps its
+	// lastContact is when the store answered last; nil before the first time. It keeps its
 	// monotonic reading, so that a step of the VM's clock doesn't age it.
-	heard atomic.Pointer[time.Time]
+	lastContact atomic.Pointer[time.Time]
 
 	// mu guards cut, which ends the watch that waits.
 	mu  sync.Mutex
@@ -145,7 +145,7 @@
 		w.log.Info("store regained", "prefix", w.prefix, "absent", message.absent)
 	}
 	w.failing, w.backoff = time.Time{}, 0
-	w.heard.Store(&message.at)
+	w.lastContact.Store(&message.at)
 	if message.listed || message.absent > 0 || len(message.records) > 0 {
 		w.tell(message)
 	}
