--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -63,6 +63,9 @@
 	load       *LoadTracker
 	candidates []*candidateLoad
 	byID       map[string]*candidateLoad
+	// rate is the requests a second that one of load stands for, and mean the utilisation up
+	// to which all targets may be filled; both are set by prepare.
+	rate, mean float64
 }
 
 // newPlan adds up what each target holds now. Keys that are on their way count for the
@@ -126,16 +129,14 @@
 }
 
 // least returns the candidate with the least utilisation.
-func (p *plan) least() *candidate { return p.leastPlace().candidate }
-
-func (p *plan) leastPlace() *candidateLoad {
+func (p *plan) least() *candidate {
 	least := p.candidates[0]
 	for _, at := range p.candidates[1:] {
 		if at.utilisation() < least.utilisation() {
 			least = at
 		}
 	}
-	return least
+	return least.candidate
 }
 
 func (p *plan) add(s *candidate, from, to keyspace.Key) {
--- a/core/assign/rebalance.go
+++ b/core/assign/rebalance.go
@@ -21,15 +21,14 @@
 	if len(p.candidates) < 2 || unseen <= 0 {
 		return nil
 	}
-	rate := unseen * a.load.rate()
 	p.expect(a.load.total())
+	p.prepare(unseen * a.load.rate())
 	room := max(int(movingPerTarget*float64(len(p.candidates))), minMoving) - a.Moving()
-	fill := p.fill(rate)
 	var moves []Move
-	for _, d := range p.donors(fill, rate) {
+	for _, d := range p.donors() {
 		held := a.movable(d)
 		for len(moves) < room {
-			m, ok := p.nextMove(d, held, fill, rate)
+			m, ok := p.nextMove(d, held)
 			if !ok {
 				break
 			}
@@ -69,10 +68,9 @@
 	}
 }
 
-// fill is the utilisation that targets are to have at most, by their number of slots: a
-// little more than the mean of all, so that there is room for what must move, or that up to
-// which nobody waits.
-func (p *plan) fill(rate float64) func(*candidateLoad) float64 {
+// prepare sets what fill rests on: a little more than the mean of all, so that there is room
+// for what must move.
+func (p *plan) prepare(rate float64) {
 	load, capacity := 0.0, 0.0
 	for _, at := range p.candidates {
 		load += at.load
@@ -80,34 +78,40 @@
 	}
 	usual := capacity / float64(len(p.candidates)) // what one target can do, in requests
 	load -= p.load.beyond(usual / rate)
-	mean := load / capacity
-	mean += spareShare * math.Max(1/rate-mean, 0)
-	return func(at *candidateLoad) float64 {
-		return math.Max(mean, (1-staffing/math.Sqrt(float64(max(at.target.Slots, 1))))/rate)
-	}
+	p.rate, p.mean = rate, load/capacity
+	p.mean += spareShare * math.Max(1/rate-p.mean, 0)
+}
+
+// fill is the utilisation that a target is to have at most: that of all, or that up to which
+// nobody waits for one of its slots.
+func (p *plan) fill(at *candidateLoad) float64 {
+	return math.Max(p.mean, (1-staffing/math.Sqrt(float64(max(at.target.Slots, 1))))/p.rate)
 }
 
+// overshoot is by how much a target's utilisation exceeds what it is to have.
+func (p *plan) overshoot(at *candidateLoad) float64 { return at.utilisation() - p.fill(at) }
+
 // donors returns the targets that have more load than they are to have, the busiest first.
-func (p *plan) donors(fill func(*candidateLoad) float64, rate float64) []*candidateLoad {
+func (p *plan) donors() []*candidateLoad {
 	var all []*candidateLoad
 	for _, at := range p.candidates {
-		if at.utilisation() > fill(at)+minGap/rate {
+		if at.utilisation() > p.fill(at)+minGap/p.rate {
 			all = append(all, at)
 		}
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].utilisation()-fill(all[i]) > all[j].utilisation()-fill(all[j]) })
+	sort.SliceStable(all, func(i, j int) bool { return p.overshoot(all[i]) > p.overshoot(all[j]) })
 	return all
 }
 
 // nextMove returns a move that takes load off the donor, and counts it.
-func (p *plan) nextMove(d *candidateLoad, held *intervals, fill func(*candidateLoad) float64, rate float64) (Move, bool) {
-	excess := d.load - fill(d)/d.cost
-	receiver, room := p.roomiest(d, fill)
+func (p *plan) nextMove(d *candidateLoad, held *intervals) (Move, bool) {
+	excess := d.load - p.fill(d)/d.cost
+	receiver, room := p.roomiest(d)
 	if receiver == nil {
 		return Move{}, false
 	}
-	want := math.Min(excess, math.Max(room, overfill/(receiver.cost*rate)))
-	if want*d.cost*rate < minGap/2 {
+	want := math.Min(excess, math.Max(room, overfill/(receiver.cost*p.rate)))
+	if want*d.cost*p.rate < minGap/2 {
 		return Move{}, false
 	}
 	from, to, load, ok := held.best(want)
@@ -121,11 +125,11 @@
 }
 
 // roomiest returns the target that can take the most load, and how much, in requests.
-func (p *plan) roomiest(donor *candidateLoad, fill func(*candidateLoad) float64) (*candidateLoad, float64) {
+func (p *plan) roomiest(donor *candidateLoad) (*candidateLoad, float64) {
 	var most *candidateLoad
 	room := math.Inf(-1)
 	for _, at := range p.candidates {
-		if r := fill(at)/at.cost - at.load; at != donor && r > room {
+		if r := p.fill(at)/at.cost - at.load; at != donor && r > room {
 			most, room = at, r
 		}
 	}
