--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -47,11 +47,10 @@
 	if !limited || s.random.Float64() < admit {
 		return Decision{}, false
 	}
-	wait := time.Duration(s.mean / max(admit, s.mean/maxLimitedWait.Seconds()) * float64(time.Second))
-	wait = max(min(wait, maxLimitedWait), minLimitedWait)
+	wait := max(s.mean/max(admit, s.mean/maxLimitedWait.Seconds()), minLimitedWait.Seconds())
 	spread := 1 + limitedSpread*(2*s.random.Float64()-1)
 	return Decision{
-		Verdict: Refuse, Fault: fault.QueueFull, RetryAfter: time.Duration(float64(wait) * spread),
+		Verdict: Refuse, Fault: fault.QueueFull, RetryAfter: time.Duration(wait * spread * float64(time.Second)),
 		Detail: fmt.Sprintf("key %d is asked for more than its holder can do, %.3f are served", *r.Key, admit),
 	}, true
 }
--- a/lab/capacity/capacity_test.go
+++ b/lab/capacity/capacity_test.go
@@ -121,11 +121,11 @@
 
 func TestSlopesAreHeldToTheirRules(t *testing.T) {
 	s := parsed(t, sample)
-	rows := s.seriesOf("router: processor %", &rule{median: constant, busiest: squareRoot})
+	rows := s.seriesOf(&rule{quantity: "router: processor %", median: constant, busiest: squareRoot})
 	assert.Equal(t, len(rows), 2)
 	assert.Assert(t, !rows[0].exceedsRule())
 	assert.Assert(t, rows[1].exceedsRule())
-	assert.Equal(t, len(s.seriesOf("config acked, ms", &rule{})), 1)
+	assert.Equal(t, len(s.seriesOf(&rule{quantity: "config acked, ms"})), 1)
 }
 
 func TestNumber(t *testing.T) {
--- a/lab/capacity/render.go
+++ b/lab/capacity/render.go
@@ -112,9 +112,13 @@
 		if r == nil {
 			return errors.Errorf("no rule for %q", q.name)
 		}
-		before := d.before.seriesOf(q.name, r)
+		before := d.before.seriesOf(r)
 		for n, s := range seriesOf(d.after.sizes, q, r) {
-			writeSeries(b, q.name, r, &s, before, n)
+			var was *series
+			if before != nil {
+				was = &before[n]
+			}
+			writeSeries(b, r, &s, was)
 			if s.exceedsRule() {
 				faster[q.name] = append(faster[q.name], fmt.Sprintf("%s, %s (%.2f)", d.name, s.role, s.power))
 			}
@@ -124,8 +128,9 @@
 	return nil
 }
 
-func writeSeries(b *strings.Builder, name string, r *rule, s *series, before []series, n int) {
-	fmt.Fprintf(b, "| %s | %s |", strings.TrimPrefix(name, "router: "), s.role)
+// writeSeries writes a line of the table; before is nil where the earlier sweep lacks it.
+func writeSeries(b *strings.Builder, r *rule, s, before *series) {
+	fmt.Fprintf(b, "| %s | %s |", strings.TrimPrefix(r.quantity, "router: "), s.role)
 	for _, v := range s.values {
 		fmt.Fprintf(b, " %s |", number(v))
 	}
@@ -138,17 +143,17 @@
 		bound = number(r.bound)
 	}
 	fmt.Fprintf(b, " %.2f%s | %s | %s | %s |", s.power, mark, number(s.rule), number(s.carried), bound)
-	if n >= len(before) {
+	if before == nil {
 		b.WriteString(" - | - |\n")
 		return
 	}
-	fmt.Fprintf(b, " %.2f | %s |\n", before[n].power, number(before[n].carried))
+	fmt.Fprintf(b, " %.2f | %s |\n", before.power, number(before.carried))
 }
 
 // seriesOf returns nil where the sweep does not have the quantity.
-func (s *sweep) seriesOf(name string, r *rule) []series {
+func (s *sweep) seriesOf(r *rule) []series {
 	for i := range s.quantities {
-		if s.quantities[i].name == name {
+		if s.quantities[i].name == r.quantity {
 			return seriesOf(s.sizes, &s.quantities[i], r)
 		}
 	}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -74,10 +74,15 @@
 	}
 }
 
-// bump begins a new version and wakes the followers' feeds; the lock is held.
-func (s *Source) bump() {
+// nextVersion begins a new version; the lock is held.
+func (s *Source) nextVersion() {
 	s.version++
 	clear(s.frames)
+}
+
+// bump begins a new version and wakes the followers' feeds; the lock is held.
+func (s *Source) bump() {
+	s.nextVersion()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -145,8 +150,7 @@
 func (s *Source) SetServiceTimes(p ServiceTimes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	clear(s.frames)
+	s.nextVersion()
 	of := s.serviceTimes[p.Service]
 	if of == nil {
 		of = map[string]versionedServiceTime{}
--- a/target/sample/server.go
+++ b/target/sample/server.go
@@ -67,14 +67,15 @@
 	arrivals int
 	busyUnit map[string]int
 	draining bool
-	closed   bool
 
 	http     *http.Server
 	listener net.Listener
 	stop     context.CancelFunc
 	stopped  context.Context
 	served   chan struct{}
-	handlers sync.WaitGroup // counted up under mu, so that none begins beside Close's wait
+	// handlers is counted up under mu, and not at all once stopped has ended: none begins
+	// beside Close's wait.
+	handlers sync.WaitGroup
 }
 
 // entry is the state of one key.
@@ -143,9 +144,8 @@
 // Close cuts all connections, ends the work in flight without running it and
 // waits for it.
 func (s *Server) Close() {
-	s.stop()
 	s.mu.Lock()
-	s.closed = true
+	s.stop()
 	s.mu.Unlock()
 	if s.http != nil {
 		_ = s.http.Close()
@@ -210,10 +210,11 @@
 func (s *Server) arrive() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.closed {
-		s.handlers.Add(1)
+	if s.stopped.Err() != nil {
+		return false
 	}
-	return !s.closed
+	s.handlers.Add(1)
+	return true
 }
 
 func (s *Server) cold() bool { return s.cfg.Now().Sub(s.started) < s.cfg.ColdFor }
