Ask a store that missed a call again before a change is refused

Cause: a change gave up at its first call that was not answered within 0.5 s, or that was kept back for a moment after such a one.

Why this holds: kv.ErrUnavailable says that the call was not carried out, so it is made again, for up to 3 s, after pauses drawn at random. A lost reply of a write is settled as before. TestChangeWaitsForAStoreThatIsAwayForAMoment fails without it.

--- a/confstore/editor.go
+++ b/confstore/editor.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,6 +16,9 @@
 	"tarragongw/kv"
 )
 
+// storePatience is how long a change waits for a store that can't be reached.
+const storePatience = 3 * time.Second
+
 // maxRaces bounds how often a change is made again on top of another operator's.
 const maxRaces = 8
 
@@ -134,31 +138,60 @@
 
 // Change applies an edit to the present configuration. It returns without error
 // only once the new revision is known to be durable; where that is unknown the
-// error is kv.ErrUnknown.
+// error is kv.ErrUnknown. A store that can't be reached is asked again for storePatience.
 func (e *Editor) Change(ctx context.Context, author string, dryRun bool, edit Edit) (*Result, error) {
-	for range maxRaces {
-		present, err := e.Load(ctx)
-		if err != nil {
-			return nil, err
-		}
-		result, err := e.prepare(present, author, edit)
-		if err != nil || dryRun || len(result.Changes) == 0 {
+	patience, cancel := context.WithTimeout(ctx, storePatience)
+	defer cancel()
+	races, failures := 0, 0
+	for races < maxRaces {
+		result, err := e.tryChange(ctx, author, dryRun, edit)
+		switch {
+		case errors.Is(err, kv.ErrConflict):
+			races++
+		case errors.Is(err, kv.ErrUnavailable):
+			failures++
+			if !sleep(patience, retryBackoff.Wait(failures, mathrand.Float64())) {
+				return nil, err
+			}
+		default:
 			return result, err
 		}
-		err = e.write(ctx, result.State, present)
-		if errors.Is(err, kv.ErrConflict) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		e.History.Add(result.State.Model)
-		e.keep(result.State)
-		return result, nil
 	}
 	return nil, ErrRaces
 }
 
+// retryBackoff spaces the attempts to reach the store.
+var retryBackoff = kv.Backoff{Base: 50 * time.Millisecond, Cap: 500 * time.Millisecond}
+
+// sleep waits for d; false means that ctx ended before.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (e *Editor) tryChange(ctx context.Context, author string, dryRun bool, edit Edit) (*Result, error) {
+	present, err := e.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	result, err := e.prepare(present, author, edit)
+	if err != nil || dryRun || len(result.Changes) == 0 {
+		return result, err
+	}
+	if err := e.write(ctx, result.State, present); err != nil {
+		return nil, err
+	}
+	e.History.Add(result.State.Model)
+	e.keep(result.State)
+	return result, nil
+}
+
 // prepare validates the edited model whole.
 func (e *Editor) prepare(present *State, author string, edit Edit) (*Result, error) {
 	edited, err := edit(present.Model)
--- a/confstore/editor_test.go
+++ b/confstore/editor_test.go
@@ -75,6 +75,32 @@
 	assert.Equal(t, p.Revision(), before)
 }
 
+// An operator's change is refused because the store misses one call.
+func TestChangeWaitsForAStoreThatIsAwayForAMoment(t *testing.T) {
+	p, e := stored(t)
+	p.SetDown(true)
+	back := time.AfterFunc(500*time.Millisecond, func() { p.SetDown(false) })
+	defer back.Stop()
+	result, err := e.Change(ctx, "second", false, drain("faq-viewer-01"))
+	assert.NilError(t, err)
+	assert.Equal(t, result.State.Revision(), uint64(2))
+}
+
+// An operator waits for a store that is away for long until the connection gives up, and doesn't
+// learn that nothing was changed.
+func TestChangeEndsWhereTheStoreStaysAway(t *testing.T) {
+	p, e := stored(t)
+	p.SetDown(true)
+	began := time.Now()
+	_, err := e.Change(ctx, "second", false, drain("faq-viewer-01"))
+	assert.Assert(t, errors.Is(err, kv.ErrUnavailable), "%v", err)
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	p.SetDown(false)
+	loaded, err := e.Load(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, loaded.Revision(), uint64(1))
+}
+
 // Symptom: a change is applied twice, or reported as failed although it holds.
 // Sequence: the store writes and its reply is lost.
 // Cause: the write is repeated or given up without reading it back.
