Read the store's era from its answers, and take nothing over from an earlier one

The users' store may come back from an older copy: revisions and leases are given out again, and the header Store-Era rises by one. kv.Revision has the era above the store's own number, so that two eras share none; a lease names its era. One rule: a call that is asked in one era and answered in another proves nothing (a read is unavailable, a watch is to list again, a lease is lost, a transaction unknown), and an answer of an earlier era is dropped. Without the header the era is 0 and nothing differs.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -62,6 +62,7 @@
 func (m *members) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := m.keep(ctx)
+		m.g.era()
 		m.recordResult(err)
 		pause := memberRenewInterval
 		if m.g.subscription.isSubscribed() {
@@ -114,12 +115,12 @@
 	if m.left {
 		return nil
 	}
-	if m.lease != 0 {
+	if m.lease != (kv.LeaseID{}) {
 		err := m.g.storeFor(forOwn).KeepLease(ctx, m.lease)
 		if !errors.Is(err, kv.ErrLeaseLost) {
 			return err
 		}
-		m.lease = 0
+		m.lease = kv.LeaseID{}
 	}
 	lease, _, err := m.g.storeFor(forOwn).NewLease(ctx, max(memberTTL, m.g.opts.LeaseMin))
 	if err != nil {
@@ -141,7 +142,7 @@
 		return
 	}
 	m.left = true
-	if m.lease == 0 {
+	if m.lease == (kv.LeaseID{}) {
 		return
 	}
 	if err := m.g.storeFor(forOwn).EndLease(ctx, m.lease); err != nil {
--- a/gateway/storecalls.go
+++ b/gateway/storecalls.go
@@ -54,6 +54,9 @@
 	s.observer.StoreCall(call+"_"+s.purpose, kv.Code(err), time.Since(began))
 }
 
+// Era implements kv.Ledger.
+func (s *countedStore) Era() (kv.Era, bool) { return s.store.Era() }
+
 // Get implements kv.Ledger.
 func (s *countedStore) Get(ctx context.Context, key string) (kv.Record, error) {
 	began := time.Now()
--- a/kv/ledger.go
+++ b/kv/ledger.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// LeaseID names a lease of a Ledger; zero is none.
-type LeaseID uint64
-
 // Condition is the revision that a key must have; zero means that it must not exist.
 type Condition struct {
 	Key      string
@@ -30,7 +27,13 @@
 
 // Ledger is a store with transactions and with leases that keys can be bound to. Its
 // errors are those of Store.
+//
+// A call that is asked in one era and answered in another proves nothing: a read is then
+// ErrUnavailable, a watch ErrCompacted, a lease ErrLeaseLost and a transaction ErrUnknown. A
+// condition of an earlier era doesn't hold.
 type Ledger interface {
+	// Era returns the latest era that an answer has named, and whether one has named any.
+	Era() (Era, bool)
 	Get(ctx context.Context, key string) (Record, error)
 	// List returns the records under prefix and a revision to watch from. Records that
 	// changed meanwhile may be older or newer than that.
