Keep one holder a key, and tokens that rise, where the store comes back from an older copy

What callers saw, on the code before, with the stand-in's restores: two targets that hold a key (TestLeaderIsLostWithARestore, TestTwoRestoresInARow: 'c and a hold key 100'), and keys that no target takes for a minute and more, as each grant is refused under a token that was given out before (TestTokensRiseWhereAllRoutersStartAfterARestore).

Causes: a leader whose lease the copy doesn't have steps down, and the next one grants by a table that names former holders; the table's next token is older than what targets have seen; a table's revision from before the restore counts as newer than all that is written after.

What changes: the leader takes the lead again in the new era, with a key of the term's own beside its record, and goes on with what it knows; it writes its tables anew. Routers leave it a head start of a second. Tables name the era in which they were written and are ordered by it. Tokens begin above all of earlier eras. A leader that finds a table of an earlier era grants nothing before all that it may not know of has lapsed. Targets that only the copy has are believed in once they write again.

The three tests pass now, and TestRestoreForgetsAMove and TestConfigurationDoesNotGoBackWithARestore, which passed before, still do.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -76,6 +76,12 @@
 	// OldLeader bounds how long after the loss of its lease another leader may still send
 	// renewals.
 	OldLeader time.Duration
+	// Era is that of the store, see Assigner.Restored.
+	Era uint32
+	// LostAt is when the store had lost what a former leader wrote, at the latest: the table's
+	// holders may be wrong, and no key is granted before all that it may have granted has
+	// lapsed. Zero takes the table's word.
+	LostAt time.Time
 	// WriteInterval is the least time between two writes of the table; zero bounds it by
 	// the writes' own time.
 	WriteInterval time.Duration
@@ -232,6 +238,7 @@
 	cfg        Config
 	service    string
 	nextToken  uint64
+	era        uint32
 	spans      []span
 	candidates map[string]*candidate
 	// ended has the lives of targets that are over for certain.
@@ -252,6 +259,9 @@
 	// mergeDue is when ranges may be merged next.
 	mergeDue time.Time
 
+	// freeUntil is when all that may have been granted under a lost table has lapsed.
+	freeUntil time.Time
+
 	// unborn says that no key has ever had a holder; since is when the first target was
 	// seen, and grown when the last was.
 	unborn       bool
@@ -270,13 +280,20 @@
 		a.unborn = true
 	}
 	a.nextToken = table.NextToken
+	a.raise(cfg.Era)
 	a.generation = 1
+	if !cfg.LostAt.IsZero() {
+		a.freeUntil = cfg.LostAt.Add(a.cfg.OldLeader + lapseAfter(a.cfg.LongHold))
+	}
 	inherited := now.Add(a.cfg.OldLeader + lapseAfter(a.cfg.LongHold))
 	token := a.takeToken()
 	for _, s := range table.Segments {
 		s.Moving, s.Lost = false, false
 		n := span{Segment: s, generation: a.generation}
-		if s.Target != "" {
+		switch {
+		case s.Target != "" && now.Before(a.freeUntil):
+			n.Holder, n.Token, n.next = keyspace.Holder{}, 0, s.Target
+		case s.Target != "":
 			n.Token, n.oldLapse, n.inherited = token, inherited, true
 		}
 		a.spans = append(a.spans, n)
@@ -294,6 +311,23 @@
 	return a.nextToken - 1
 }
 
+// tokenShift is how many bits of a token count within an era of the store. The era stands above
+// them: tokens that were given out and forgotten in an earlier one are lower.
+const tokenShift = 40
+
+// raise has tokens begin above those of earlier eras.
+func (a *Assigner) raise(era uint32) {
+	a.era = max(a.era, era)
+	a.nextToken = max(a.nextToken, uint64(a.era)<<tokenShift)
+}
+
+// Restored notes that the store has come back from an older copy, in an era. Its table is
+// older than what is ordered, and is written again; grants go on as in an outage.
+func (a *Assigner) Restored(era uint32) {
+	a.raise(era)
+	a.generation = max(a.generation, a.sent) + 1
+}
+
 // Load returns what is known of the keys' load.
 func (a *Assigner) Load() *LoadTracker { return a.load }
 
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -49,6 +49,7 @@
 func (a *Assigner) OldLeaderStops(usual, long time.Time) {
 	longLapse := long.Add(lapseAfter(a.cfg.LongHold))
 	lapse := laterOf(usual.Add(lapseAfter(a.cfg.Hold)), longLapse)
+	a.freeUntil = earlierOf(a.freeUntil, lapse)
 	for i := range a.spans {
 		s := &a.spans[i]
 		if s.inherited {
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -41,7 +41,7 @@
 
 // Table returns the division as it is decided.
 func (a *Assigner) Table() *keyspace.Table {
-	t := &keyspace.Table{Service: a.service, NextToken: a.nextToken}
+	t := &keyspace.Table{Service: a.service, Era: a.era, NextToken: a.nextToken}
 	for i := range a.spans {
 		t.Segments = append(t.Segments, a.spans[i].Segment)
 	}
@@ -144,7 +144,7 @@
 
 // placeFree gives the keys that nobody holds to targets.
 func (a *Assigner) placeFree(now time.Time) {
-	if !a.anyFree() || a.gathering(now) {
+	if now.Before(a.freeUntil) || !a.anyFree() || a.gathering(now) {
 		return
 	}
 	plan := a.newPlan(now)
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -135,6 +135,22 @@
 	return changed
 }
 
+// Restore notes a whole listing of a store that has come back from an older copy. What it says
+// of a target may be older than what is known, and a target that isn't known may have left
+// since: it is believed in once it writes its entry again.
+func (d *Directory) Restore(now time.Time, listed []Target) (changed bool) {
+	var current []Target
+	for _, t := range listed {
+		switch old, known := d.entries[t.ID]; {
+		case known && t.Born == old.target.Born && t.Seq < old.target.Seq:
+			current = append(current, old.target)
+		case known || len(d.entries) == 0:
+			current = append(current, t)
+		}
+	}
+	return d.Replace(now, current)
+}
+
 // Adopt takes over what another router believes: all of it, or what has changed.
 func (d *Directory) Adopt(now time.Time, whole bool, targets []Target, gone []string) (changed bool) {
 	if whole {
--- a/core/keyspace/table.go
+++ b/core/keyspace/table.go
@@ -47,6 +47,8 @@
 // changed.
 type Table struct {
 	Service string `json:"service"`
+	// Era is that of the store in which the table was written.
+	Era uint32 `json:"era,omitempty"`
 	// NextToken is above every token that was given out.
 	NextToken uint64 `json:"next"`
 	// Segments cover all keys in order.
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -170,10 +170,15 @@
 // handleTargets notes what targets say of themselves.
 func (b *clusterState) handleTargets(c *change) {
 	a := &b.g.opts.Adapter
-	if c.absent >= outage {
+	restored := c.listed && b.g.restoredSince(c.at.Add(-directory.ReturnGrace))
+	if c.absent >= outage || restored {
 		b.directory.StoreAway()
 	}
 	b.directory.StoreBack(c.at)
+	if restored {
+		b.publishTargets(b.directory.Restore(c.at, b.readTargets(c.records)))
+		return
+	}
 	if c.listed {
 		b.publishTargets(b.directory.Replace(c.at, b.readTargets(c.records)))
 		return
@@ -299,7 +304,7 @@
 			b.g.log.Error("division of keys not readable", "key", r.Key, "revision", r.Revision, "err", err)
 			continue
 		}
-		b.useNewerTable(&feed.Table{Revision: uint64(r.Revision), Table: t})
+		b.useNewerTable(&feed.Table{Revision: uint64(tableVersion(t, r.Revision)), Table: t})
 	}
 }
 
@@ -310,6 +315,7 @@
 		return
 	}
 	b.tables[name] = *t
+	b.g.tables.Store(name, *t)
 	b.g.subscription.source.SetTable(*t)
 	b.logTable(t)
 	b.useTable(t.Table)
--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -32,7 +32,7 @@
 func (f *subscription) leads(term uint64) (context.Context, *feed.Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.term == nil || uint64(f.term.revision) != term {
+	if f.term == nil || !f.term.named(term) {
 		return nil, nil
 	}
 	f.followers.Add(1)
@@ -44,7 +44,7 @@
 func (f *subscription) backed(router string, term uint64, until time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.term != nil && uint64(f.term.revision) == term {
+	if f.term != nil && f.term.named(term) {
 		f.term.backing.back(router, until)
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -46,6 +46,11 @@
 	services map[string]*service
 	targets  []directory.Target
 	routers  atomic.Int64
+	// tables are the newest divisions of keys, feed.Table by service.
+	tables sync.Map
+
+	eraMu sync.Mutex
+	eras  eraState
 
 	// known says that everything has been read from the store once; leaving that the
 	// process is to stop.
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -152,8 +152,9 @@
 
 // term is the time for which this router leads.
 type term struct {
-	revision kv.Revision
-	lease    kv.LeaseID
+	// lead is what the term rests on in the store; another takes its place where the store
+	// comes back from an older copy.
+	lead atomic.Pointer[lead]
 	// renewedAt is when the last good renewal left, in nanoseconds of the clock that counts
 	// suspension; orders read it from their own goroutines.
 	renewedAt atomic.Int64
@@ -167,6 +168,19 @@
 	oldStops *lastOrders
 }
 
+// revision is that of the leader's record, which names the term.
+func (t *term) revision() kv.Revision { return t.lead.Load().revision }
+
+// named reports whether the number named the term at any time.
+func (t *term) named(number uint64) bool {
+	for l := t.lead.Load(); l != nil; l = l.before {
+		if uint64(l.revision) == number {
+			return true
+		}
+	}
+	return false
+}
+
 // age is how long ago the last good renewal of the lease left.
 func (t *term) age(now time.Duration) time.Duration { return now - time.Duration(t.renewedAt.Load()) }
 
@@ -205,10 +219,12 @@
 	// targets are nil until they are known.
 	targets  *targetsSeen
 	stopping bool
-	away     bool
-	timer    *time.Timer
-	due      time.Time
-	steps    pacer
+	// leadingOn says that the lead is being taken again after the store was restored.
+	leadingOn bool
+	away      bool
+	timer     *time.Timer
+	due       time.Time
+	steps     pacer
 	// serviceTimesDue is when the targets' speeds are told next.
 	serviceTimesDue time.Time
 }
@@ -246,6 +262,8 @@
 		l.stop(m)
 	case *leaseEnded:
 		l.ended(m)
+	case *ledOn:
+		l.continueTerm(m)
 	}
 	l.next()
 }
@@ -256,9 +274,14 @@
 	if m.present || m.revision >= l.seen.revision || m.revision == 0 {
 		l.seen = *m
 	}
-	if l.term != nil && m.revision > l.term.revision {
-		l.endTerm("another leader or none was seen")
+	if l.term == nil || m.revision <= l.term.revision() {
+		return
 	}
+	if m.revision.Era() != l.term.revision().Era() {
+		l.leadOn()
+		return
+	}
+	l.endTerm("another leader or none was seen")
 }
 
 func (l *leader) setTargets(m *targetsSeen) {
@@ -339,6 +362,7 @@
 func (l *leader) campaign() {
 	l.campaigning = true
 	l.g.workers.Run(func() {
+		l.leaveHeadStart(l.g.lifetime)
 		routers := l.g.countedRouters()
 		if routers == 0 {
 			routers = unknownRouters
@@ -375,20 +399,14 @@
 func (g *Gateway) weak() bool { return isWeak(g.opts.CPUShare) }
 
 func (l *leader) acquire() (*term, error) {
-	ctx, store := l.g.lifetime, l.g.storeFor(forLead)
+	ctx := l.g.lifetime
 	sent := l.g.opts.Clock.Now()
-	lease, _, err := store.NewLease(ctx, max(leaderTTL, l.g.opts.LeaseMin))
-	if err != nil {
-		return nil, err
-	}
-	revision, _, err := store.Commit(ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: leaderKey}},
-		Puts:       []kv.Put{{Key: leaderKey, Value: []byte(l.g.opts.Name + leaderSeparator + l.g.opts.PeerAddress), Lease: lease}},
-	})
+	taken, err := l.take(ctx, 0)
 	if err != nil {
 		return nil, err
 	}
-	t := &term{revision: revision, lease: lease, services: map[string]*serviceAssignment{}}
+	t := &term{services: map[string]*serviceAssignment{}}
+	t.lead.Store(taken)
 	t.renewedAt.Store(int64(sent))
 	t.ctx, t.end = context.WithCancel(ctx)
 	return t, nil
@@ -401,15 +419,15 @@
 		l.notBefore = time.Now().Add(campaignPause)
 		return
 	}
-	if l.stopping || l.seen.revision > m.term.revision {
+	if l.stopping || l.seen.revision > m.term.revision() {
 		m.term.end()
 		return
 	}
 	l.term = m.term
-	own := l.g.subscription.promisedElsewhere(leaderSeen{revision: m.term.revision})
+	own := l.g.subscription.promisedElsewhere(leaderSeen{revision: m.term.revision()})
 	l.term.backing = newBacking(l.g.opts.Name, l.g.opts.Clock.Now()+own)
-	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision, present: true}
-	l.g.log.Info("leadership taken", "revision", m.term.revision)
+	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision(), present: true}
+	l.g.log.Info("leadership taken", "revision", m.term.revision())
 	l.g.subscription.setTerm(m.term)
 	l.g.workers.Run(func() { l.keep(m.term) })
 	l.g.workers.Run(func() { l.beat(m.term) })
@@ -419,7 +437,7 @@
 func (l *leader) keep(t *term) {
 	for duty.Sleep(t.ctx, leaderRenewInterval) {
 		sent := l.g.opts.Clock.Now()
-		err := l.g.storeFor(forLead).KeepLease(t.ctx, t.lease)
+		err := l.g.storeFor(forLead).KeepLease(t.ctx, t.lead.Load().lease)
 		l.duty.Tell(&leaseRenewed{t, sent, err})
 	}
 }
@@ -432,7 +450,7 @@
 }
 
 func (l *leader) endTerm(why string) {
-	l.g.log.Info("leadership lost", "why", why, "revision", l.term.revision)
+	l.g.log.Info("leadership lost", "why", why, "revision", l.term.revision())
 	l.term.end()
 	l.term = nil
 	l.g.subscription.setTerm(nil)
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -24,6 +24,8 @@
 	switch {
 	case m.err == nil:
 		l.term.renewedAt.Store(int64(m.sent))
+	case errors.Is(m.err, kv.ErrLeaseLost) && l.g.era() != l.term.revision().Era():
+		l.leadOn()
 	case errors.Is(m.err, kv.ErrLeaseLost):
 		l.endTerm("the lease has ended")
 		l.seen.present = false
@@ -100,13 +102,17 @@
 	if m.term != l.term {
 		return
 	}
+	if m.err == nil && m.revision != 0 && m.revision.Era() != m.term.revision().Era() {
+		m.err = errors.Wrap(kv.ErrUnknown, "the store was restored meanwhile")
+	}
 	if m.err != nil {
 		l.g.log.Error("division of keys not read", "service", m.service, "err", m.err)
 		delete(m.term.services, m.service)
 		return
 	}
 	cfg := assign.Config{LongHold: min(longHold, l.g.opts.HoldMax), OldLeader: oldLeaderBound, WriteInterval: tableWriteInterval}
-	a := assign.TakeOver(time.Now(), cfg, m.service, m.table)
+	table := l.newestTable(m, &cfg)
+	a := assign.TakeOver(time.Now(), cfg, m.service, table)
 	l.targets.apply(a)
 	if m.term.oldStops != nil {
 		a.OldLeaderStops(m.term.oldStops.usual, m.term.oldStops.long)
@@ -172,7 +178,7 @@
 // joined notes a follower.
 func (l *leader) joined(m *followerJoined) {
 	t := l.term
-	if t == nil || m.term != t.revision {
+	if t == nil || !t.named(uint64(m.term)) {
 		return
 	}
 	now := l.g.opts.Clock.Now()
@@ -201,7 +207,7 @@
 	}
 	if t.oldStops == nil || stops.long.Before(t.oldStops.long) { // the more follow, the more is known
 		t.oldStops = stops
-		l.g.log.Info("old leader stops", "alone_in", time.Until(t.oldStops.usual), "backed_in", promised, "term", t.revision)
+		l.g.log.Info("old leader stops", "alone_in", time.Until(t.oldStops.usual), "backed_in", promised, "term", t.revision())
 	}
 	for _, p := range t.services {
 		if p.assigner != nil {
@@ -267,7 +273,7 @@
 		return m
 	}
 	m.revision, m.conflict, m.err = l.g.storeFor(forKeys).Commit(t.ctx, kv.Txn{
-		Conditions: []kv.Condition{{Key: leaderKey, Revision: t.revision}, {Key: tablePrefix + service, Revision: revision}},
+		Conditions: append(t.lead.Load().conditions(), kv.Condition{Key: tablePrefix + service, Revision: revision}),
 		Puts:       []kv.Put{{Key: tablePrefix + service, Value: data}},
 	})
 	return m
@@ -281,6 +287,9 @@
 	if p == nil || p.assigner == nil {
 		return
 	}
+	if m.err == nil && m.revision.Era() != m.term.revision().Era() {
+		m.err = errors.Wrap(kv.ErrUnknown, "the store was restored meanwhile")
+	}
 	p.assigner.Written(m.generation, m.err == nil)
 	if m.err == nil {
 		p.revision, p.notBefore = m.revision, time.Time{}
@@ -289,9 +298,13 @@
 	}
 	p.notBefore = time.Now().Add(writeRetryDelay)
 	l.g.log.Warn("division of keys not written", "service", m.service, "err", m.err)
+	if l.g.era() != l.term.revision().Era() {
+		l.leadOn()
+		return
+	}
 	for _, r := range m.conflict {
 		switch {
-		case r.Key == leaderKey && r.Revision != m.term.revision:
+		case r.Key == leaderKey && r.Revision != m.term.revision():
 			l.endTerm("another leader wrote")
 			l.seen.present = r.Revision != 0
 			return
@@ -413,7 +426,7 @@
 func (l *leader) endLease(t *term) error {
 	ctx, cancel := context.WithTimeout(l.g.lifetime, leaderTTL)
 	defer cancel()
-	return l.g.storeFor(forLead).EndLease(ctx, t.lease)
+	return l.g.storeFor(forLead).EndLease(ctx, t.lead.Load().lease)
 }
 
 func (l *leader) ended(m *leaseEnded) {
--- /dev/null
+++ b/gateway/restore.go
@@ -0,0 +1,274 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragongw/core/assign"
+	"tarragongw/core/keyspace"
+	"tarragongw/duty"
+	"tarragongw/kv"
+	"tarragongw/peer/feed"
+)
+
+const (
+	// headStart is how long after it has seen the store restored a router leaves the lead to
+	// the one that had it: that one alone knows for certain who holds which keys.
+	headStart = time.Second
+	// maxLeadOn bounds taking the lead again.
+	maxLeadOn = 2 * time.Second
+	// termPrefix is that of a key of each term's own, see lead.
+	termPrefix = leaderPrefix + "term-"
+)
+
+// lead is what a term rests on in the store.
+//
+// A store that comes back from an older copy gives revisions out again, so that another leader's
+// record may have the revision of this one's, and a write that is carried out late may be
+// taken for that one's. The key of the term's own is written with the record; in another era
+// it is there only if the copy has this very term.
+type lead struct {
+	revision kv.Revision
+	lease    kv.LeaseID
+	// key is empty for a store that doesn't count its eras.
+	key string
+	// before is what the term rested on before the store was restored; nil for the first.
+	before *lead
+}
+
+// conditions hold as long as the lead does.
+func (l *lead) conditions() []kv.Condition {
+	all := []kv.Condition{{Key: leaderKey, Revision: l.revision}}
+	if l.key != "" {
+		all = append(all, kv.Condition{Key: l.key, Revision: l.revision})
+	}
+	return all
+}
+
+// take takes the lead, where the leader's record is at the revision; zero where there is none.
+func (l *leader) take(ctx context.Context, revision kv.Revision) (*lead, error) {
+	store := l.g.storeFor(forLead)
+	lease, _, err := store.NewLease(ctx, max(leaderTTL, l.g.opts.LeaseMin))
+	if err != nil {
+		return nil, err
+	}
+	taken := &lead{lease: lease}
+	puts := []kv.Put{{Key: leaderKey, Value: []byte(l.g.opts.Name + leaderSeparator + l.g.opts.PeerAddress), Lease: lease}}
+	if _, counts := store.Era(); counts {
+		taken.key = termPrefix + rand.Text()
+		puts = append(puts, kv.Put{Key: taken.key, Lease: lease, Value: []byte{}})
+	}
+	taken.revision, _, err = store.Commit(ctx, kv.Txn{Conditions: []kv.Condition{{Key: leaderKey, Revision: revision}}, Puts: puts})
+	if err != nil {
+		return nil, err
+	}
+	return taken, nil
+}
+
+// ledOn tells how taking the lead again ended.
+type ledOn struct {
+	term *term
+	lead *lead
+	// tables are the revisions of the services' tables, zero where there is none.
+	tables map[string]kv.Revision
+	sent   time.Duration
+	err    error
+}
+
+// leadOn takes the lead again, because the store has lost it with all that was written since
+// an older copy. The assignments go on: what they rest on was in the store when it was ordered.
+func (l *leader) leadOn() {
+	if l.leadingOn {
+		return
+	}
+	l.leadingOn = true
+	t := l.term
+	services := make([]string, 0, len(t.services))
+	for name := range t.services {
+		services = append(services, name)
+	}
+	l.g.workers.Run(func() {
+		ctx, cancel := context.WithTimeout(t.ctx, maxLeadOn)
+		defer cancel()
+		m := &ledOn{term: t, sent: l.g.opts.Clock.Now(), tables: map[string]kv.Revision{}}
+		m.lead, m.err = l.takeAgain(ctx)
+		for i := 0; i < len(services) && m.err == nil; i++ {
+			m.tables[services[i]], m.err = l.tableRevision(ctx, services[i])
+		}
+		l.duty.Tell(m)
+	})
+}
+
+// takeAgain takes the lead from nobody, or from this router itself where the copy has its
+// record.
+func (l *leader) takeAgain(ctx context.Context) (*lead, error) {
+	found, err := l.g.storeFor(forLead).Get(ctx, leaderKey)
+	switch {
+	case errors.Is(err, kv.ErrNotFound):
+		return l.take(ctx, 0)
+	case err != nil:
+		return nil, err
+	}
+	if name, _, _ := strings.Cut(string(found.Value), leaderSeparator); name != l.g.opts.Name {
+		return nil, errLed
+	}
+	return l.take(ctx, found.Revision)
+}
+
+func (l *leader) tableRevision(ctx context.Context, service string) (kv.Revision, error) {
+	r, err := l.g.storeFor(forKeys).Get(ctx, tablePrefix+service)
+	if errors.Is(err, kv.ErrNotFound) {
+		return 0, nil
+	}
+	return r.Revision, err
+}
+
+// continueTerm has the term rest on the lead that was taken again. A try that failed is made
+// again with the next renewal, as in an outage.
+func (l *leader) continueTerm(m *ledOn) {
+	l.leadingOn = false
+	if m.term != l.term {
+		return
+	}
+	switch {
+	case errors.Is(m.err, errLed), errors.Is(m.err, kv.ErrConflict):
+		l.endTerm("the store was restored, and another leads")
+		return
+	case m.err != nil:
+		l.g.log.Warn("lead not taken again", "err", m.err)
+		return
+	}
+	m.lead.before = l.term.lead.Load()
+	l.term.lead.Store(m.lead)
+	l.term.renewedAt.Store(int64(m.sent))
+	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.lead.revision, present: true}
+	for name, p := range l.term.services {
+		if p.assigner == nil { // its division is being read
+			continue
+		}
+		p.revision = m.tables[name]
+		p.assigner.Restored(uint32(m.lead.revision.Era()))
+	}
+	l.g.log.Info("leadership kept in the restored store", "revision", m.lead.revision, "era", m.lead.revision.Era(),
+		"before", m.lead.before.revision, "services", len(l.term.services))
+}
+
+// newestTable returns the newest division that is known: the store's, or one that this router
+// was sent, where the store has lost that. It sets the configuration for a division whose
+// last writes may be lost.
+func (l *leader) newestTable(m *tableRead, cfg *assign.Config) *keyspace.Table {
+	era := m.term.revision().Era()
+	cfg.Era = uint32(era)
+	newest, source := m.table, "store"
+	if sent, ok := l.g.sentTable(m.service); ok && era > 0 {
+		if newest == nil || sent.Revision > uint64(tableVersion(newest, m.revision)) {
+			newest, source = sent.Table, "feed"
+		}
+	}
+	lost := newest != nil && newest.Era < uint32(era) || newest == nil && l.g.restoredSince(l.g.subscription.started)
+	if lost {
+		cfg.LostAt = l.g.eraSeen()
+		l.g.log.Warn("division of keys may lack its last changes", "service", m.service, "from", source, "lost_at", cfg.LostAt)
+	}
+	return newest
+}
+
+// tableVersion orders the divisions of one service over all eras: by the era in which they were
+// written, and by their record's revision in it. The record's own era is that in which it
+// was read.
+func tableVersion(t *keyspace.Table, revision kv.Revision) kv.Revision {
+	return kv.RevisionAt(kv.Era(t.Era), revision.Number())
+}
+
+// sentTable is the newest division of a service's keys that this router knows of.
+func (g *Gateway) sentTable(service string) (feed.Table, bool) {
+	t, ok := g.tables.Load(service)
+	if !ok {
+		return feed.Table{}, false
+	}
+	return t.(feed.Table), true
+}
+
+// eraState is what this router knows of the store's era.
+type eraState struct {
+	era kv.Era
+	// seen is when the era was seen first.
+	seen time.Time
+	// restores counts the eras that have begun since the first that was seen.
+	restores int
+}
+
+// era returns the store's era.
+func (g *Gateway) era() kv.Era {
+	era, named := g.opts.Store.Era()
+	if named {
+		g.noteEra(era)
+	}
+	return era
+}
+
+// noteEra notes the store's era, and logs that it was restored.
+func (g *Gateway) noteEra(era kv.Era) {
+	g.eraMu.Lock()
+	defer g.eraMu.Unlock()
+	before := g.eras
+	if !before.seen.IsZero() && before.era == era {
+		return
+	}
+	g.eras = eraState{era: era, seen: time.Now(), restores: before.restores}
+	if tel := g.opts.Telemetry; tel != nil {
+		tel.Scope().Gauge("store_era").Update(float64(era))
+	}
+	if before.seen.IsZero() {
+		return
+	}
+	g.eras.restores++
+	if tel := g.opts.Telemetry; tel != nil {
+		tel.Scope().Counter("store_restores_total").Inc(1)
+	}
+	g.log.Warn("store restored from an older copy", "era", era, "before", before.era, "restores", g.eras.restores)
+}
+
+// eraSeen is when the store's era was seen first.
+func (g *Gateway) eraSeen() time.Time {
+	g.era()
+	g.eraMu.Lock()
+	defer g.eraMu.Unlock()
+	return g.eras.seen
+}
+
+// restoredSince reports whether the store was seen restored after a time.
+func (g *Gateway) restoredSince(at time.Time) bool {
+	g.era()
+	g.eraMu.Lock()
+	defer g.eraMu.Unlock()
+	return g.eras.restores > 0 && g.eras.seen.After(at)
+}
+
+// leaveHeadStart waits while the lead is left to the router that had it before the store was
+// restored. A router that has started since can't have seen that, but finds divisions of keys
+// that were written in an earlier era.
+func (l *leader) leaveHeadStart(ctx context.Context) {
+	since := l.g.eraSeen()
+	if l.g.restoredSince(time.Now().Add(-headStart)) || l.g.era() > 0 && l.outdatedTables(ctx) {
+		duty.Sleep(ctx, headStart-time.Since(since))
+	}
+}
+
+// outdatedTables reports whether the store has divisions of keys of an earlier era.
+func (l *leader) outdatedTables(ctx context.Context) bool {
+	records, _, err := l.g.storeFor(forLead).List(ctx, tablePrefix)
+	if err != nil {
+		return false // nor can the lead be asked for
+	}
+	for _, r := range records {
+		if t, err := decodeTable(r.Value); err == nil && t.Era < uint32(r.Revision.Era()) {
+			return true
+		}
+	}
+	return false
+}
