--- /dev/null
+++ b/gateway/restoredraw_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/internal/waittest"
+	"tarragongw/platform/platformtest"
+)
+
+var (
+	drawnSeeds = flag.Int("restore-seeds", 2, "number of drawn sequences of restores")
+	firstSeed  = flag.Uint64("restore-first-seed", 1, "seed of the first drawn sequence of restores")
+)
+
+// drawnEvents is how many events a drawn sequence has.
+const drawnEvents = 8
+
+// Some sequence of restores, moves and lost routers leaves a key with two holders or with none.
+func TestDrawnRestores(t *testing.T) {
+	for i := range *drawnSeeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { drawRestores(t, seed) })
+	}
+}
+
+func drawRestores(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	f := newRestoredFleet(t, 3)
+	f.store.Snapshot()
+	doubles := f.watchDoubles()
+	for i := range drawnEvents {
+		f.drawEvent(random, i)
+		time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
+	}
+	f.allServed()
+	before := f.highestToken(100)
+	f.moveKey(100)
+	f.allServed()
+	assert.Assert(t, f.highestToken(100) > before)
+	doubles.end(t)
+}
+
+func (f *fleet) drawEvent(random *rand.Rand, nth int) {
+	switch random.IntN(6) {
+	case 0:
+		f.store.Snapshot()
+	case 1, 2:
+		how := platformtest.Restored{RewriteAfter: time.Duration(random.IntN(500)) * time.Millisecond, KeepLeases: random.IntN(2) == 0}
+		f.t.Logf("restore, %+v", how)
+		f.store.Restore(how)
+	case 3:
+		f.t.Log("a target leaves and returns")
+		f.leaveAndReturn(random)
+	case 4:
+		f.t.Log("the leader is lost, and a router starts")
+		if lost := f.leader(); lost != nil {
+			abandon(lost)
+			f.start(fmt.Sprintf("drawn-%d", nth))
+		}
+	case 5:
+		f.t.Log("a router starts")
+		f.start(fmt.Sprintf("drawn-%d", nth))
+	}
+}
+
+// leaveAndReturn has a holder's keys begin to move, and the target return.
+func (f *fleet) leaveAndReturn(random *rand.Rand) {
+	holder := f.holder(100)
+	if holder == "" || strings.Contains(holder, "+") {
+		return
+	}
+	f.targets[holder].Drain(f.store)
+	time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
+	f.targets[holder].Return(f.store)
+	waittest.Until(f.t, "somebody leads", func() bool { return f.leader() != nil })
+}
