Keep the lead in a restored store only while its lease can't have ended before

What callers would see: two targets that work on one key (TestLeaderOfBeforeReturnsAfterARestore, 'a and c hold key 100' before). A leader is cut off from the store; another leads and moves keys; the store comes back from a copy that has neither, and the other leader is lost. The first one reaches the store, finds its lease of another era, takes the lead again and goes on with what it knew.

Why this holds: it goes on only within the lease's own time from its last good renewal, so that nobody can have led between; and only if no table has been written in the new era. Else its term ends, and whoever leads next waits.

--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -52,7 +52,7 @@
 // take takes the lead, where the leader's record is at the revision; zero where there is none.
 func (l *leader) take(ctx context.Context, revision kv.Revision) (*lead, error) {
 	store := l.g.storeFor(forLead)
-	lease, _, err := store.NewLease(ctx, max(leaderTTL, l.g.opts.LeaseMin))
+	lease, _, err := store.NewLease(ctx, l.leaseTTL())
 	if err != nil {
 		return nil, err
 	}
@@ -69,6 +69,9 @@
 	return taken, nil
 }
 
+// leaseTTL is how long the leader's lease lasts.
+func (l *leader) leaseTTL() time.Duration { return max(leaderTTL, l.g.opts.LeaseMin) }
+
 // ledOn tells how taking the lead again ended.
 type ledOn struct {
 	term *term
@@ -81,12 +84,21 @@
 
 // leadOn takes the lead again, because the store has lost it with all that was written since
 // an older copy. The assignments go on: what they rest on was in the store when it was ordered.
+//
+// That holds only while the lease can't have lapsed by itself. Later another router may have led
+// and moved keys, before the restore as after it, and the store may have lost that too.
 func (l *leader) leadOn() {
 	if l.leadingOn {
 		return
 	}
-	l.leadingOn = true
 	t := l.term
+	if age := t.age(l.g.opts.Clock.Now()); age >= l.leaseTTL() {
+		l.g.log.Warn("leadership not kept in the restored store", "lease_age", age)
+		l.endTerm("the lease may have ended before the store was restored")
+		l.seen.present = false
+		return
+	}
+	l.leadingOn = true
 	services := make([]string, 0, len(t.services))
 	for name := range t.services {
 		services = append(services, name)
@@ -119,11 +131,20 @@
 	return l.take(ctx, found.Revision)
 }
 
+// tableRevision returns the revision of a service's table, which no other leader may have written
+// since the restore.
 func (l *leader) tableRevision(ctx context.Context, service string) (kv.Revision, error) {
 	r, err := l.g.storeFor(forKeys).Get(ctx, tablePrefix+service)
 	if errors.Is(err, kv.ErrNotFound) {
 		return 0, nil
 	}
+	if err != nil {
+		return 0, err
+	}
+	t, err := decodeTable(r.Value)
+	if err == nil && kv.Era(t.Era) == r.Revision.Era() {
+		err = errLed
+	}
 	return r.Revision, err
 }
 
@@ -136,7 +157,7 @@
 	}
 	switch {
 	case errors.Is(m.err, errLed), errors.Is(m.err, kv.ErrConflict):
-		l.endTerm("the store was restored, and another leads")
+		l.endTerm("the store was restored, and another leads or has led")
 		return
 	case m.err != nil:
 		l.g.log.Warn("lead not taken again", "err", m.err)
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -190,6 +190,29 @@
 	doubles.end(t)
 }
 
+// A leader that was cut off goes on in a restored store with what it knew, although another led
+// meanwhile and moved keys.
+func TestLeaderOfBeforeReturnsAfterARestore(t *testing.T) {
+	f := newRestoredFleet(t, 3)
+	f.store.Snapshot()
+	first := f.leader()
+	f.ways[first.opts.Name].cut.Store(true)
+	waittest.Until(t, "another router leads", func() bool { return f.leaderBut(first) != nil })
+	second := f.leaderBut(first)
+	f.moveKey(100)
+	doubles := f.watchDoubles()
+	abandon(second)
+	f.store.Restore(restored)
+	f.ways[first.opts.Name].cut.Store(false)
+	waittest.Until(t, "a router leads in the next era", func() bool {
+		g := f.leaderBut(second)
+		return g != nil && g.era() == firstEra+1
+	})
+	f.allServed()
+	doubles.end(t)
+	assert.Assert(t, !strings.Contains(f.log.String(), "leadership kept"), "the leader of before went on")
+}
+
 // A second restore while the lead is taken again leaves the keys without a leader.
 func TestTwoRestoresInARow(t *testing.T) {
 	f := newRestoredFleet(t, 3)
