Ask watches anew once the store is known to have been restored

Cause: a watch that goes on from a revision of before the restore waits in the store to its end where the store's revision is beyond that one again. The change lies before it, and the answer that would show another era comes only then.

Why this holds: a watch from another era is answered by the client as history that is lost, and a router that learns of a new era from any call has its waiting watches asked anew.

--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -231,26 +231,35 @@
 	return era
 }
 
-// noteEra notes the store's era, and logs that it was restored.
+// noteEra notes the store's era. Watches that wait are asked anew where it has changed: they go on
+// from a revision that the store may not reach again for long.
 func (g *Gateway) noteEra(era kv.Era) {
+	if g.setEra(era) {
+		g.subscription.rewatch()
+	}
+}
+
+// setEra notes the store's era, logs that the store was restored, and returns whether it was.
+func (g *Gateway) setEra(era kv.Era) bool {
 	g.eraMu.Lock()
 	defer g.eraMu.Unlock()
 	before := g.eras
 	if !before.seen.IsZero() && before.era == era {
-		return
+		return false
 	}
 	g.eras = eraState{era: era, seen: time.Now(), restores: before.restores}
 	if tel := g.opts.Telemetry; tel != nil {
 		tel.Scope().Gauge("store_era").Update(float64(era))
 	}
 	if before.seen.IsZero() {
-		return
+		return false
 	}
 	g.eras.restores++
 	if tel := g.opts.Telemetry; tel != nil {
 		tel.Scope().Counter("store_restores_total").Inc(1)
 	}
 	g.log.Warn("store restored from an older copy", "era", era, "before", before.era, "restores", g.eras.restores)
+	return true
 }
 
 // eraSeen is when the store's era was seen first.
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -253,3 +253,32 @@
 		f.served(g, newer)
 	}
 }
+
+// A configuration that is written after a restore is not seen for as long as a watch waits, because
+// its revision lies before the one that the watch goes on from.
+func TestConfigurationAfterARestoreIsSeenSoon(t *testing.T) {
+	f := newRestoredFleet(t, 3)
+	f.store.Snapshot()
+	f.registerAll(20)
+	f.configure(strings.ReplaceAll(keyedConfig, "/read/", "/seek/"))
+	for _, g := range f.gateways {
+		f.served(g, call{method: http.MethodGet, path: "/seek/1", key: 100})
+	}
+	f.store.Restore(platformtest.Restored{RewriteAfter: time.Minute})
+	f.configure(strings.ReplaceAll(keyedConfig, "/read/", "/look/"))
+	f.registerAll(40) // the store's revision is beyond that of before
+	began := time.Now()
+	for _, g := range f.gateways {
+		f.served(g, call{method: http.MethodGet, path: "/look/1", key: 100})
+	}
+	assert.Assert(t, time.Since(began) < 2*time.Second, "after %v", time.Since(began))
+}
+
+// registerAll has each target write its entry so many times.
+func (f *fleet) registerAll(times int) {
+	for range times {
+		for _, target := range f.targets {
+			target.Register(f.store)
+		}
+	}
+}
