--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -288,7 +288,7 @@
 	}
 	delete(b.routers, name)
 	if name == b.g.opts.Name {
-		b.g.members.wake()
+		b.g.members.renewNow()
 	}
 	return 1
 }
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -21,7 +21,7 @@
 		f.g.log.Info("fed", "leader", h.leader.name, "term", h.leader.revision)
 		f.setConnected(true)
 		f.stopWatching()
-		f.g.members.wake()
+		f.g.members.renewNow()
 	}
 	f.compare(u.Config)
 	f.g.setServiceTimes(u.ServiceTimes)
@@ -36,7 +36,7 @@
 	f := h.f
 	if h.fed || !f.setConnected(true) {
 		f.g.log.Info("leader doesn't hear from the store", "leader", h.leader.name, "term", h.leader.revision)
-		f.g.members.wake()
+		f.g.members.renewNow()
 	}
 	if h.fed {
 		f.searchLeader(staleSearchDelay)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -243,7 +243,7 @@
 	for name, s := range services {
 		s.setTargets(byService[name])
 	}
-	g.pools.keep(targets)
+	g.pools.retain(targets)
 }
 
 // connsOf is how many connections this router may have to one target of the service.
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -219,12 +219,12 @@
 	// targets are nil until they are known.
 	targets  *targetsSeen
 	stopping bool
-	// leadingOn says that the lead is being taken again after the store was restored.
-	leadingOn bool
-	away      bool
-	timer     *time.Timer
-	due       time.Time
-	steps     pacer
+	// resuming says that the lead is being taken again after the store was restored.
+	resuming bool
+	away     bool
+	timer    *time.Timer
+	due      time.Time
+	steps    pacer
 	// serviceTimesDue is when the targets' speeds are told next.
 	serviceTimesDue time.Time
 }
@@ -262,8 +262,8 @@
 		l.stop(m)
 	case *leaseEnded:
 		l.ended(m)
-	case *ledOn:
-		l.continueTerm(m)
+	case *termResumed:
+		l.finishResume(m)
 	}
 	l.next()
 }
@@ -278,7 +278,7 @@
 		return
 	}
 	if m.revision.Era() != l.term.revision().Era() {
-		l.leadOn()
+		l.resumeTerm()
 		return
 	}
 	l.endTerm("another leader or none was seen")
@@ -429,12 +429,12 @@
 	l.seen = leaderSeen{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision(), present: true}
 	l.g.log.Info("leadership taken", "revision", m.term.revision())
 	l.g.subscription.setTerm(m.term)
-	l.g.workers.Run(func() { l.keep(m.term) })
+	l.g.workers.Run(func() { l.renewLease(m.term) })
 	l.g.workers.Run(func() { l.beat(m.term) })
 }
 
-// keep renews the lease until the term ends.
-func (l *leader) keep(t *term) {
+// renewLease renews the lease until the term ends.
+func (l *leader) renewLease(t *term) {
 	for duty.Sleep(t.ctx, leaderRenewInterval) {
 		sent := l.g.opts.Clock.Now()
 		err := l.g.storeFor(forLead).KeepLease(t.ctx, t.lead.Load().lease)
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -25,7 +25,7 @@
 	case m.err == nil:
 		l.term.renewedAt.Store(int64(m.sent))
 	case errors.Is(m.err, kv.ErrLeaseLost) && l.g.era() != l.term.revision().Era():
-		l.leadOn()
+		l.resumeTerm()
 	case errors.Is(m.err, kv.ErrLeaseLost):
 		l.endTerm("the lease has ended")
 		l.seen.present = false
@@ -299,7 +299,7 @@
 	p.notBefore = time.Now().Add(writeRetryDelay)
 	l.g.log.Warn("division of keys not written", "service", m.service, "err", m.err)
 	if l.g.era() != l.term.revision().Era() {
-		l.leadOn()
+		l.resumeTerm()
 		return
 	}
 	for _, r := range m.conflict {
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -33,8 +33,8 @@
 
 // members keeps this router's own record in the store, by which the others count it.
 type members struct {
-	g     *Gateway
-	woken chan struct{}
+	g        *Gateway
+	renewals chan struct{}
 	// mu guards the lease and left, which says that the record is to stay away; what a
 	// router that stops would write anew counts it for as long as it lasts.
 	mu    sync.Mutex
@@ -47,13 +47,13 @@
 }
 
 func newMembers(g *Gateway) *members {
-	return &members{g: g, woken: make(chan struct{}, 1), probe: probeEvery}
+	return &members{g: g, renewals: make(chan struct{}, 1), probe: probeEvery}
 }
 
-// wake has the record looked after now, because it is gone.
-func (m *members) wake() {
+// renewNow has the record renewed at once, because it may be gone or the store away.
+func (m *members) renewNow() {
 	select {
-	case m.woken <- struct{}{}:
+	case m.renewals <- struct{}{}:
 	default:
 	}
 }
@@ -61,7 +61,7 @@
 // run keeps the record until ctx ends, and then removes it.
 func (m *members) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := m.keep(ctx)
+		err := m.renew(ctx)
 		m.g.era()
 		m.recordResult(err)
 		pause := memberRenewInterval
@@ -73,7 +73,7 @@
 		}
 		select {
 		case <-time.After(pause):
-		case <-m.woken:
+		case <-m.renewals:
 		case <-ctx.Done():
 		}
 	}
@@ -109,7 +109,7 @@
 	}
 }
 
-func (m *members) keep(ctx context.Context) error {
+func (m *members) renew(ctx context.Context) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.left {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -60,7 +60,7 @@
 		return pool, nil
 	}
 	dialect := p.dialect
-	dialect.Heard = func(h http.Header) { p.observe(&key, h) }
+	dialect.Observe = func(h http.Header) { p.observe(&key, h) }
 	pool, err := target.New(target.PoolConfig{
 		Address: t.Address, MaxConns: max(maxConns, minConns), ControlConns: -1, MaxIdle: maxIdle,
 		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Wait: -1,
@@ -73,8 +73,8 @@
 	return pool, nil
 }
 
-// keep closes the pools of targets that are not there any more; work in flight goes on.
-func (p *pools) keep(targets []directory.Target) {
+// retain closes the pools of targets that are not there any more; work in flight goes on.
+func (p *pools) retain(targets []directory.Target) {
 	there := make(map[directory.Target]bool, len(targets))
 	for i := range targets {
 		there[identity(&targets[i])] = true
@@ -89,7 +89,7 @@
 	}
 }
 
-func (p *pools) closeAll() { p.keep(nil) }
+func (p *pools) closeAll() { p.retain(nil) }
 
 // connsFor is this router's part of the connections that a target takes from all.
 func connsFor(all, routers int) int {
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -19,8 +19,8 @@
 	// headStart is how long after it has seen the store restored a router leaves the lead to
 	// the one that had it: that one alone knows for certain who holds which keys.
 	headStart = time.Second
-	// maxLeadOn bounds taking the lead again.
-	maxLeadOn = 2 * time.Second
+	// resumeTimeout bounds the calls by which the lead is taken again.
+	resumeTimeout = 2 * time.Second
 	// termPrefix is that of a key of each term's own, see lead.
 	termPrefix = leaderPrefix + "term-"
 )
@@ -72,8 +72,8 @@
 // leaseTTL is how long the leader's lease lasts.
 func (l *leader) leaseTTL() time.Duration { return max(leaderTTL, l.g.opts.LeaseMin) }
 
-// ledOn tells how taking the lead again ended.
-type ledOn struct {
+// termResumed tells how resuming a term ended.
+type termResumed struct {
 	term *term
 	lead *lead
 	// tables are the revisions of the services' tables, zero where there is none.
@@ -82,13 +82,13 @@
 	err    error
 }
 
-// leadOn takes the lead again, because the store has lost it with all that was written since
+// resumeTerm takes the lead again, because the store has lost it with all that was written since
 // an older copy. The assignments go on: what they rest on was in the store when it was ordered.
 //
 // That holds only while the lease can't have lapsed by itself. Later another router may have led
 // and moved keys, before the restore as after it, and the store may have lost that too.
-func (l *leader) leadOn() {
-	if l.leadingOn {
+func (l *leader) resumeTerm() {
+	if l.resuming {
 		return
 	}
 	t := l.term
@@ -98,16 +98,16 @@
 		l.seen.present = false
 		return
 	}
-	l.leadingOn = true
+	l.resuming = true
 	services := make([]string, 0, len(t.services))
 	for name := range t.services {
 		services = append(services, name)
 	}
 	l.g.workers.Run(func() {
-		ctx, cancel := context.WithTimeout(t.ctx, maxLeadOn)
+		ctx, cancel := context.WithTimeout(t.ctx, resumeTimeout)
 		defer cancel()
-		m := &ledOn{term: t, sent: l.g.opts.Clock.Now(), tables: map[string]kv.Revision{}}
-		m.lead, m.err = l.takeAgain(ctx)
+		m := &termResumed{term: t, sent: l.g.opts.Clock.Now(), tables: map[string]kv.Revision{}}
+		m.lead, m.err = l.retake(ctx)
 		for i := 0; i < len(services) && m.err == nil; i++ {
 			m.tables[services[i]], m.err = l.tableRevision(ctx, services[i])
 		}
@@ -115,9 +115,9 @@
 	})
 }
 
-// takeAgain takes the lead from nobody, or from this router itself where the copy has its
+// retake takes the lead from nobody, or from this router itself where the copy has its
 // record.
-func (l *leader) takeAgain(ctx context.Context) (*lead, error) {
+func (l *leader) retake(ctx context.Context) (*lead, error) {
 	found, err := l.g.storeFor(forLead).Get(ctx, leaderKey)
 	switch {
 	case errors.Is(err, kv.ErrNotFound):
@@ -148,10 +148,10 @@
 	return r.Revision, err
 }
 
-// continueTerm has the term rest on the lead that was taken again. A try that failed is made
+// finishResume has the term rest on the lead that was taken again. A try that failed is made
 // again with the next renewal, as in an outage.
-func (l *leader) continueTerm(m *ledOn) {
-	l.leadingOn = false
+func (l *leader) finishResume(m *termResumed) {
+	l.resuming = false
 	if m.term != l.term {
 		return
 	}
@@ -213,71 +213,6 @@
 	return t.(feed.Table), true
 }
 
-// eraState is what this router knows of the store's era.
-type eraState struct {
-	era kv.Era
-	// seen is when the era was seen first.
-	seen time.Time
-	// restores counts the eras that have begun since the first that was seen.
-	restores int
-}
-
-// era returns the store's era.
-func (g *Gateway) era() kv.Era {
-	era, named := g.opts.Store.Era()
-	if named {
-		g.noteEra(era)
-	}
-	return era
-}
-
-// noteEra notes the store's era. Watches that wait are asked anew where it has changed: they go on
-// from a revision that the store may not reach again for long.
-func (g *Gateway) noteEra(era kv.Era) {
-	if g.setEra(era) {
-		g.subscription.rewatch()
-	}
-}
-
-// setEra notes the store's era, logs that the store was restored, and returns whether it was.
-func (g *Gateway) setEra(era kv.Era) bool {
-	g.eraMu.Lock()
-	defer g.eraMu.Unlock()
-	before := g.eras
-	if !before.seen.IsZero() && before.era == era {
-		return false
-	}
-	g.eras = eraState{era: era, seen: time.Now(), restores: before.restores}
-	if tel := g.opts.Telemetry; tel != nil {
-		tel.Scope().Gauge("store_era").Update(float64(era))
-	}
-	if before.seen.IsZero() {
-		return false
-	}
-	g.eras.restores++
-	if tel := g.opts.Telemetry; tel != nil {
-		tel.Scope().Counter("store_restores_total").Inc(1)
-	}
-	g.log.Warn("store restored from an older copy", "era", era, "before", before.era, "restores", g.eras.restores)
-	return true
-}
-
-// eraSeen is when the store's era was seen first.
-func (g *Gateway) eraSeen() time.Time {
-	g.era()
-	g.eraMu.Lock()
-	defer g.eraMu.Unlock()
-	return g.eras.seen
-}
-
-// restoredSince reports whether the store was seen restored after a time.
-func (g *Gateway) restoredSince(at time.Time) bool {
-	g.era()
-	g.eraMu.Lock()
-	defer g.eraMu.Unlock()
-	return g.eras.restores > 0 && g.eras.seen.After(at)
-}
-
 // leaveHeadStart waits while the lead is left to the router that had it before the store was
 // restored. A router that has started since can't have seen that, but finds divisions of keys
 // that were written in an earlier era.
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithCancel(f.g.lifetime)
 	w := &watch{stop: cancel, watcher: &watcher{
 		store: f.g.storeFor(f.g.purposeOf(prefix)), log: f.g.log, prefix: prefix, pause: pause, wait: wait, lost: f.rewatch,
-		gate: &f.g.gate, probe: f.g.members.wake,
+		gate: &f.g.gate, probe: f.g.members.renewNow,
 		tell: func(message any) {
 			if ctx.Err() == nil {
 				f.g.state.duty.Tell(&fromPrefix{prefix, message})
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -204,7 +204,7 @@
 	}()
 	defer func() {
 		if f.setConnected(false) {
-			f.g.members.wake() // nobody says any more when the store is back
+			f.g.members.renewNow() // nobody says any more when the store is back
 		}
 	}()
 	handler := &updateHandler{f: f, leader: leader}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, x.fail(err)
 	}
-	p.heard(resp)
+	p.observe(resp)
 	if f := p.cfg.Dialect.refusal(resp); f != nil {
 		x.refuse(resp)
 		return nil, f
@@ -128,13 +128,13 @@
 	return resp, nil
 }
 
-// heard tells what an answer's header says of its target.
-func (p *Pool) heard(resp *http.Response) {
+// observe notes what an answer's header says of its target.
+func (p *Pool) observe(resp *http.Response) {
 	if rest := restOf(resp.Header); rest > 0 {
 		p.rest.Store(int64(rest - rest/restMargin))
 	}
-	if p.cfg.Dialect.Heard != nil {
-		p.cfg.Dialect.Heard(resp.Header)
+	if p.cfg.Dialect.Observe != nil {
+		p.cfg.Dialect.Observe(resp.Header)
 	}
 }
 
@@ -226,7 +226,7 @@
 func (x *exchange) fail(err error) *fault.Fault {
 	x.conn.seal()
 	x.upload.end()
-	f := x.judge(err)
+	f := x.faultOf(err)
 	x.cancelWatch()
 	x.discard(f.Kind)
 	return f
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -26,8 +26,8 @@
 	// Signature is a field that each successful answer of the target's own has; empty
 	// means that there is none.
 	Signature string
-	// Heard is told the header of each of the target's own answers; nil tells nobody.
-	Heard func(h http.Header)
+	// Observe is given the header of each of the target's own answers; nil ignores them.
+	Observe func(h http.Header)
 }
 
 // maxOverdue bounds the answers to earlier requests that are passed over before one's own.
--- a/target/verdict.go
+++ b/target/verdict.go
@@ -31,9 +31,9 @@
 	return &fault.Fault{Kind: fault.CallerGone, Ran: ran, Cause: cause}
 }
 
-// judge turns an exchange that ended before its answer began into a fault. The
+// faultOf turns an exchange that ended before its answer began into a fault. The
 // connection is sealed, so the count of sent bytes is final.
-func (x *exchange) judge(err error) *fault.Fault {
+func (x *exchange) faultOf(err error) *fault.Fault {
 	c := x.conn
 	ran := fault.RanUnknown
 	if c.sent.Load() == x.sentBefore {
