Have a change outlast the pause for which calls to the store are kept back

Cause: a change asked again for 3 s, but a router that has had failures in a row keeps all its calls back for up to 5 s: the change was given up without another call to the store.

Why this holds: it waits for the longest such pause and 2 s for calls after it, 7 s, within the 10 s that an operator's call may take. TestChangeEndsWhereTheStoreStaysAway is held to these 10 s now, the bound of the call, in place of 5 s. Not shown by a run under that load again: suspected to suffice, as the cause is read from the log line.

--- a/confstore/editor.go
+++ b/confstore/editor.go
@@ -16,8 +16,9 @@
 	"tarragongw/kv"
 )
 
-// storePatience is how long a change waits for a store that can't be reached.
-const storePatience = 3 * time.Second
+// storePatience is how long a change waits for a store that can't be reached. It outlasts the pause
+// for which calls are kept back after failures, and a call after it.
+const storePatience = kv.DefaultBackoffCap + 2*time.Second
 
 // maxRaces bounds how often a change is made again on top of another operator's.
 const maxRaces = 8
