Finish no request under a right that ended in a suspension

What callers saw: a request whose header had gone out before its router was suspended (SIGSTOP) was finished when the router went on, and the target, which checks nothing, ran it after the key had moved to another target: "faq-viewer-02 ran ... after the pause", the assertion of TestPausedProcessDoesNotActOnItsLapsedAuthority, in every kind of build.

Cause: header and body are two writes, and the right is asked for before each. Once the router has learnt that another one took the target over, its gate has no right for that target any more, and a missing right counted as one that was given up by a hand-over, which has no end: Gate.Expired was false and sendsUntil returned math.MaxInt64, so that leasewrite had nothing to enforce. A write between the resumption and that moment found the expired right and was refused, which is why it was rare: 6 to 25 ms decide.

Change: the gate remembers the highest term of this router that ended without a hand-over, and an attempt is bound to the term under which it was admitted (sendLease): what began under such a term ends, what began before a hand-over is finished as before. A target that answers too slowly for new requests keeps the end of its right for those that have begun. A request isn't begun under another term than the one in its header.

Why this holds: the gate is replaced as a whole, so a write finds either the right with its end, which has passed, or the lapsed term; a later term of the same router doesn't revive it.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"math"
 	"time"
 	"unsafe"
 
@@ -34,8 +35,11 @@
 }
 
 // BootTime converts a time of c to a time of Boot. If the VM is suspended between the readings
-// of the two clocks, the result is earlier.
+// of the two clocks, the result is earlier. math.MaxInt64 stands for never and stays so.
 func BootTime(c Clock, at time.Duration) time.Duration {
+	if at == math.MaxInt64 {
+		return at
+	}
 	boot := Boot{}.Now()
 	return boot + at - c.Now()
 }
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"math"
 	"os"
 	"strconv"
 	"strings"
@@ -26,3 +27,8 @@
 	const digit = 10 * time.Millisecond
 	assert.Assert(t, uptime > before-2*digit && uptime < after+2*digit, "%v is not between %v and %v", uptime, before, after)
 }
+
+// Guards against a right without an end that looks expired, because its conversion overflows.
+func TestNeverIsNeverInBootTimeToo(t *testing.T) {
+	assert.Equal(t, BootTime(&Manual{}, math.MaxInt64), time.Duration(math.MaxInt64))
+}
--- a/core/ownership/duty.go
+++ b/core/ownership/duty.go
@@ -33,6 +33,8 @@
 	recordRead bool
 	phase      phase
 	term       uint64
+	// lapsedTerm is the highest term of this router that ended without a hand-over.
+	lapsedTerm uint64
 	// until bounds the authority; see validUntil.
 	until time.Duration
 	// confirmedAt is when the latest read that found this router's term was sent.
@@ -203,7 +205,7 @@
 		return
 	}
 	if d.phase >= waiting && (g.Router != k.cfg.Self || (g.Term != d.term && !d.withoutStore)) {
-		k.drop(d, Superseded)
+		k.lapse(d, Superseded)
 		d.supersededAt = now
 	}
 	if d.phase == idle && g.Router == k.cfg.Self && !d.termRaisePending && k.writes[d.key] == nil {
@@ -211,6 +213,12 @@
 	}
 }
 
+// lapse ends the duty at this router, which did not hand it over.
+func (k *Keeper) lapse(d *duty, kind ReportKind) {
+	d.lapsedTerm = max(d.lapsedTerm, d.term)
+	k.drop(d, kind)
+}
+
 // drop ends the duty at this router.
 func (k *Keeper) drop(d *duty, kind ReportKind) {
 	d.report(k, kind)
--- a/core/ownership/gate.go
+++ b/core/ownership/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"maps"
 	"time"
 
 	"tarragongw/core/routing"
@@ -13,11 +12,15 @@
 type Gate struct {
 	table  *Table
 	rights map[string]sendRight
+	// lapsedTerms has, by target, the highest term of this router that ended without a hand-over.
+	lapsedTerms map[string]uint64
 }
 
 type sendRight struct {
 	term  uint64
 	until time.Duration
+	// closed is set while no new request may be sent under the right.
+	closed bool
 }
 
 // MaySend reports whether a request on the unit may be sent to the target now. It must be
@@ -28,8 +31,7 @@
 	if g == nil {
 		return false
 	}
-	h, ok := g.rights[target]
-	if !ok || now >= h.until {
+	if !g.Holds(now, target) {
 		return false
 	}
 	st, ok := g.table.State(unit)
@@ -42,39 +44,49 @@
 	if g == nil {
 		return 0
 	}
-	return g.rights[target].term
+	if h := g.rights[target]; !h.closed {
+		return h.term
+	}
+	return 0
 }
 
 // Targets iterates over the targets that this router sends to, in no particular order.
 func (g *Gate) Targets() iter.Seq[string] {
-	if g == nil {
-		return func(func(string) bool) {}
+	return func(yield func(string) bool) {
+		if g == nil {
+			return
+		}
+		for target, h := range g.rights {
+			if !h.closed && !yield(target) {
+				return
+			}
+		}
 	}
-	return maps.Keys(g.rights)
 }
 
 // Table returns the ownership that the gate checks against.
 func (g *Gate) Table() *Table { return g.table }
 
-// Expired reports whether the right to send to the target has expired by this router's clock
-// and was neither renewed nor given up in an orderly way. This is the state of a router
-// that was suspended and has not yet processed the end of its right.
-func (g *Gate) Expired(now time.Duration, target string) bool {
-	if g == nil {
-		return false
+// SendUntil returns until when, by this router's clock, bytes of a request may be sent to the
+// target that was admitted under the term; zero means not at all. started is set if bytes of it
+// have been sent.
+//
+// What has started may be finished after the target was handed over, since a move waits for it.
+// It may not be finished after another router has taken the target over because this one was
+// suspended or cut off: the unit may have moved meanwhile.
+func (g *Gate) SendUntil(target string, term uint64, started bool) time.Duration {
+	if g == nil || term == 0 || term <= g.lapsedTerms[target] {
+		return 0
 	}
-	h, ok := g.rights[target]
-	return ok && now >= h.until
-}
-
-// Until returns when the right to send to the target ends by this router's clock, and
-// whether the router has such a right.
-func (g *Gate) Until(target string) (time.Duration, bool) {
-	if g == nil {
-		return 0, false
+	h, held := g.rights[target]
+	switch {
+	case held && (started || h.term == term):
+		return h.until
+	case started:
+		return never
+	default:
+		return 0
 	}
-	h, ok := g.rights[target]
-	return h.until, ok
 }
 
 // Holds reports whether this router may send to the target now, regardless of the unit. It
@@ -84,5 +96,5 @@
 		return false
 	}
 	h, ok := g.rights[target]
-	return ok && now < h.until
+	return ok && !h.closed && now < h.until
 }
--- /dev/null
+++ b/core/ownership/gate_test.go
@@ -0,0 +1,50 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a router that finishes a request at a target that another router has taken over
+// while this one was suspended: once it knows of that, its right has no end any more.
+func TestStartedRequestEndsWithALapsedTerm(t *testing.T) {
+	const until = 320 * time.Millisecond
+	right := map[string]sendRight{"t": {term: 8, until: until}}
+	closed := map[string]sendRight{"t": {term: 8, until: until, closed: true}}
+	lapsed := map[string]uint64{"t": 8}
+	for name, c := range map[string]struct {
+		gate    *Gate
+		term    uint64
+		started bool
+		want    time.Duration
+	}{
+		"no gate":                            {nil, 8, true, 0},
+		"held":                               {&Gate{rights: right}, 8, false, until},
+		"held, started":                      {&Gate{rights: right}, 8, true, until},
+		"taken back under a later term":      {&Gate{rights: right}, 4, false, 0},
+		"taken back, started":                {&Gate{rights: right}, 4, true, until},
+		"closed for new requests, started":   {&Gate{rights: closed}, 8, true, until},
+		"handed over":                        {&Gate{}, 8, false, 0},
+		"handed over, started":               {&Gate{}, 8, true, never},
+		"lapsed, started":                    {&Gate{lapsedTerms: lapsed}, 8, true, 0},
+		"lapsed and taken back, started":     {&Gate{rights: map[string]sendRight{"t": {term: 24, until: until}}, lapsedTerms: lapsed}, 8, true, 0},
+		"handed over after an earlier lapse": {&Gate{lapsedTerms: lapsed}, 24, true, never},
+		"never held":                         {&Gate{}, 0, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, c.gate.SendUntil("t", c.term, c.started), c.want)
+		})
+	}
+}
+
+// Guards against new requests to a target that answers too slowly, while its right goes on.
+func TestClosedRightAdmitsNothing(t *testing.T) {
+	g := &Gate{rights: map[string]sendRight{"t": {term: 8, until: time.Second, closed: true}}}
+	assert.Assert(t, !g.Holds(0, "t"))
+	assert.Equal(t, g.Term("t"), uint64(0))
+	for target := range g.Targets() {
+		t.Errorf("%s is listed", target)
+	}
+}
--- a/core/ownership/keeper.go
+++ b/core/ownership/keeper.go
@@ -308,10 +308,13 @@
 
 func (k *Keeper) refreshGate() {
 	k.gateStale = false
-	g := &Gate{table: k.table, rights: map[string]sendRight{}}
+	g := &Gate{table: k.table, rights: map[string]sendRight{}, lapsedTerms: map[string]uint64{}}
 	for _, d := range k.dutyList {
-		if d.phase == serving && k.withinOrderBound(d) {
-			g.rights[d.spec.Name] = sendRight{term: d.term, until: d.validUntil(k)}
+		if d.phase == serving {
+			g.rights[d.spec.Name] = sendRight{term: d.term, until: d.validUntil(k), closed: !k.withinOrderBound(d)}
+		}
+		if d.lapsedTerm > 0 {
+			g.lapsedTerms[d.spec.Name] = d.lapsedTerm
 		}
 	}
 	k.gate = g
--- a/router/serve.go
+++ b/router/serve.go
@@ -1,13 +1,10 @@
 package router
 
 import (
-	"maps"
-	"math"
 	"net/http"
 	"time"
 
 	"tarragongw/caller"
-	"tarragongw/clock"
 	"tarragongw/core/admission"
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
@@ -61,10 +58,11 @@
 	job.flight.forwarded = job.bound != nil
 	u.flights.enter(&job.flight, job.unit)
 	defer u.flights.leave(&job.flight)
-	resp, f := u.pool.AttemptWithOptions(req.Context(), r.outgoing(req, u, job), target.AttemptOptions{
-		BeforeRequest: func() *fault.Fault { return r.maySend(u, job) },
-		BeforeWrite:   func(begun bool) *fault.Fault { return r.stillSends(u, job, begun) },
-		LeaseExpiry:   func(begun bool) time.Duration { return r.sendsUntil(u, begun) },
+	lease := sendLease{r: r, u: u, job: job, term: r.gate.Load().Term(u.spec.Name)}
+	resp, f := u.pool.AttemptWithOptions(req.Context(), lease.outgoing(req), target.AttemptOptions{
+		BeforeRequest: lease.check,
+		BeforeWrite:   lease.checkWrite,
+		LeaseExpiry:   lease.expiry,
 		Aborter:       &job.flight.cut,
 	})
 	if f != nil {
@@ -90,70 +88,6 @@
 	return nil
 }
 
-// maySend asks the ownership gate; it is asked last right before the first byte.
-func (r *Router) maySend(u *upstream, job *work) *fault.Fault {
-	gate := r.gate.Load()
-	now := r.clock.Now()
-	if r.outlived.Load() {
-		return fault.New(fault.StaleRoute, errOutlived.Error())
-	}
-	if job.unit.Service == "" && gate.Holds(now, u.spec.Name) {
-		return nil
-	}
-	if job.unit.Service != "" && gate.MaySend(now, u.spec.Name, job.unit, job.token) {
-		return nil
-	}
-	return fault.New(fault.StaleRoute, "this router may not send to "+u.spec.Name)
-}
-
-// stillSends asks the ownership gate again as bytes of the request go out. Once some have,
-// only the lapse of this router's right counts: an orderly move waits for what has begun.
-func (r *Router) stillSends(u *upstream, job *work, begun bool) *fault.Fault {
-	if !begun {
-		return r.maySend(u, job)
-	}
-	if r.gate.Load().Expired(r.clock.Now(), u.spec.Name) {
-		return fault.New(fault.StaleRoute, "this router's right to send to "+u.spec.Name+" has lapsed")
-	}
-	return nil
-}
-
-// sendsUntil returns until when bytes may go out, by clock.Boot. A target that was given up in
-// order gets the rest of what has begun.
-func (r *Router) sendsUntil(u *upstream, begun bool) time.Duration {
-	until, held := r.gate.Load().Until(u.spec.Name)
-	if !held && begun {
-		return math.MaxInt64
-	}
-	return clock.BootTime(r.clock, until)
-}
-
-// outgoing puts the order into the request, whose header belongs to this request
-// alone. The context of the attempt goes beside it, which saves a copy. A body is
-// written beside the attempt and may outlast it, so that a request with one gets a
-// header of its own: the next attempt changes the shared one.
-func (r *Router) outgoing(req *http.Request, u *upstream, job *work) *http.Request {
-	if req.Body != nil && req.Body != http.NoBody {
-		shared := *req
-		req = &shared
-		req.Header = maps.Clone(req.Header)
-		if job.flight.body != nil {
-			req.Body = job.flight.body
-		}
-	}
-	order := target.RequestHeaders{
-		RequestID: job.meta.ID,
-		Unit:      job.name,
-		Token:     job.token,
-		Term:      r.gate.Load().Term(u.spec.Name),
-	}
-	if !job.meta.Deadline.IsZero() {
-		order.TimeLeft = time.Until(job.meta.Deadline)
-	}
-	order.Set(req.Header)
-	return req
-}
-
 // outcomeOf says what the end of an attempt means for the target's slot.
 func outcomeOf(f *fault.Fault) admission.Outcome {
 	switch {
