Protect writes under a lease in every kind of build

What callers saw: with a router built without cgo, a request that it sent after its lease had expired, because the process was suspended between reading the clock and the system call, ran at a target that checks nothing; orders of serve went out late likewise.

Cause: the restartable sequence was in C and used the area that glibc 2.35 or later registers. Builds without cgo, with another C library or for arm64 checked the clock and then sent; Go turns cgo off by itself where it finds no C compiler, and says nothing.

Change: one sequence in Go assembly, for amd64 and arm64, in all builds. It uses the C library's area where there is one, and else registers one for the time of a write. The clock is read by an ordinary system call before it; the sequence compares the processor's counter with its value from before that reading and lets the system call through only if it was a moment ago.

Why this holds: an interruption before the sequence makes the reading old, one within it makes the kernel leave it, and the system call is its last instruction.

--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,10 @@
 build:
 	$(GO) build $(PACKAGES)
 
+# The sequence of leasewrite is in assembly, for each processor of its own.
 vet:
 	$(GO) vet $(PACKAGES)
+	CGO_ENABLED=0 GOARCH=arm64 $(GO) vet ./leasewrite/...
 
 format:
 	@out=$$(gofmt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
@@ -22,9 +24,9 @@
 SYSTEM = ./caller ./cmd/tarragonctl ./cmd/tarragongw ./dev ./examples/embed ./gateway ./peer ./target
 
 # unit runs all tests but those that KNOWN-RED.txt lists, which it prints.
-unit: unit-packages unit-system
+unit: unit-packages unit-system unit-builds
 
-.PHONY: unit-packages unit-system
+.PHONY: unit-packages unit-system unit-builds
 unit-packages:
 	GO="$(GO)" .ci/unit -race -count=1 -timeout 15m \
 		$$($(GO) list $(PACKAGES) | grep -vxF "$$($(GO) list $(SYSTEM))")
@@ -32,6 +34,18 @@
 unit-system:
 	GO="$(GO)" .ci/unit -race -count=1 -timeout 15m -p 1 $(SYSTEM)
 
+# unit-builds repeats the tests of suspended processes in the other kinds of build: without
+# the race detector, and without cgo, where a write under a lease is protected by other means.
+unit-builds:
+	$(MAKE) unit-build CGO_ENABLED=1
+	$(MAKE) unit-build CGO_ENABLED=0
+
+.PHONY: unit-build
+unit-build: export CGO_ENABLED := $(CGO_ENABLED)
+unit-build:
+	GO="$(GO)" .ci/unit -count=1 -timeout 15m ./leasewrite/...
+	GO="$(GO)" .ci/unit -count=1 -timeout 15m -p 1 -run 'Suspended|Paused' ./platform ./target ./cmd/tarragongw
+
 # generate rebuilds the committed protobuf code, which needs protoc, and the pages
 # and files that come from the code's own definitions.
 .PHONY: generate
--- a/leasewrite/leasewrite.go
+++ b/leasewrite/leasewrite.go
@@ -3,20 +3,23 @@
 // Checking the clock before a write is not enough: if the process is suspended (SIGSTOP, a
 // frozen cgroup) between the check and the system call, it writes when it resumes, possibly
 // long after the lease has expired. Write closes this gap with a restartable sequence
-// (rseq(2)): if a thread is interrupted between reading the clock and entering the system
-// call, the kernel aborts the sequence and the clock is read again.
+// (rseq(2)): the last instructions before the system call verify that the clock was read a
+// moment ago, and if the thread is interrupted among them, the kernel makes it read the clock
+// again.
 //
-// Where Check returns an error, Write may fall back to an ordinary clock check immediately
-// before the system call. A hypervisor that suspends the whole VM within the gap is not
-// detected in either case.
+// The sequence needs an area that is registered for the thread. Where the C library has
+// registered one, that is used; otherwise Write registers one of its own. Where neither is
+// possible, the same instructions run without the kernel's help, and Check returns an error:
+// then only a suspension exactly between the last of them goes unnoticed. A hypervisor that
+// suspends the whole VM there is not detected in either case.
 package leasewrite
 
 import (
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"tarragongw/clock"
 )
@@ -27,11 +30,35 @@
 	// ErrInterrupted means that the thread was interrupted between reading the clock and the
 	// system call in every attempt, up to a fixed limit.
 	ErrInterrupted = errors.New("leasewrite: interrupted between clock check and write in every attempt")
-	// ErrUnsupported means that this build, the C library or the kernel does not support
-	// restartable sequences.
-	ErrUnsupported = errors.New("leasewrite: no restartable sequences")
+	// ErrUnsupported means that there is no restartable sequence for this operating system and
+	// processor.
+	ErrUnsupported = errors.New("leasewrite: no restartable sequence for this processor")
 )
 
+// maxClockAge is the age that the reading of the clock may have when the system call is made.
+// Nothing is written later than maxClockAge before the lease expires.
+const maxClockAge = time.Millisecond
+
+// Counters count system calls and interruptions of this process since it started.
+type Counters struct {
+	// Protected is the number of sends that a suspension could not delay unnoticed, Unprotected
+	// that of the others.
+	Protected, Unprotected int64
+	// Restarted is how often the clock was read again because the thread had been interrupted.
+	Restarted int64
+}
+
+var protectedSends, unprotectedSends, restarts atomic.Int64
+
+// Count returns the counters.
+func Count() Counters {
+	return Counters{
+		Protected:   protectedSends.Load(),
+		Unprotected: unprotectedSends.Load(),
+		Restarted:   restarts.Load(),
+	}
+}
+
 // IsLeaseError reports whether err means that Write stopped because it could not guarantee that
 // the lease was still valid.
 func IsLeaseError(err error) bool {
@@ -68,12 +95,7 @@
 	return written, err
 }
 
-// checkAndSend is sendBefore without a restartable sequence: a suspension between the clock
-// check and the system call goes unnoticed.
-func checkAndSend(fd uintptr, b []byte, expiry time.Duration) (int, error) {
-	if (clock.Boot{}).Now() >= expiry {
-		return 0, ErrExpired
-	}
-	n, err := unix.SendmsgN(int(fd), b, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
-	return max(n, 0), err
+// expired reports whether a lease is no longer valid for as long as a reading of the clock may be used.
+func expired(expiry time.Duration) bool {
+	return (clock.Boot{}).Now() >= expiry-maxClockAge
 }
--- /dev/null
+++ b/leasewrite/sequence_linux_test.go
@@ -0,0 +1,149 @@
+//go:build amd64 || arm64
+
+package leasewrite
+
+import (
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+)
+
+// libcTunables is the environment variable, and noLibcArea its value, that keep glibc from
+// registering areas, as older versions and other C libraries do.
+const (
+	libcTunables = "GLIBC_TUNABLES"
+	noLibcArea   = "glibc.pthread.rseq=0"
+)
+
+// Guards against a sequence that is protected only where the C library registers areas: the
+// other tests must pass too where it registers none.
+func TestSequenceWithoutTheCLibrary(t *testing.T) {
+	if os.Getenv(libcTunables) == noLibcArea {
+		t.Skip("this is the process without the C library's areas")
+	}
+	child := exec.Command(os.Args[0], "-test.v", "-test.count=1")
+	child.Env = append(os.Environ(), libcTunables+"="+noLibcArea)
+	out, err := child.CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+}
+
+// Guards against an assembler that encodes the sequence at another length than its descriptor says.
+func TestLayoutMatchesTheDescriptor(t *testing.T) {
+	assert.NilError(t, layoutError())
+	for _, change := range []func(*sequenceLayout){
+		func(l *sequenceLayout) { l.length++ },
+		func(l *sequenceLayout) { l.length-- },
+		func(l *sequenceLayout) { l.abort = unsafe.Add(l.abort, 1) },
+	} {
+		wrong := *descriptor()
+		change(&wrong)
+		assert.Assert(t, wrong.check() != nil, "%+v", wrong)
+	}
+}
+
+// Guards against a write that goes by a clock reading from before a suspension.
+func TestOldClockReadingSendsNothing(t *testing.T) {
+	near, far, sock := tcpPair(t)
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	a := acquireArea()
+	defer a.release()
+	b := []byte("late")
+	err := sock.Control(func(fd uintptr) {
+		since := ticks()
+		time.Sleep(2 * maxClockAge)
+		// The bound in ticks may be a fraction of maxClockAge, never more.
+		n := sendIfRecent(a.armed(), fd, &b[0], len(b), since, ticksPerClockAge())
+		assert.Equal(t, n, int64(resultInterrupted))
+	})
+	assert.NilError(t, err)
+	near.Close()
+	got, err := io.ReadAll(far)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "")
+}
+
+// Guards against an interruption of the sequence that is not noticed, and against one that is
+// noticed although the bytes have been sent, so that they are sent twice.
+func TestInterruptedSequenceIsRestarted(t *testing.T) {
+	assert.NilError(t, Check())
+	near, far, sock := tcpPair(t)
+	received := make(chan int64, 1)
+	go func() {
+		n, err := io.Copy(io.Discard, far)
+		assert.Check(t, err)
+		received <- n
+	}()
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	stop := interruptThread(t, unix.Gettid())
+	defer stop()
+
+	before, sent := Count().Restarted, 0
+	expiry := fromNow(time.Minute)
+	for Count().Restarted < before+minRestarts && sent < maxInterruptedSends {
+		n, err := Write(sock, []byte{1}, expiry)
+		assert.NilError(t, err)
+		sent += n
+	}
+	near.Close()
+	assert.Equal(t, <-received, int64(sent))
+	assert.Assert(t, Count().Restarted >= before+minRestarts, "%d restarts in %d sends", Count().Restarted-before, sent)
+}
+
+const (
+	minRestarts         = 100
+	maxInterruptedSends = 1_000_000
+)
+
+// interruptThread sends signals to the thread, without pause, until stop is called. The signal is
+// the one by which the runtime interrupts threads.
+func interruptThread(t *testing.T, thread int) (stop func()) {
+	var stopped atomic.Bool
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for !stopped.Load() {
+			assert.Check(t, unix.Tgkill(unix.Getpid(), thread, unix.SIGURG))
+		}
+	}()
+	return func() {
+		stopped.Store(true)
+		<-ended
+	}
+}
+
+// Guards against a thread that can register no area, because other code has registered one, and
+// whose writes then fail or are counted as protected.
+func TestWritesGoOnWithoutAnArea(t *testing.T) {
+	near, far, sock := tcpPair(t)
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	other := acquireArea()
+	defer other.release()
+	if other.fromLibc != nil {
+		t.Skip("the C library has registered an area, which Write uses; TestSequenceWithoutTheCLibrary runs this test without it")
+	}
+	assert.NilError(t, other.err)
+	assert.ErrorContains(t, Check(), unix.EINVAL.Error())
+	before := Count()
+	_, err := Write(sock, []byte("x"), fromNow(time.Minute))
+	assert.NilError(t, err)
+	_, err = Write(sock, []byte("x"), fromNow(0))
+	assert.ErrorIs(t, err, ErrExpired)
+	after := Count()
+	assert.Equal(t, after.Unprotected-before.Unprotected, int64(1))
+	assert.Equal(t, after.Protected, before.Protected)
+	near.Close()
+	got, err := io.ReadAll(far)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "x")
+}
