Send no grant after the time by which it had to be sent

What callers could see: two targets that work on one key. A router of run that is suspended after it looked at the clock and before a grant is written renews the grants of a target when it goes on; one that hears of no later term, as it was silent, holds its keys again while others have waited the old grants out and given the keys away.

Cause: the time by which an order has to be sent was compared with the clock once, before the request was put together, a connection was taken or opened, and net/http's goroutines ran. The write had no bound.

Change: Control.Grant takes that time and writes under it as requests do. A grant that was not sent for this reason says nothing of the target's health, as before for one that came too late to be begun, and closes no other connection.

--- a/router/ownercalls.go
+++ b/router/ownercalls.go
@@ -7,10 +7,12 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/clock"
 	"tarragongw/core/model"
 	"tarragongw/core/ownership"
 	"tarragongw/core/routing"
 	"tarragongw/kv"
+	"tarragongw/leasewrite"
 	"tarragongw/target"
 )
 
@@ -121,7 +123,10 @@
 	}
 	ctx, cancel := o.r.alarms.limit(o.r.lifetime, replyTimeout(&o.r.opts.Settings.Timers))
 	defer cancel()
-	reply, err := u.control.Grant(ctx, grantBatch(u, &a, digest, o.r.self.Name))
+	reply, err := u.control.Grant(ctx, grantBatch(u, &a, digest, o.r.self.Name), clock.BootTime(o.r.clock, a.Until))
+	if leasewrite.IsLeaseError(err) {
+		return
+	}
 	o.r.health.orderEnded(u, err == nil)
 	if err != nil {
 		return
--- a/target/control.go
+++ b/target/control.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"tarragongw/core/fault"
+	"tarragongw/leasewrite"
 )
 
 // Paths of the protocol between router and target.
@@ -67,13 +69,14 @@
 
 // Grant implements Granter. If the exchange failed, the error is a *fault.Fault whose Ran
 // says whether the target may have applied the batch. The context must have a deadline.
-func (c *Control) Grant(ctx context.Context, batch *GrantBatch) (*GrantReply, error) {
+func (c *Control) Grant(ctx context.Context, batch *GrantBatch, sendBy time.Duration) (*GrantReply, error) {
 	body, err := json.Marshal(batch)
 	if err != nil {
 		return nil, errors.Wrap(err, "target: encoding grants")
 	}
 	reply := new(GrantReply)
-	if err := c.call(ctx, http.MethodPut, PathGrants, body, reply); err != nil {
+	opts := AttemptOptions{LeaseExpiry: func(bool) time.Duration { return sendBy }}
+	if err := c.call(ctx, http.MethodPut, PathGrants, body, opts, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
@@ -82,7 +85,7 @@
 // Probe asks the target for its health.
 func (c *Control) Probe(ctx context.Context) (*Health, error) {
 	health := new(Health)
-	if err := c.call(ctx, http.MethodGet, PathHealth, nil, health); err != nil {
+	if err := c.call(ctx, http.MethodGet, PathHealth, nil, AttemptOptions{}, health); err != nil {
 		return nil, err
 	}
 	return health, nil
@@ -96,7 +99,7 @@
 
 var noUserAgent = []string{""}
 
-func (c *Control) call(ctx context.Context, method, path string, body []byte, reply any) error {
+func (c *Control) call(ctx context.Context, method, path string, body []byte, opts AttemptOptions, reply any) error {
 	r, err := http.NewRequest(method, "http://"+c.host+path, bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "target: building a control request")
@@ -107,8 +110,11 @@
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
-	resp, f := c.pool.Attempt(ctx, r)
-	if f != nil {
+	resp, f := c.pool.AttemptWithOptions(ctx, r, opts)
+	switch {
+	case f != nil && leasewrite.IsLeaseError(f):
+		return f
+	case f != nil:
 		// All idle connections may have died together, as when a middlebox has dropped their
 		// state. Close them, so that the next call tests the target itself on a new
 		// connection: two calls that fail because of old connections would mark a healthy
--- a/target/control_test.go
+++ b/target/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,7 +14,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/clock"
 	"tarragongw/core/fault"
+	"tarragongw/internal/faulttest"
+	"tarragongw/leasewrite"
 )
 
 func newControl(t *testing.T, response string) *Control {
@@ -31,12 +35,24 @@
 func TestGrantRepliesAreDecodedWhenAcceptedOrRefused(t *testing.T) {
 	for _, status := range []string{"200 OK", "409 Conflict"} {
 		c := newControl(t, responseOf(status, `{"accepted":false,"term":9,"cause":"term"}`))
-		reply, err := c.Grant(background, &GrantBatch{Term: 8})
+		reply, err := c.Grant(background, &GrantBatch{Term: 8}, math.MaxInt64)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, reply, &GrantReply{Term: 9, Cause: "term"})
 	}
 }
 
+// Guards against a grant that a suspended router writes when it resumes, although other routers
+// have waited until its grants expired and a silent target would accept it.
+func TestGrantIsNotSentAfterItsDeadline(t *testing.T) {
+	c := newControl(t, responseOf("200 OK", `{"accepted":true}`))
+	_, err := c.Grant(background, &GrantBatch{Term: 8}, clock.Boot{}.Now())
+	assert.Assert(t, leasewrite.IsLeaseError(err), "%v", err)
+	faulttest.Is(t, err.(*fault.Fault), fault.StaleRoute, fault.NotRun)
+	reply, err := c.Grant(background, &GrantBatch{Term: 8}, math.MaxInt64)
+	assert.NilError(t, err)
+	assert.Assert(t, reply.Accepted)
+}
+
 func TestInvalidControlRepliesAreErrors(t *testing.T) {
 	for name, response := range map[string]string{
 		"status":    responseOf("500 No", `{"ready":true}`),
@@ -137,7 +153,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
 	for range 2 {
-		reply, err := c.Grant(background, &GrantBatch{Term: 8, Grantor: "r", Service: "faq"})
+		reply, err := c.Grant(background, &GrantBatch{Term: 8, Grantor: "r", Service: "faq"}, math.MaxInt64)
 		assert.NilError(t, err)
 		assert.Assert(t, reply.Accepted)
 	}
--- a/target/sample/server_test.go
+++ b/target/sample/server_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -78,7 +79,7 @@
 	assert.Equal(t, f.Detail, sample.CauseUnit)
 	assert.Equal(t, f.RetryAfter, time.Second)
 
-	reply, err := s.control.Grant(ctx, fullBatch(1, 1, target.UnitGrant{Unit: "faq/1", Token: 1}))
+	reply, err := s.control.Grant(ctx, fullBatch(1, 1, target.UnitGrant{Unit: "faq/1", Token: 1}), math.MaxInt64)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, reply, &target.GrantReply{Accepted: true, Term: 1})
 	_, f = s.send(t, ctx, "PUT", "k", "v", headers)
@@ -89,7 +90,7 @@
 	assert.DeepEqual(t, result, &sample.Result{Target: "t1", Unit: "faq/1", Key: "k", Value: "v", Version: 1})
 	assert.Equal(t, s.Log().Runs("a"), 1)
 
-	reply, err = s.control.Grant(ctx, fullBatch(0, 9))
+	reply, err = s.control.Grant(ctx, fullBatch(0, 9), math.MaxInt64)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, reply, &target.GrantReply{Accepted: false, Term: 1, Cause: sample.CauseTerm})
 }
--- a/target/target.go
+++ b/target/target.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"tarragongw/core/fault"
 )
@@ -92,5 +93,7 @@
 
 // Granter sends grant batches to one target.
 type Granter interface {
-	Grant(ctx context.Context, batch *GrantBatch) (*GrantReply, error)
+	// Grant writes nothing of the batch from sendBy on, a time of clock.Boot. If that ended it,
+	// leasewrite.IsLeaseError reports true for the error.
+	Grant(ctx context.Context, batch *GrantBatch, sendBy time.Duration) (*GrantReply, error)
 }
