Check the lease on connections whose socket is not known

What callers could see: an embedding program's Dial that wraps its connections hid their sockets, and bytes then went out without a look at the expiry of the lease right before the write.

Cause: writeRaw skipped leasewrite where a connection had no socket.

Evidence: TestExpiredLeaseSendsNothingWithoutASocket, with an expired lease: sent on, not run now.

Change: the clock is checked before such a write, and the write is counted as unprotected, since a suspension between the two still goes unnoticed.

--- a/leasewrite/leasewrite.go
+++ b/leasewrite/leasewrite.go
@@ -15,6 +15,7 @@
 package leasewrite
 
 import (
+	"io"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -95,6 +96,16 @@
 	return written, err
 }
 
+// WriteUnprotected writes b to a connection whose socket is not known, if clock.Boot is before
+// expiry. A suspension between the clock check and the write goes unnoticed.
+func WriteUnprotected(w io.Writer, b []byte, expiry time.Duration) (int, error) {
+	if expired(expiry) {
+		return 0, ErrExpired
+	}
+	unprotectedSends.Add(1)
+	return w.Write(b)
+}
+
 // expired reports whether a lease is no longer valid for as long as a reading of the clock may be used.
 func expired(expiry time.Duration) bool {
 	return (clock.Boot{}).Now() >= expiry-maxClockAge
--- a/target/conn.go
+++ b/target/conn.go
@@ -163,10 +163,14 @@
 
 // writeRaw writes to the raw connection, under the exchange's lease if it has one.
 func (c *conn) writeRaw(b []byte) (int, error) {
-	if c.opts.LeaseExpiry == nil || c.sock == nil {
+	if c.opts.LeaseExpiry == nil {
 		return c.raw.Write(b)
 	}
-	return leasewrite.Write(c.sock, b, c.opts.LeaseExpiry(c.started))
+	expiry := c.opts.LeaseExpiry(c.started)
+	if c.sock == nil {
+		return leasewrite.WriteUnprotected(c.raw, b, expiry)
+	}
+	return leasewrite.Write(c.sock, b, expiry)
 }
 
 // setOptions sets the options of the next exchange.
--- a/target/suspend_test.go
+++ b/target/suspend_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -16,6 +17,7 @@
 
 	"tarragongw/clock"
 	"tarragongw/core/fault"
+	"tarragongw/internal/faulttest"
 	"tarragongw/internal/suspendtest"
 )
 
@@ -68,6 +70,28 @@
 	}
 }
 
+// connWithoutSocket hides the socket of a connection, as a Dial of an embedding program may.
+type connWithoutSocket struct{ net.Conn }
+
+// Guards against a lease that isn't checked where a connection's socket is not known.
+func TestExpiredLeaseSendsNothingWithoutASocket(t *testing.T) {
+	s := startTarget(t, respondAlways(okResponse))
+	p := newPool(t, s.addr(), func(cfg *PoolConfig) {
+		cfg.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := new(net.Dialer).DialContext(ctx, network, address)
+			return connWithoutSocket{c}, err
+		}
+	})
+	expiry := time.Duration(0)
+	opts := AttemptOptions{LeaseExpiry: func(bool) time.Duration { return expiry }}
+	_, f := p.AttemptWithOptions(background, newRequest(t, http.MethodGet, nil), opts)
+	faulttest.Is(t, f, fault.StaleRoute, fault.NotRun)
+	expiry = math.MaxInt64
+	resp, f := p.AttemptWithOptions(background, newRequest(t, http.MethodGet, nil), opts)
+	assert.Assert(t, f == nil)
+	assert.NilError(t, resp.Body.Close())
+}
+
 // sendUntilKilled is the process that TestSuspendedProcessWritesNothingAfterLeaseExpiry suspends.
 func sendUntilKilled(address string) {
 	p, err := New(PoolConfig{Address: address})
