Show by metrics, status and log whether writes are protected

Cause: that a router's writes are not protected against a suspension was said only by one warning when it starts, and how many were not was said nowhere.

Change: the new package leasewrite/writereport adds lease_write_protection (gauge), lease_writes_protected_total, lease_writes_unprotected_total and lease_write_restarts_total to the metrics of both ways of running. It writes the warnings at start, whose texts stay, and one line when the first write is unprotected although Check passed. telemetry.CounterFunc is new: a counter whose total is read at each reporting interval. tarragonctl status names the cause, the number of unprotected writes and what to do.

--- a/dev/status_test.go
+++ b/dev/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -82,6 +83,22 @@
 	})
 }
 
+// Guards against a router whose metrics don't tell whether its writes are protected.
+func TestMetricsTellOfProtectedWrites(t *testing.T) {
+	s := start(t, dev.Config{Model: loadExample(t, "shiretoko")})
+	decode(t, do("GET", s.CallerURL(0)+"/faq-viewer/a", ""))
+	metric := func(name, value string) *regexp.Regexp {
+		return regexp.MustCompile(`(?m)^tarragongw_` + name + `\{[^}]*\} ` + value + `$`)
+	}
+	eventually(t, "metrics of writes", func() bool {
+		text := do("GET", s.Operator(0).Base+"/metrics", "").body
+		return metric("lease_write_protection", "1").MatchString(text) &&
+			metric("lease_writes_protected_total", "[1-9].*").MatchString(text) &&
+			metric("lease_writes_unprotected_total", ".+").MatchString(text) &&
+			metric("lease_write_restarts_total", ".+").MatchString(text)
+	})
+}
+
 // Symptom: an operator takes a list of revisions for whole although a router is missing
 // in it.
 // Sequence: a router dies; all are asked before its loss is known and after.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,7 @@
 	"tarragongw/core/directory"
 	"tarragongw/core/routes"
 	"tarragongw/duty"
-	"tarragongw/leasewrite"
+	"tarragongw/leasewrite/writereport"
 )
 
 // Gateway is one router process.
@@ -141,9 +141,7 @@
 	g.serveMetrics()
 	g.goRun(g.serveCallers)
 	g.log.Info("started", "router", g.opts.Name, "data_centre", g.opts.DataCentre, "callers", g.opts.CallerAddress)
-	if err := leasewrite.Check(); err != nil {
-		g.log.Warn("a suspended leader may give one order late", "cause", err)
-	}
+	writereport.Start(g.opts.Telemetry, g.log, "a suspended leader may give one order late")
 }
 
 func (g *Gateway) goRun(f func()) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -23,6 +24,7 @@
 	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
 	"tarragongw/target"
+	"tarragongw/telemetry"
 )
 
 // fleet is a store, targets and gateways in one process.
@@ -41,6 +43,8 @@
 	knownWithin time.Duration
 	// slowPrefix is a prefix whose listings take slowListing for gateways that are started.
 	slowPrefix string
+	// metrics is Options.Telemetry of gateways that are started, which then serve it; nil for none.
+	metrics *telemetry.Telemetry
 }
 
 // slowListing is longer than all other calls of a starting gateway take.
@@ -138,9 +142,11 @@
 // abandon ends a gateway as a crash of its process would.
 func abandon(g *Gateway) {
 	g.cancel()
-	for _, l := range []interface{ Close() error }{g.callerListener, g.readyListener, g.peerListener} {
-		// It may be closed already.
-		_ = l.Close()
+	for _, l := range []net.Listener{g.callerListener, g.readyListener, g.peerListener, g.metricsListener} {
+		if l != nil {
+			// It may be closed already.
+			_ = l.Close()
+		}
 	}
 }
 
@@ -176,7 +182,12 @@
 	f.t.Helper()
 	orders := platform.NewOrderClient()
 	f.links[name] = &storeLink{TxnStore: platform.NewStore(f.store.Address()), slowPrefix: f.slowPrefix, slowDelay: slowListing}
+	metricsAddress := ""
+	if f.metrics != nil {
+		metricsAddress = "127.0.0.1:0"
+	}
 	g, err := New(Options{
+		MetricsAddress: metricsAddress, Telemetry: f.metrics,
 		Name: name, DataCentre: "hall", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		Store: f.links[name], LeaseMin: time.Second, PropagationLimit: f.knownWithin, MaxGrantTTL: 10 * time.Second, Grace: 3 * time.Second,
 		RetryShare: 0.2, RetryMin: 60, RetryWindow: 10 * time.Second,
--- a/router/router.go
+++ b/router/router.go
@@ -21,7 +21,7 @@
 	"tarragongw/duty"
 	"tarragongw/eventlog"
 	"tarragongw/kv"
-	"tarragongw/leasewrite"
+	"tarragongw/leasewrite/writereport"
 	"tarragongw/peer"
 	"tarragongw/peer/wire"
 	"tarragongw/telemetry"
@@ -137,7 +137,7 @@
 
 // Start answers callers, operators and routers and returns at once.
 func (r *Router) Start() {
-	r.reportWrites()
+	writereport.Start(r.tel, r.log, "a suspended router may send one request late to targets that check nothing")
 	r.health.open()
 	r.config.start()
 	r.confirms.start()
@@ -154,13 +154,6 @@
 	r.run(r.watchDatagrams)
 }
 
-// reportWrites says where a suspension may carry a request past the end of the right to send it.
-func (r *Router) reportWrites() {
-	if err := leasewrite.Check(); err != nil {
-		r.log.Warn("a suspended router may send one request late to targets that check nothing", "cause", err)
-	}
-}
-
 // run starts a goroutine that the end waits for. Once the end has begun it does
 // nothing: duties still work off their mailboxes then, and what they start would
 // outlive the router.
--- a/router/status.go
+++ b/router/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragongw/core/membership"
+	"tarragongw/leasewrite"
 	"tarragongw/operator"
 )
 
@@ -39,6 +40,7 @@
 	b.addKeys(status)
 	b.addDatagrams(status)
 	b.addSaturated(status)
+	addWrites(status, leasewrite.Check(), leasewrite.Count().Unprotected)
 	return status, nil
 }
 
@@ -77,6 +79,18 @@
 	})
 }
 
+// addWrites adds the cause for which writes are not protected, nil if they are, and how many were not.
+func addWrites(status *operator.Status, cause error, unprotected int64) {
+	if cause == nil {
+		return
+	}
+	status.Problems = append(status.Problems, operator.Problem{
+		What:   fmt.Sprintf("writes to targets are not protected against a suspension of this process, %d so far: %v", unprotected, cause),
+		Doing:  "it checks the clock before each write; if it is suspended right after that, it may send one request late to a target that checks nothing",
+		Action: "run it on Linux on amd64 or arm64, and let its seccomp filter pass rseq(2)",
+	})
+}
+
 func (b *backend) addMembers(status *operator.Status) {
 	members := b.r.members.view.Load()
 	for _, dc := range members.DataCentres() {
--- a/telemetry/gauge.go
+++ b/telemetry/gauge.go
@@ -33,15 +33,22 @@
 	t.gauges.addFunc(t.scope.Tagged(tags).Gauge(name), f)
 }
 
-// gauges is the list of all gauges and of the functions that return their values.
-type gauges struct {
-	mu   sync.Mutex
-	list []gaugeSource
+// CounterFunc adds a counter for a total that is counted elsewhere. The total is read from f
+// at each reporting interval. It must not decrease; f must be fast and must not block.
+func (t *Telemetry) CounterFunc(name string, tags map[string]string, f func() int64) {
+	counter := t.scope.Tagged(tags).Counter(name)
+	var reported int64
+	t.gauges.addUpdate(func() {
+		total := f()
+		counter.Inc(total - reported)
+		reported = total
+	})
 }
 
-type gaugeSource struct {
-	gauge tally.Gauge
-	read  func() float64
+// gauges holds the functions that copy all gauges, and counters of CounterFunc, to tally.
+type gauges struct {
+	mu      sync.Mutex
+	updates []func()
 }
 
 func (g *gauges) add(tallyGauge tally.Gauge) *Gauge {
@@ -51,16 +58,20 @@
 }
 
 func (g *gauges) addFunc(tallyGauge tally.Gauge, read func() float64) {
+	g.addUpdate(func() { tallyGauge.Update(read()) })
+}
+
+func (g *gauges) addUpdate(update func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.list = append(g.list, gaugeSource{gauge: tallyGauge, read: read})
+	g.updates = append(g.updates, update)
 }
 
 func (g *gauges) update() {
 	g.mu.Lock()
-	list := g.list
+	updates := g.updates
 	g.mu.Unlock()
-	for _, s := range list {
-		s.gauge.Update(s.read())
+	for _, update := range updates {
+		update()
 	}
 }
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
+	"tarragongw/internal/waittest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -92,6 +94,19 @@
 	assertHasLine(t, scraped, `tarragongw_config_revision 42`)
 }
 
+// Guards against a total that is lost because it was counted before the metrics began, and one
+// that is added again at each report.
+func TestCounterFuncReportsTheTotal(t *testing.T) {
+	m := New(Config{Interval: time.Millisecond})
+	var reads atomic.Int64
+	m.CounterFunc("writes_total", nil, func() int64 { return 10 + min(reads.Add(1), 5) })
+	m.CounterFunc("never_total", nil, func() int64 { return 0 })
+	waittest.Until(t, "several reports", func() bool { return reads.Load() >= 20 })
+	scraped := scrape(t, m)
+	assertHasLine(t, scraped, `tarragongw_writes_total 15`)
+	assertHasLine(t, scraped, `tarragongw_never_total 0`)
+}
+
 // If names were copied from requests to labels without a limit, a caller that sends a new
 // name, service or code with each request would make the router's memory and the scrapes
 // grow without bound.
