Take the arrival time of messages under suspension from the kernel

The receiver of the suspension tests took the time at which its own handler ran as the time of arrival. The old check was wrong because it also measured how late the receiver was; a busy machine is no fault of the sender.

The receiver now asks for the kernel's receive timestamps (SO_TIMESTAMPNS) on the listening socket, from which accepted connections inherit them, and reads with recvmsg. What counts is the timestamp of the last bytes read of a message, as a target runs a request once its body is there. The timestamp is taken when the packet enters the receive path, on loopback within the sender's send.

The new check is as strict: the limit (wireDelay, 50 ms) is unchanged, and the delay of the receiver no longer uses up a part of it. A message without a timestamp fails the test. Timestamps are of the wall clock, rights of clock.Boot; both clocks are read when a message is judged, and the conversion errs towards late, by at most 0.5 ms. A step of the wall clock forward would hide late messages and a step back would make timely ones late, so that a difference between the clocks that has changed by more than 0.5 ms since the start fails the test with an error that says so.

internal/suspendtest/arrival.go is added to the files that may read the wall clock (TestOnlyNamedFilesReadTheWallClock): timestamps can't be converted without it, and it is used by tests only.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -125,8 +125,12 @@
 
 // wallClockUsers lists the files that may read the wall clock: they display the date, name
 // daily files after it, or use it as an increasing number. core/health truncates times to
-// buckets; its caller takes these times from the clock of leases.
-var wallClockUsers = []string{"cmd/", "dev/", "lab/", "eventlog/", "core/history/", "core/health/target.go", "router/options.go"}
+// buckets; its caller takes these times from the clock of leases. internal/suspendtest converts
+// the kernel's timestamps, which are of the wall clock, and checks that it isn't stepped.
+var wallClockUsers = []string{
+	"cmd/", "dev/", "lab/", "eventlog/", "core/history/", "core/health/target.go", "router/options.go",
+	"internal/suspendtest/arrival.go",
+}
 
 // wallClockMethods lists the methods of time.Time that drop the monotonic clock reading.
 var wallClockMethods = map[string]bool{"Unix": true, "UnixNano": true, "UnixMilli": true, "UnixMicro": true, "Truncate": true}
--- a/internal/suspendtest/suspendtest.go
+++ b/internal/suspendtest/suspendtest.go
@@ -3,16 +3,16 @@
 package suspendtest
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"tarragongw/clock"
 )
 
 const (
@@ -33,14 +33,65 @@
 // that this process runs the tests. TestMain calls it first.
 func Sends() (string, bool) { return os.LookupEnv(addressVariable) }
 
-// Receiver counts the messages that arrive, and those that arrive too late.
-type Receiver struct{ arrived, late atomic.Int64 }
+// Receiver counts the messages that arrive, and those that arrive too late. A message arrives when
+// the kernel receives its last bytes: the process of the tests may read them later.
+type Receiver struct {
+	// wallOffset is the one at the start of the test.
+	wallOffset time.Duration
+
+	mu            sync.Mutex
+	arrived, late int
+	// err is why the first message without a valid time of arrival has none.
+	err error
+}
+
+// NewServer returns a server for the messages, which the caller starts and closes. Its handler
+// passes each request to Arrived once it has read the body, and before it responds.
+func (r *Receiver) NewServer(t *testing.T, handler http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	r.wallOffset = wallOffset()
+	listener, err := listenWithTimestamps()
+	assert.NilError(t, err)
+	return &httptest.Server{Listener: listener, Config: &http.Server{Handler: handler, ConnContext: withConn}}
+}
 
 // Arrived counts a message whose right expires at the time until of clock.Boot.
-func (r *Receiver) Arrived(until time.Duration) {
-	r.arrived.Add(1)
-	if (clock.Boot{}).Now()-until > wireDelay {
-		r.late.Add(1)
+func (r *Receiver) Arrived(message *http.Request, until time.Duration) {
+	at, err := arrivalTime(message, r.wallOffset)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrived++
+	if err != nil && r.err == nil {
+		r.err = err
+	}
+	if err == nil && at-until > wireDelay {
+		r.late++
+	}
+}
+
+// counts returns the numbers of messages and of late ones, and the error of the first message
+// that could not be judged.
+func (r *Receiver) counts() (arrived, late int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrived, r.late, r.err
+}
+
+// check fails the test if a message was late or could not be judged.
+func (r *Receiver) check(t *testing.T) {
+	t.Helper()
+	arrived, late, err := r.counts()
+	t.Logf("%d suspensions, %d messages, %d late", suspensions, arrived, late)
+	assert.NilError(t, err)
+	assert.Equal(t, late, 0, "messages were sent after the right to send them had expired")
+}
+
+func (r *Receiver) waitForFirst() {
+	for {
+		if arrived, _, _ := r.counts(); arrived > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
@@ -56,15 +107,12 @@
 		assert.Check(t, child.Process.Kill())
 		_ = child.Wait() // returns an error, because the process was killed
 	}()
-	for r.arrived.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	r.waitForFirst()
 	for range suspensions {
 		time.Sleep(runDuration)
 		assert.NilError(t, child.Process.Signal(syscall.SIGSTOP))
 		time.Sleep(suspendDuration)
 		assert.NilError(t, child.Process.Signal(syscall.SIGCONT))
 	}
-	t.Logf("%d suspensions, %d messages, %d late", suspensions, r.arrived.Load(), r.late.Load())
-	assert.Equal(t, r.late.Load(), int64(0), "messages were sent after the right to send them had expired")
+	r.check(t)
 }
--- a/target/suspend_test.go
+++ b/target/suspend_test.go
@@ -6,7 +6,6 @@
 	"math"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"runtime"
 	"strconv"
 	"strings"
@@ -28,16 +27,17 @@
 // and writes the request when it resumes after the lease has expired.
 func TestSuspendedProcessWritesNothingAfterLeaseExpiry(t *testing.T) {
 	var received suspendtest.Receiver
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := received.NewServer(t, func(w http.ResponseWriter, r *http.Request) {
 		expiry, err := strconv.ParseInt(r.Header.Get(headerLeaseEnd), 10, 64)
 		if _, bodyErr := io.Copy(io.Discard, r.Body); err != nil || bodyErr != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		received.Arrived(time.Duration(expiry))
-	}))
+		received.Arrived(r, time.Duration(expiry))
+	})
+	server.Start()
 	defer server.Close()
-	received.Run(t, strings.TrimPrefix(server.URL, "http://"))
+	received.Run(t, server.Listener.Addr().String())
 }
 
 // Whether a request is reported as not run or as lost depends on whether bytes of it were
