Test that a suspended process sends no grant after its deadline

Control.Grant promises that nothing of a batch is written from sendBy on, but no test suspended a process that sends grants.

TestSuspendedProcessSendsNoGrantAfterItsDeadline does: each grant has the deadline as its sequence number, and the receiver compares that with the kernel's timestamp. A test program can now have several senders: the process that is suspended finds the sender's name beside the address in its environment. A program that doesn't know the name, or whose sender returns, panics instead of running the tests.

--- a/internal/suspendtest/suspendtest.go
+++ b/internal/suspendtest/suspendtest.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -25,13 +26,37 @@
 	runDuration     = 5 * time.Millisecond
 	// wireDelay is how long after the expiry of its right a message may arrive that was sent in time.
 	wireDelay = 50 * time.Millisecond
-	// addressVariable is the environment variable that makes a process send, and to which address.
+	// senderVariable is the environment variable that makes a process send, and which sender runs;
+	// addressVariable is the one with the address.
+	senderVariable  = "TARRAGONGW_TEST_SUSPENDED_SENDER"
 	addressVariable = "TARRAGONGW_TEST_SUSPENDED_SENDS_TO"
 )
 
-// Sends returns the address to which this process must send until it is killed; false means
-// that this process runs the tests. TestMain calls it first.
-func Sends() (string, bool) { return os.LookupEnv(addressVariable) }
+// Senders are functions by name that send to an address and never return.
+type Senders map[string]func(address string)
+
+// RunIfChosen runs the sender that this process was started for, and doesn't return. If this process
+// runs the tests, it returns at once. TestMain calls it first.
+func (s Senders) RunIfChosen() {
+	name, sends := os.LookupEnv(senderVariable)
+	if !sends {
+		return
+	}
+	send, ok := s[name]
+	if !ok {
+		panic("suspendtest: no sender " + name)
+	}
+	send(os.Getenv(addressVariable))
+	panic("suspendtest: sender " + name + " returned")
+}
+
+// InParallel runs send, which never returns, in enough goroutines to keep all processors busy.
+func InParallel(send func()) {
+	for range 2*runtime.GOMAXPROCS(0) - 1 {
+		go send()
+	}
+	send()
+}
 
 // Receiver counts the messages that arrive, and those that arrive too late. A message arrives when
 // the kernel receives its last bytes: the process of the tests may read them later.
@@ -95,12 +120,12 @@
 	}
 }
 
-// Run starts this test program as a process that sends to the address, suspends it repeatedly,
-// and fails the test if a message was sent after its right had expired.
-func (r *Receiver) Run(t *testing.T, address string) {
+// Run starts this test program as a process that runs the sender, suspends it repeatedly, and fails
+// the test if a message was sent after its right had expired.
+func (r *Receiver) Run(t *testing.T, sender, address string) {
 	t.Helper()
 	child := exec.Command(os.Args[0])
-	child.Env = append(os.Environ(), addressVariable+"="+address)
+	child.Env = append(os.Environ(), senderVariable+"="+sender, addressVariable+"="+address)
 	child.Stderr = os.Stderr
 	assert.NilError(t, child.Start())
 	defer func() {
--- a/target/main_test.go
+++ b/target/main_test.go
@@ -9,8 +9,6 @@
 )
 
 func TestMain(m *testing.M) {
-	if address, sends := suspendtest.Sends(); sends {
-		sendUntilKilled(address)
-	}
+	suspendtest.Senders{senderRequests: sendRequests, senderGrants: sendGrants}.RunIfChosen()
 	goleak.VerifyTestMain(m)
 }
--- a/target/suspend_test.go
+++ b/target/suspend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"math"
 	"net"
@@ -20,8 +21,15 @@
 	"tarragongw/internal/suspendtest"
 )
 
-// headerLeaseEnd holds the time at which the lease to send the request expires.
-const headerLeaseEnd = "X-Until"
+const (
+	// headerLeaseEnd holds the time at which the lease to send the request expires.
+	headerLeaseEnd = "X-Until"
+	// senderRequests and senderGrants are the names of the processes that are suspended.
+	senderRequests = "requests"
+	senderGrants   = "grants"
+	// grantTimeout limits a grant of senderGrants.
+	grantTimeout = time.Second
+)
 
 // Guards against a process that is suspended between checking its lease and the system call,
 // and writes the request when it resumes after the lease has expired.
@@ -37,7 +45,25 @@
 	})
 	server.Start()
 	defer server.Close()
-	received.Run(t, server.Listener.Addr().String())
+	received.Run(t, senderRequests, server.Listener.Addr().String())
+}
+
+// Guards against a router that is suspended before the system call and then renews expired grants.
+func TestSuspendedProcessSendsNoGrantAfterItsDeadline(t *testing.T) {
+	var received suspendtest.Receiver
+	server := received.NewServer(t, func(w http.ResponseWriter, r *http.Request) {
+		var batch GrantBatch
+		if err := json.NewDecoder(r.Body).Decode(&batch); err != nil || r.URL.Path != PathGrants {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		received.Arrived(r, time.Duration(batch.Sequence))
+		// An error means that the sender is gone.
+		_, _ = io.WriteString(w, `{"accepted":true}`)
+	})
+	server.Start()
+	defer server.Close()
+	received.Run(t, senderGrants, server.Listener.Addr().String())
 }
 
 // Whether a request is reported as not run or as lost depends on whether bytes of it were
@@ -92,16 +118,13 @@
 	assert.NilError(t, resp.Body.Close())
 }
 
-// sendUntilKilled is the process that TestSuspendedProcessWritesNothingAfterLeaseExpiry suspends.
-func sendUntilKilled(address string) {
+// sendRequests is the main function of senderRequests.
+func sendRequests(address string) {
 	p, err := New(PoolConfig{Address: address})
 	if err != nil {
 		panic(err)
 	}
-	for range 2*runtime.GOMAXPROCS(0) - 1 {
-		go sendWhileAllowed(p)
-	}
-	sendWhileAllowed(p)
+	suspendtest.InParallel(func() { sendWhileAllowed(p) })
 }
 
 // sendWhileAllowed sends requests forever, each under a lease of its own.
@@ -129,3 +152,28 @@
 		}
 	}
 }
+
+// sendGrants is the main function of senderGrants.
+func sendGrants(address string) {
+	conns := 2 * runtime.GOMAXPROCS(0)
+	p, err := New(PoolConfig{Address: address, MaxConns: conns + 1, ControlConns: conns})
+	if err != nil {
+		panic(err)
+	}
+	c, err := NewControl(p)
+	if err != nil {
+		panic(err)
+	}
+	suspendtest.InParallel(func() { grantUntilKilled(c) })
+}
+
+// grantUntilKilled sends grants forever. The sequence number of each is its deadline.
+func grantUntilKilled(c *Control) {
+	for {
+		sendBy := (clock.Boot{}).Now() + suspendtest.Right
+		ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+		// The test checks the grants that arrive, not their outcomes here.
+		_, _ = c.Grant(ctx, &GrantBatch{Grantor: "router", Term: 1, Sequence: uint64(sendBy)}, sendBy)
+		cancel()
+	}
+}
