Test that a suspended process writes nothing over TLS after lease expiry

Requests over TLS go through the same connection as plain ones, but no test with suspensions showed it.

TestSuspendedProcessWritesNothingAfterLeaseExpiry now has a subtest for each. The receiver's timestamps are those of the socket below TLS. The sender over TLS therefore resumes sessions and, after a failure, opens the next connection by a request without a lease, on a path of its own that the receiver doesn't count. The plain sender is unchanged.

--- a/internal/suspendtest/arrival.go
+++ b/internal/suspendtest/arrival.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -57,7 +58,11 @@
 // connKey is the key of the connection in the context of a message.
 type connKey struct{}
 
+// withConn stores the raw connection, which is below TLS.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
--- a/target/main_test.go
+++ b/target/main_test.go
@@ -9,6 +9,10 @@
 )
 
 func TestMain(m *testing.M) {
-	suspendtest.Senders{senderRequests: sendRequests, senderGrants: sendGrants}.RunIfChosen()
+	suspendtest.Senders{
+		senderRequests:    sendRequests,
+		senderTLSRequests: sendTLSRequests,
+		senderGrants:      sendGrants,
+	}.RunIfChosen()
 	goleak.VerifyTestMain(m)
 }
--- a/target/suspend_test.go
+++ b/target/suspend_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strconv"
 	"strings"
@@ -24,9 +26,12 @@
 const (
 	// headerLeaseEnd holds the time at which the lease to send the request expires.
 	headerLeaseEnd = "X-Until"
-	// senderRequests and senderGrants are the names of the processes that are suspended.
-	senderRequests = "requests"
-	senderGrants   = "grants"
+	// pathOpen is the path of requests that only open a connection and have no lease.
+	pathOpen = "/open"
+	// The senders are the names of the processes that are suspended.
+	senderRequests    = "requests"
+	senderTLSRequests = "requests over TLS"
+	senderGrants      = "grants"
 	// grantTimeout limits a grant of senderGrants.
 	grantTimeout = time.Second
 )
@@ -34,18 +39,33 @@
 // Guards against a process that is suspended between checking its lease and the system call,
 // and writes the request when it resumes after the lease has expired.
 func TestSuspendedProcessWritesNothingAfterLeaseExpiry(t *testing.T) {
-	var received suspendtest.Receiver
-	server := received.NewServer(t, func(w http.ResponseWriter, r *http.Request) {
+	for sender, start := range map[string]func(*httptest.Server){
+		senderRequests:    (*httptest.Server).Start,
+		senderTLSRequests: (*httptest.Server).StartTLS,
+	} {
+		t.Run(sender, func(t *testing.T) {
+			var received suspendtest.Receiver
+			server := received.NewServer(t, countRequests(&received))
+			start(server)
+			defer server.Close()
+			received.Run(t, sender, server.Listener.Addr().String())
+		})
+	}
+}
+
+// countRequests returns the handler of a target that counts requests.
+func countRequests(received *suspendtest.Receiver) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathOpen {
+			return
+		}
 		expiry, err := strconv.ParseInt(r.Header.Get(headerLeaseEnd), 10, 64)
 		if _, bodyErr := io.Copy(io.Discard, r.Body); err != nil || bodyErr != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		received.Arrived(r, time.Duration(expiry))
-	})
-	server.Start()
-	defer server.Close()
-	received.Run(t, senderRequests, server.Listener.Addr().String())
+	}
 }
 
 // Guards against a router that is suspended before the system call and then renews expired grants.
@@ -120,15 +140,40 @@
 
 // sendRequests is the main function of senderRequests.
 func sendRequests(address string) {
-	p, err := New(PoolConfig{Address: address})
+	sendThrough(PoolConfig{Address: address}, func(*Pool) {})
+}
+
+// sendTLSRequests is the main function of senderTLSRequests. A handshake may last longer than a
+// lease, so that a request without a lease replaces each connection that an expired lease broke.
+func sendTLSRequests(address string) {
+	config := &tls.Config{InsecureSkipVerify: true, ClientSessionCache: tls.NewLRUClientSessionCache(0)}
+	sendThrough(PoolConfig{Address: address, TLS: func() *tls.Config { return config }}, openConn)
+}
+
+// openConn opens a connection by a request without a lease.
+func openConn(p *Pool) {
+	r, err := http.NewRequest(http.MethodGet, "http://target"+pathOpen, http.NoBody)
+	if err != nil {
+		panic(err)
+	}
+	if resp, f := p.AttemptWithOptions(context.Background(), r, AttemptOptions{}); f == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
+
+// sendThrough sends requests through a pool until the process is killed, and calls afterFault after
+// each that failed.
+func sendThrough(cfg PoolConfig, afterFault func(*Pool)) {
+	p, err := New(cfg)
 	if err != nil {
 		panic(err)
 	}
-	suspendtest.InParallel(func() { sendWhileAllowed(p) })
+	suspendtest.InParallel(func() { sendWhileAllowed(p, afterFault) })
 }
 
 // sendWhileAllowed sends requests forever, each under a lease of its own.
-func sendWhileAllowed(p *Pool) {
+func sendWhileAllowed(p *Pool, afterFault func(*Pool)) {
 	for i := 0; ; i++ {
 		expiry := (clock.Boot{}).Now() + suspendtest.Right
 		method, body := http.MethodGet, io.Reader(http.NoBody)
@@ -146,10 +191,12 @@
 			}
 			return nil
 		}, LeaseExpiry: func(bool) time.Duration { return expiry }})
-		if f == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			resp.Body.Close()
+		if f != nil {
+			afterFault(p)
+			continue
 		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
 	}
 }
 
