Remember a lapsed term beyond the duty that had it

What callers saw: as in, a target ran a request that its router had begun before a suspension and finished after another router had taken the target over; three ways led there still.

Cause: the lapsed term was kept in the duty. The step that learns that a data centre took its target back also removes the duty, and a target that leaves the configuration takes its duty along, so the gate had neither right nor lapse and the request had no end again. A hand-over whose record another router's claim forestalled, as the process was suspended before the write, counted as done.

Change: the keeper holds the lapsed terms. A removal of a target whose right has expired is a lapse, and so is a record of another router that is not the one by which this router handed over. TestHandOverIsNoLapse and TestRaisedTermEndsStartedRequests guard the neighbours.

Why this holds: what the gate knows of a lapse no longer depends on whether the duty still exists.

--- a/core/ownership/claim.go
+++ b/core/ownership/claim.go
@@ -224,7 +224,8 @@
 // checks refuses this router's own term. successorStopped means that the successor is known
 // to have stopped; otherwise the only proof is that the target accepts the new term.
 func (k *Keeper) raiseTerm(now time.Duration, d *duty, proved bool) {
-	k.lapse(d, d.reported)
+	k.noteLapse(d)
+	k.drop(d, d.reported)
 	d.termRaisePending, d.successorStopped = true, proved
 	k.considerClaim(now, d)
 }
--- a/core/ownership/duty.go
+++ b/core/ownership/duty.go
@@ -33,8 +33,8 @@
 	recordRead bool
 	phase      phase
 	term       uint64
-	// lapsedTerm is the highest term of this router that ended without a hand-over.
-	lapsedTerm uint64
+	// handOver is the record of this router's latest hand-over of the duty.
+	handOver *GrantorRecord
 	// until bounds the authority; see validUntil.
 	until time.Duration
 	// confirmedAt is when the latest read that found this router's term was sent.
@@ -200,12 +200,16 @@
 	if d == nil || revision <= d.revision {
 		return
 	}
+	if d.record != nil && d.record.Router == k.cfg.Self && g.Router != k.cfg.Self && !d.isHandOver(g) {
+		k.noteLapse(d)
+	}
 	d.record, d.revision, d.recordRead = g, revision, true
 	if k.cfg.omit == omitTermCheck && d.phase >= waiting {
 		return
 	}
 	if d.phase >= waiting && (g.Router != k.cfg.Self || (g.Term != d.term && !d.withoutStore)) {
-		k.lapse(d, Superseded)
+		k.noteLapse(d)
+		k.drop(d, Superseded)
 		d.supersededAt = now
 	}
 	if d.phase == idle && g.Router == k.cfg.Self && !d.termRaisePending && k.writes[d.key] == nil {
@@ -213,10 +217,18 @@
 	}
 }
 
-// lapse ends the duty at this router, which did not hand it over.
-func (k *Keeper) lapse(d *duty, kind ReportKind) {
-	d.lapsedTerm = max(d.lapsedTerm, d.term)
-	k.drop(d, kind)
+// noteLapse records that this router's term ended without a hand-over.
+func (k *Keeper) noteLapse(d *duty) {
+	if d.term == 0 {
+		return
+	}
+	k.lapsedTerms[d.spec.Name] = max(k.lapsedTerms[d.spec.Name], d.term)
+	k.gateStale = true
+}
+
+// isHandOver reports whether the record is that of this router's latest hand-over.
+func (d *duty) isHandOver(g *GrantorRecord) bool {
+	return d.handOver != nil && d.handOver.Router == g.Router && d.handOver.Term == g.Term
 }
 
 // drop ends the duty at this router.
--- a/core/ownership/gate_test.go
+++ b/core/ownership/gate_test.go
@@ -7,8 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a router that finishes a request at a target that another router has taken over
-// while this one was suspended: once it knows of that, its right has no end any more.
+// Guards against a started request whose right has no end once another router has the target.
 func TestStartedRequestEndsWithALapsedTerm(t *testing.T) {
 	const until = 320 * time.Millisecond
 	right := map[string]sendRight{"t": {term: 8, until: until}}
--- a/core/ownership/keeper.go
+++ b/core/ownership/keeper.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"maps"
 	"math"
 	"sort"
 	"time"
@@ -40,8 +41,11 @@
 	duties  map[string]*duty
 	// dutyList lists the duties sorted by target; dutyByKey has them by the store key of
 	// their record.
-	dutyList    []*duty
-	dutyByKey   map[string]*duty
+	dutyList  []*duty
+	dutyByKey map[string]*duty
+	// lapsedTerms has, by target, the highest term of this router that ended without a
+	// hand-over. It outlives the duties, as requests may.
+	lapsedTerms map[string]uint64
 	moves       map[routing.Unit]*move
 	writes      map[string]*write
 	shardReads  map[string]*shardRead
@@ -79,7 +83,7 @@
 	return &Keeper{cfg: cfg.withDefaults(), table: NewTable(), targets: map[string]TargetSpec{},
 		lastSeen: map[string]Router{}, liveSince: map[string]time.Duration{}, lostAt: map[string]time.Duration{}, duties: map[string]*duty{}, dutyByKey: map[string]*duty{},
 		moves: map[routing.Unit]*move{}, writes: map[string]*write{}, shardReads: map[string]*shardRead{},
-		lostTargets: map[string]bool{}, renewTogetherBy: never}
+		lostTargets: map[string]bool{}, lapsedTerms: map[string]uint64{}, renewTogetherBy: never}
 }
 
 // Table returns the ownership as this router knows it now.
@@ -124,7 +128,7 @@
 func (k *Keeper) handle(now time.Duration, e Event) {
 	switch e := e.(type) {
 	case Configured:
-		k.configure(e)
+		k.configure(now, e)
 	case Members:
 		k.setMembers(now, e)
 	case StoreRead:
@@ -169,7 +173,7 @@
 	k.advanceWrites(now)
 }
 
-func (k *Keeper) configure(e Configured) {
+func (k *Keeper) configure(now time.Duration, e Configured) {
 	k.services = e.Services
 	k.targets = map[string]TargetSpec{}
 	k.names = k.names[:0]
@@ -186,8 +190,11 @@
 		}
 	}
 	sort.Strings(k.names)
-	for name := range k.duties {
+	for name, d := range k.duties {
 		if _, ok := k.targets[name]; !ok {
+			if d.phase == serving && now >= d.validUntil(k) {
+				k.noteLapse(d)
+			}
 			delete(k.duties, name)
 			k.gateStale = true
 		}
@@ -308,14 +315,11 @@
 
 func (k *Keeper) refreshGate() {
 	k.gateStale = false
-	g := &Gate{table: k.table, rights: map[string]sendRight{}, lapsedTerms: map[string]uint64{}}
+	g := &Gate{table: k.table, rights: map[string]sendRight{}, lapsedTerms: maps.Clone(k.lapsedTerms)}
 	for _, d := range k.dutyList {
 		if d.phase == serving {
 			g.rights[d.spec.Name] = sendRight{term: d.term, until: d.validUntil(k), closed: !k.withinOrderBound(d)}
 		}
-		if d.lapsedTerm > 0 {
-			g.lapsedTerms[d.spec.Name] = d.lapsedTerm
-		}
 	}
 	k.gate = g
 	k.emit(SetGate{Gate: g})
