Keep a blocked write within its lease

What callers could see: a router without a successor has a right without an end until it names one. A write that waits for space in the send buffer meanwhile went by the right from before, so that a suspension after that could carry its rest past the key's move. On a connection whose socket is not known a blocked write went on after the lease without any suspension.

Cause: the expiry was asked once for a write and not before each system call; the other kind of connection had no bound but the progress timeout.

Evidence: found by a review of the fix; TestBlockedWriteEndsWithAShortenedLease (all 64 MiB sent) and TestLeaseExpiresWhileAnUnprotectedWriteIsBlocked failed on, and pass now.

Change: leasewrite.Write asks for the expiry before each system call, with the bytes written so far, so that what has begun counts as begun. Where the socket isn't known the write deadline ends with the lease; that such a lease is shortened while the write waits goes unnoticed.

--- a/leasewrite/leasewrite.go
+++ b/leasewrite/leasewrite.go
@@ -15,7 +15,8 @@
 package leasewrite
 
 import (
-	"io"
+	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -66,17 +67,18 @@
 	return errors.Is(err, ErrExpired) || errors.Is(err, ErrInterrupted)
 }
 
-// Write writes b to a non-blocking stream socket while clock.Boot is before expiry. When the
-// socket's send buffer is full, it waits for space until the socket's write deadline. It
-// returns the number of bytes that the kernel accepted, and ErrExpired or ErrInterrupted if
-// it stopped because of the lease.
-func Write(sock syscall.RawConn, b []byte, expiry time.Duration) (int, error) {
+// Write writes b to a non-blocking stream socket while clock.Boot is before the time that expiry
+// returns. expiry is called before each system call with the number of bytes written so far, as
+// a lease may change while Write waits. When the socket's send buffer is full, Write waits for
+// space until the socket's write deadline. It returns the number of bytes that the kernel
+// accepted, and ErrExpired or ErrInterrupted if it stopped because of the lease.
+func Write(sock syscall.RawConn, b []byte, expiry func(written int) time.Duration) (int, error) {
 	publishToRaceDetector()
 	written := 0
 	var sendErr error
 	err := sock.Write(func(fd uintptr) bool {
 		for written < len(b) {
-			n, err := sendBefore(fd, b[written:], expiry)
+			n, err := sendBefore(fd, b[written:], expiry(written))
 			switch err {
 			case nil:
 				written += n
@@ -96,16 +98,37 @@
 	return written, err
 }
 
-// WriteUnprotected writes b to a connection whose socket is not known, if clock.Boot is before
-// expiry. A suspension between the clock check and the write goes unnoticed.
-func WriteUnprotected(w io.Writer, b []byte, expiry time.Duration) (int, error) {
-	if expired(expiry) {
+// WriteUnprotected writes b to a connection whose socket is not known, while clock.Boot is before
+// expiry. It sets the connection's write deadline to the end of the lease if that is earlier than
+// deadline, the present one, where the zero time stands for none; and restores it. A suspension
+// between the clock check and the write goes unnoticed, and so does a lease that is shortened
+// while the write waits.
+func WriteUnprotected(conn net.Conn, b []byte, expiry time.Duration, deadline time.Time) (int, error) {
+	left := expiry - maxClockAge - clock.Boot{}.Now()
+	if left <= 0 {
 		return 0, ErrExpired
 	}
 	unprotectedSends.Add(1)
-	return w.Write(b)
+	if left > maxUnprotectedLease || !deadline.IsZero() && left >= time.Until(deadline) {
+		return conn.Write(b)
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(left)); err != nil {
+		return 0, err
+	}
+	n, err := conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = ErrExpired
+	}
+	if restoreErr := conn.SetWriteDeadline(deadline); err == nil {
+		err = restoreErr
+	}
+	return n, err
 }
 
+// maxUnprotectedLease is the longest lease for which WriteUnprotected sets a deadline. Longer ones,
+// of routers that nobody may take over from, are taken for endless.
+const maxUnprotectedLease = 24 * time.Hour
+
 // expired reports whether a lease is no longer valid for as long as a reading of the clock may be used.
 func expired(expiry time.Duration) bool {
 	return (clock.Boot{}).Now() >= expiry-maxClockAge
--- a/leasewrite/leasewrite_test.go
+++ b/leasewrite/leasewrite_test.go
@@ -34,10 +34,15 @@
 
 func fromNow(d time.Duration) time.Duration { return clock.Boot{}.Now() + d }
 
+// until returns the expiry of a lease that doesn't change.
+func until(expiry time.Duration) func(int) time.Duration {
+	return func(int) time.Duration { return expiry }
+}
+
 // A write under an expired lease hands no byte to the kernel.
 func TestNothingIsWrittenAfterTheLeaseExpires(t *testing.T) {
 	near, far, sock := tcpPair(t)
-	n, err := Write(sock, []byte("late"), fromNow(0))
+	n, err := Write(sock, []byte("late"), until(fromNow(0)))
 	assert.Equal(t, n, 0)
 	assert.Assert(t, errors.Is(err, ErrExpired) && IsLeaseError(err), "%v", err)
 	near.Close()
@@ -52,7 +57,7 @@
 	sent := bytes.Repeat([]byte("0123456789abcdef"), 1<<20)
 	ended := make(chan error, 1)
 	go func() {
-		_, err := Write(sock, sent, fromNow(time.Minute))
+		_, err := Write(sock, sent, until(fromNow(time.Minute)))
 		near.Close()
 		ended <- err
 	}()
@@ -66,14 +71,14 @@
 // expired, as soon as the peer reads.
 func TestLeaseExpiresWhileAWriteIsBlocked(t *testing.T) {
 	near, far, sock := tcpPair(t)
-	until := fromNow(50 * time.Millisecond)
+	end := fromNow(50 * time.Millisecond)
 	type result struct {
 		n   int
 		err error
 	}
 	ended := make(chan result, 1)
 	go func() {
-		n, err := Write(sock, make([]byte, 64<<20), until)
+		n, err := Write(sock, make([]byte, 64<<20), until(end))
 		near.Close()
 		ended <- result{n, err}
 	}()
@@ -90,6 +95,22 @@
 func TestWriteDeadlineEndsABlockedWrite(t *testing.T) {
 	near, _, sock := tcpPair(t)
 	assert.NilError(t, near.SetWriteDeadline(time.Now().Add(20*time.Millisecond)))
-	_, err := Write(sock, make([]byte, 64<<20), fromNow(time.Minute))
+	_, err := Write(sock, make([]byte, 64<<20), until(fromNow(time.Minute)))
 	assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
 }
+
+// Guards against a blocked write that goes on after its lease where the socket isn't known.
+func TestLeaseExpiresWhileAnUnprotectedWriteIsBlocked(t *testing.T) {
+	near, far, _ := tcpPair(t)
+	end := fromNow(50 * time.Millisecond)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := WriteUnprotected(near, make([]byte, 64<<20), end, time.Time{})
+		near.Close()
+		ended <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	read, err := io.Copy(io.Discard, far)
+	assert.NilError(t, err)
+	assert.Assert(t, errors.Is(<-ended, ErrExpired), "%d bytes were written", read)
+}
--- a/leasewrite/sequence_linux_test.go
+++ b/leasewrite/sequence_linux_test.go
@@ -88,7 +88,7 @@
 	defer stop()
 
 	before, sent := Count().Restarted, 0
-	expiry := fromNow(time.Minute)
+	expiry := until(fromNow(time.Minute))
 	for Count().Restarted < before+minRestarts && sent < maxInterruptedSends {
 		n, err := Write(sock, []byte{1}, expiry)
 		assert.NilError(t, err)
@@ -135,9 +135,9 @@
 	assert.NilError(t, other.err)
 	assert.ErrorContains(t, Check(), unix.EINVAL.Error())
 	before := Count()
-	_, err := Write(sock, []byte("x"), fromNow(time.Minute))
+	_, err := Write(sock, []byte("x"), until(fromNow(time.Minute)))
 	assert.NilError(t, err)
-	_, err = Write(sock, []byte("x"), fromNow(0))
+	_, err = Write(sock, []byte("x"), until(fromNow(0)))
 	assert.ErrorIs(t, err, ErrExpired)
 	after := Count()
 	assert.Equal(t, after.Unprotected-before.Unprotected, int64(1))
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -90,7 +90,7 @@
 	// at the key's former holder.
 	BeforeWrite func(started bool) *fault.Fault
 	// LeaseExpiry returns when the lease to send expires, by clock.Boot. It is called after the check
-	// above, right before each write. No byte is handed to the kernel after that time, even if
+	// above, right before each system call that writes. No byte is handed to the kernel after that time, even if
 	// the process is suspended between the two. Nil means that there is no such time.
 	LeaseExpiry func(started bool) time.Duration
 	// Aborter aborts the attempt from outside.
--- a/target/conn.go
+++ b/target/conn.go
@@ -166,11 +166,12 @@
 	if c.opts.LeaseExpiry == nil {
 		return c.raw.Write(b)
 	}
-	expiry := c.opts.LeaseExpiry(c.started)
 	if c.sock == nil {
-		return leasewrite.WriteUnprotected(c.raw, b, expiry)
+		return leasewrite.WriteUnprotected(c.raw, b, c.opts.LeaseExpiry(c.started), c.writeUntil)
 	}
-	return leasewrite.Write(c.sock, b, expiry)
+	return leasewrite.Write(c.sock, b, func(written int) time.Duration {
+		return c.opts.LeaseExpiry(c.started || written > 0)
+	})
 }
 
 // setOptions sets the options of the next exchange.
