Test that the kernel knows the sequence

Change: TestKernelRestartsTheSequenceWhateverTheAge sends without a bound on that age, to no socket, and waits for the kernel to leave the sequence. TestInterruptedSequenceIsRestarted says what it does guard against; its check is the same.

Not run on arm64.

--- a/leasewrite/sequence_linux_test.go
+++ b/leasewrite/sequence_linux_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"math"
 	"os"
 	"os/exec"
 	"runtime"
@@ -23,8 +24,7 @@
 	noLibcArea   = "glibc.pthread.rseq=0"
 )
 
-// Guards against a sequence that is protected only where the C library registers areas: the
-// other tests must pass too where it registers none.
+// Guards against a sequence that is protected only where the C library registers areas.
 func TestSequenceWithoutTheCLibrary(t *testing.T) {
 	if os.Getenv(libcTunables) == noLibcArea {
 		t.Skip("this is the process without the C library's areas")
@@ -71,8 +71,7 @@
 	assert.Equal(t, string(got), "")
 }
 
-// Guards against an interruption of the sequence that is not noticed, and against one that is
-// noticed although the bytes have been sent, so that they are sent twice.
+// Guards against a send that is repeated after an interruption although its bytes have been sent.
 func TestInterruptedSequenceIsRestarted(t *testing.T) {
 	assert.NilError(t, Check())
 	near, far, sock := tcpPair(t)
@@ -104,6 +103,31 @@
 	maxInterruptedSends = 1_000_000
 )
 
+// Guards against a sequence that is never armed, which the age of the clock reading would hide.
+func TestKernelRestartsTheSequenceWhateverTheAge(t *testing.T) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	a := acquireArea()
+	defer a.release()
+	assert.NilError(t, a.err)
+	stop := interruptThread(t, unix.Gettid())
+	defer stop()
+	b, calls := []byte{1}, 0
+	for end := time.Now().Add(interruptionTimeout); time.Now().Before(end); {
+		for range 1000 {
+			calls++
+			if n := sendIfRecent(a.armed(), ^uintptr(0), &b[0], len(b), 0, math.MaxUint64); n == resultInterrupted {
+				t.Logf("interrupted after %d calls", calls)
+				return
+			}
+		}
+	}
+	t.Fatalf("no interruption noticed in %d calls", calls)
+}
+
+// interruptionTimeout is how long an interruption within the sequence may take to occur.
+const interruptionTimeout = 20 * time.Second
+
 // interruptThread sends signals to the thread, without pause, until stop is called. The signal is
 // the one by which the runtime interrupts threads.
 func interruptThread(t *testing.T, thread int) (stop func()) {
@@ -121,8 +145,7 @@
 	}
 }
 
-// Guards against a thread that can register no area, because other code has registered one, and
-// whose writes then fail or are counted as protected.
+// Guards against writes that fail, or count as protected, where other code has registered an area.
 func TestWritesGoOnWithoutAnArea(t *testing.T) {
 	near, far, sock := tcpPair(t)
 	runtime.LockOSThread()
