Remove the term of work that nothing reads

Cause: an attempt is bound to the term of its lease since; work kept another one, the grantor's by the router that asked, which nothing read and which a reader would take for the first.

--- a/router/forward.go
+++ b/router/forward.go
@@ -252,7 +252,6 @@
 		meta:   x.meta,
 		unit:   x.last.unit,
 		token:  x.last.owner.Token,
-		term:   x.last.grantor.Term,
 		weight: v.compiled.Weight(x.meta.Caller),
 		name:   unitName(x.last.unit),
 	}
--- a/router/serve.go
+++ b/router/serve.go
@@ -19,7 +19,6 @@
 	meta  *request.Meta
 	unit  routing.Unit
 	token uint64
-	term  uint64
 	// weight is the caller's share relative to others.
 	weight float64
 	// bound is the limit of a forwarded request, which is lifted once its answer begins;
@@ -161,7 +160,6 @@
 		meta:   meta,
 		unit:   unit,
 		token:  e.Token,
-		term:   e.Term,
 		weight: v.compiled.Weight(e.Caller),
 		bound:  bound,
 		name:   name,
