Say what a started request isn't protected from after a hand-over

Change: the comment of SendUntil claimed that a move waits for what has started; after a hand-over the next grantor's move doesn't (TestRequestBegunBeforeAHandOverEndsBeforeTheKeyMoves). MaySend asks Holds, which knows a missing gate. No behaviour changes.

--- a/core/ownership/gate.go
+++ b/core/ownership/gate.go
@@ -28,9 +28,6 @@
 // look-up may have been superseded, and the target would then have two senders or the unit
 // two owners. The end of the right on the router's own clock reveals this.
 func (g *Gate) MaySend(now time.Duration, target string, unit routing.Unit, token uint64) bool {
-	if g == nil {
-		return false
-	}
 	if !g.Holds(now, target) {
 		return false
 	}
@@ -71,9 +68,9 @@
 // target that was admitted under the term; zero means not at all. started is set if bytes of it
 // have been sent.
 //
-// What has started may be finished after the target was handed over, since a move waits for it.
-// It may not be finished after another router has taken the target over because this one was
-// suspended or cut off: the unit may have moved meanwhile.
+// What has started may be finished after a move, which waits for it, and after a hand-over, although
+// the next grantor doesn't. It may not be finished after another router has taken the target over
+// because this one was suspended or cut off: the unit may have moved meanwhile.
 func (g *Gate) SendUntil(target string, term uint64, started bool) time.Duration {
 	if g == nil || term == 0 || term <= g.lapsedTerms[target] {
 		return 0
