Take no late reply for one to an order of a later term

What callers could see: a grantor that begins to serve before the authority of the former one has ended, after it lost a target in a suspension and took it back: the reply to an order of its own earlier term counted as the one to its fence. Two routers could then send on one key.

Cause: replies are matched by their sequence, which began at one again in each term.

It was not seen in a process.

Change: the sequence goes on from one term to the next, as that of promises does. A target refuses older ones within a term, so that larger ones are nothing new to it.

--- a/core/ownership/duty.go
+++ b/core/ownership/duty.go
@@ -235,7 +235,7 @@
 func (k *Keeper) drop(d *duty, kind ReportKind) {
 	d.report(k, kind)
 	d.phase, d.withoutStore, d.promisesStoppedAt, d.until, d.meetsOrderBound = idle, false, 0, 0, false
-	d.received, d.grants, d.reachProbes = receivedPromises{sequence: d.received.sequence}, grants{}, nil
+	d.received, d.grants, d.reachProbes = receivedPromises{sequence: d.received.sequence}, grants{sequence: d.sequence}, nil
 	k.clearSuspicion(d)
 	k.dropMoves(d.spec.Name)
 	k.gateStale = true
--- a/core/ownership/grant.go
+++ b/core/ownership/grant.go
@@ -8,6 +8,8 @@
 
 // grants is the state of one target's grants at its grantor.
 type grants struct {
+	// sequence is that of the latest order. It goes on from one term to the next, so that a late
+	// reply to an order of an earlier term is not taken for one to a later order.
 	sequence uint64
 	// outstanding is the sequence of the order that waits for a reply, or zero.
 	outstanding uint64
@@ -101,7 +103,7 @@
 
 // sendFence raises the term of a target that checks terms, and probes any other target.
 func (k *Keeper) sendFence(now time.Duration, d *duty) {
-	if d.outstanding == 0 && now >= d.abandonedArrivesBy && (d.sequence == 0 || now-d.sentAt >= k.cfg.RenewEvery) {
+	if d.outstanding == 0 && now >= d.abandonedArrivesBy && (d.sentAt == 0 || now-d.sentAt >= k.cfg.RenewEvery) {
 		k.sendGrant(now, d, true)
 	}
 }
--- a/core/ownership/promise.go
+++ b/core/ownership/promise.go
@@ -240,7 +240,7 @@
 	}
 	d.phase, d.withoutStore, d.reported = serving, true, noReport
 	d.term, d.until, d.confirmedAt = d.record.Term+1, never, g.confirmedAt
-	d.received, d.grants = receivedPromises{}, grants{}
+	d.received, d.grants = receivedPromises{}, grants{sequence: d.sequence}
 	d.grantsExpireAt = now + k.cfg.waitOut()
 	k.gateStale = true
 	d.report(k, TookOverWithoutStore)
