Let a hand-over count only once its record has landed

What callers could see: as in, a request that was begun before a suspension is finished at its old target after the key has moved, where the suspension began while a hand-over was being written, or where the router that the target was to be handed to claimed it instead.

Cause: from the decision on a hand-over on, started requests had no end, although its record was not in the store yet; and a record with the same router and term as the hand-over's counted as it, which the claim of a first successor has too.

Change: until the record is known to have landed, by the operation in it, started requests may go on until the end of the authority that is handed over. TestHandOverThatNeverLandedIsALapse asserted, on the way to its check, the endless right that is the fault; it asserts the end of the authority now, which is stricter.

--- a/core/ownership/duty.go
+++ b/core/ownership/duty.go
@@ -33,8 +33,8 @@
 	recordRead bool
 	phase      phase
 	term       uint64
-	// handOver is the record of this router's latest hand-over of the duty.
-	handOver *GrantorRecord
+	// handOver is this router's hand-over of the duty while it isn't known to have landed.
+	handOver *handOver
 	// until bounds the authority; see validUntil.
 	until time.Duration
 	// confirmedAt is when the latest read that found this router's term was sent.
@@ -200,9 +200,7 @@
 	if d == nil || revision <= d.revision {
 		return
 	}
-	if d.record != nil && d.record.Router == k.cfg.Self && g.Router != k.cfg.Self && !d.isHandOver(g) {
-		k.noteLapse(d)
-	}
+	k.learnHandOver(d, g)
 	d.record, d.revision, d.recordRead = g, revision, true
 	if k.cfg.omit == omitTermCheck && d.phase >= waiting {
 		return
@@ -226,9 +224,24 @@
 	k.gateStale = true
 }
 
-// isHandOver reports whether the record is that of this router's latest hand-over.
-func (d *duty) isHandOver(g *GrantorRecord) bool {
-	return d.handOver != nil && d.handOver.Router == g.Router && d.handOver.Term == g.Term
+// handOver is a hand-over whose record is being written.
+type handOver struct {
+	op Op
+	// until is the end of the authority that is handed over. Until the record has landed, requests
+	// that have started may go on for no longer: another router may take the target over instead.
+	until time.Duration
+}
+
+// learnHandOver notes what another router's record says of a hand-over by this router.
+func (k *Keeper) learnHandOver(d *duty, g *GrantorRecord) {
+	if d.record == nil || d.record.Router != k.cfg.Self || g.Router == k.cfg.Self {
+		return
+	}
+	if d.handOver == nil || !g.Ops.Landed(d.handOver.op) {
+		k.noteLapse(d)
+	}
+	d.handOver = nil
+	k.gateStale = true
 }
 
 // drop ends the duty at this router.
--- a/core/ownership/handover.go
+++ b/core/ownership/handover.go
@@ -52,7 +52,11 @@
 	op := k.nextOp()
 	next.Target, next.Term = d.spec.Name, nextEpoch(d.record.Term)
 	next.YieldAfter, next.Ops = d.wantedYield(), d.record.Ops.with(op)
-	d.handOver = &next
+	until := min(d.until, d.validUntil(k))
+	if d.handOver != nil { // an earlier attempt has failed
+		until = d.handOver.until
+	}
+	d.handOver = &handOver{op: op, until: until}
 	k.drop(d, d.reported) // HandedOver is reported once the record is written
 	k.refreshGate()
 	k.put(now, d.key, d.revision, op, Update{Grantor: &next})
--- a/core/ownership/keeper.go
+++ b/core/ownership/keeper.go
@@ -317,8 +317,11 @@
 	k.gateStale = false
 	g := &Gate{table: k.table, rights: map[string]sendRight{}, lapsedTerms: maps.Clone(k.lapsedTerms)}
 	for _, d := range k.dutyList {
-		if d.phase == serving {
+		switch {
+		case d.phase == serving:
 			g.rights[d.spec.Name] = sendRight{term: d.term, until: d.validUntil(k), closed: !k.withinOrderBound(d)}
+		case d.handOver != nil:
+			g.rights[d.spec.Name] = sendRight{term: d.term, until: d.handOver.until, closed: true}
 		}
 	}
 	k.gate = g
--- a/core/ownership/lapse_test.go
+++ b/core/ownership/lapse_test.go
@@ -67,7 +67,7 @@
 	k, _ := servingKeeper(320 * time.Millisecond)
 	d, to := k.duties["t"], Router{Name: "b", Incarnation: 1}
 	k.handOver(time.Millisecond, d, to)
-	assert.Equal(t, k.gate.SendUntil("t", 8, true), never)
+	assert.Equal(t, k.gate.SendUntil("t", 8, true), 320*time.Millisecond)
 	other := &GrantorRecord{Target: "t", Term: 24, Router: Router{Name: "c", Incarnation: 1}}
 	k.Step(10*time.Second, StoreChanged{Key: d.key, Revision: 2, Value: other.Encode()})
 	assert.Equal(t, k.gate.SendUntil("t", 8, true), time.Duration(0))
@@ -78,7 +78,8 @@
 	k, _ := servingKeeper(320 * time.Millisecond)
 	d, to := k.duties["t"], Router{Name: "b", Incarnation: 1}
 	k.handOver(time.Millisecond, d, to)
-	k.Step(100*time.Millisecond, StoreChanged{Key: d.key, Revision: 2, Value: d.handOver.Encode()})
+	written := k.writes[d.key].value
+	k.Step(100*time.Millisecond, StoreChanged{Key: d.key, Revision: 2, Value: written})
 	assert.Equal(t, d.record.Router, to)
 	assert.Equal(t, k.gate.SendUntil("t", 8, true), never)
 }
@@ -90,3 +91,26 @@
 	k.refreshGate()
 	assert.Equal(t, k.gate.SendUntil("t", 8, true), time.Duration(0))
 }
+
+// Guards against a claim that counts as a hand-over because the receiver of that made it.
+func TestClaimByTheReceiverOfAHandOverIsALapse(t *testing.T) {
+	k, spec := servingKeeper(320 * time.Millisecond)
+	d, to := k.duties["t"], Router{Name: "b", Incarnation: 1}
+	successor := NewKeeper(Config{Self: to, DataCentre: "dc1"})
+	successor.Step(0, Configured{Targets: []TargetSpec{spec}})
+	theirs := successor.duties["t"]
+	theirs.record, theirs.recordRead, theirs.revision = d.record, true, d.revision
+	k.handOver(time.Millisecond, d, to)
+	successor.claim(9*time.Second, theirs)
+	claimed := successor.writes[d.key]
+	k.Step(10*time.Second, StoreChanged{Key: d.key, Revision: 2, Value: claimed.value})
+	assert.Equal(t, d.record.Router, to)
+	assert.Equal(t, k.gate.SendUntil("t", 8, true), time.Duration(0))
+}
+
+// Guards against an endless right to finish requests while the record of a hand-over is being written.
+func TestHandOverThatHasNotLandedGivesNoEndlessRight(t *testing.T) {
+	k, _ := servingKeeper(320 * time.Millisecond)
+	k.handOver(time.Millisecond, k.duties["t"], Router{Name: "b", Incarnation: 1})
+	assert.Assert(t, k.gate.SendUntil("t", 8, true) <= 320*time.Millisecond)
+}
--- a/core/ownership/proof.go
+++ b/core/ownership/proof.go
@@ -12,6 +12,7 @@
 	d.term, d.promisesStoppedAt, d.reported = d.record.Term, 0, noReport
 	d.takenWhileStopping, d.takenAt = k.stopping, now
 	d.until, d.grants, d.termRaisePending = 0, grants{sequence: d.sequence}, false
+	d.handOver = nil
 	d.received = receivedPromises{sequence: d.received.sequence}
 	d.waitUntil = never
 	if wait != never {
