Send no grant of a store outage under a later renewal

What callers could see on serve: two targets that hold a key, for 580 ms in the test's order of events and for up to about 1.1 s by arithmetic. A leader decides on a long grant, as the store is silent and a quorum's promises hold, and is suspended before it sends it. The promises end, and a renewal that was under way succeeds; the leader goes on and sends the long grant under that renewal, while the next leader counts on normal ones.

Cause: the TTL came from the quorum at the time of the decision, the right to send from the lease alone.

Change: a grant with a TTL above the normal one needs a quorum when it is sent, and its deadline ends with the quorum's promises. The tests of ./gateway by name (Quorum, Outage, Order, Grant, Lead) pass.

--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -142,7 +142,7 @@
 func (l *leader) sendOrder(t *term, service string, o assign.Order) *orderDone {
 	m := &orderDone{term: t, service: service, order: o, outcome: assign.Unanswered}
 	now := l.g.opts.Clock.Now()
-	left, err := l.orderTimeLeft(t, now)
+	left, err := l.orderTimeLeft(t, now, o.TTL > assign.DefaultGrantTTL)
 	if err != nil {
 		m.err, m.outcome = err, assign.NotSent
 		duty.Sleep(t.ctx, leaderRenewInterval)
@@ -159,13 +159,14 @@
 }
 
 // orderTimeLeft returns for how long from now this router may give orders, or an error that says
-// why it no longer may.
-func (l *leader) orderTimeLeft(t *term, now time.Duration) (time.Duration, error) {
+// why it no longer may. A grant for a store outage, with a TTL above the normal one, needs a quorum
+// however young the lease is: the next leader counts on that.
+func (l *leader) orderTimeLeft(t *term, now time.Duration, forOutage bool) (time.Duration, error) {
 	age := t.leaseAge(now)
 	switch {
 	case age >= orderLimitWithQuorum:
 		return 0, errors.Errorf("the lease was renewed %v ago", age)
-	case age < orderLimitWithoutQuorum:
+	case age < orderLimitWithoutQuorum && !forOutage:
 		return orderLimitWithoutQuorum - age, nil
 	}
 	left := t.quorum.reachedFor(now, l.g.countedRouters())
