Replace watched files in one step in the tests of keys

Cause: the watcher's check at the first tick runs while the test replaces the file, and the test truncated, wrote and then dated it, so that the check could read an empty file. A test's race: a file that is not whole is refused, as it should be.

The check is the same.

--- a/keys/watcher_test.go
+++ b/keys/watcher_test.go
@@ -38,11 +38,14 @@
 	return changes
 }
 
-// replaceFileAt writes the file and sets its modification time, as a write at that time would.
+// replaceFileAt replaces the file by one that was written at that time. A watcher that checks
+// meanwhile finds either file whole.
 func replaceFileAt(t *testing.T, file, text string, at time.Time) {
 	t.Helper()
-	write(t, file, text)
-	assert.NilError(t, os.Chtimes(file, at, at))
+	next := file + ".next"
+	write(t, next, text)
+	assert.NilError(t, os.Chtimes(next, at, at))
+	assert.NilError(t, os.Rename(next, file))
 }
 
 // TestPairReadBetweenItsTwoWritesKeepsTheOldPair guards against a router that has no certificate,
