Tell crashed targets and what was in flight there

The target's address is then tried up to four times in 1.3 s; if it refuses connections, 'target crashed' names the fingerprints in flight. Nothing of this runs for a request that is answered.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,6 +9,7 @@
 	"tarragongw/core/dispatch"
 	"tarragongw/core/fault"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/quarantine"
 	"tarragongw/core/request"
 	"tarragongw/core/retry"
 	"tarragongw/core/routes"
@@ -48,6 +49,8 @@
 	avoid   string
 	// table is the key table by which the request was last placed.
 	table *keyspace.Table
+	// fingerprinted is set once the request's fingerprint was needed.
+	fingerprinted *quarantine.Suspect
 }
 
 // Forward implements caller.Forwarder. This is the only place from which a request is sent more than
@@ -235,7 +238,7 @@
 	}
 	x.meta.AddAttempt(a)
 	x.g.log.Info("attempt failed", "id", x.meta.ID, "number", a.Number, "target", a.Target, "took", a.Took,
-		"kind", f.Kind, "ran", f.Ran, "err", f)
+		"kind", f.Kind, "ran", f.Ran, "fingerprint", x.noteBrokenSend(d, f), "err", f)
 }
 
 // mayRepeat decides whether the request is sent once more after f, and takes a retry from the budget
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"tarragongw/caller"
 	"tarragongw/core/directory"
+	"tarragongw/core/quarantine"
 	"tarragongw/core/routes"
 	"tarragongw/duty"
 	"tarragongw/leasewrite/writereport"
@@ -41,6 +42,7 @@
 	gate         storeGate
 	sizes        sizes
 	callerAges   callerAges
+	crashes      *crashWatch
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -76,6 +78,7 @@
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
+	g.crashes = newCrashWatch(g, func(*directory.Target, []quarantine.Suspect) {})
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
 	if err := g.listen(); err != nil {
 		g.cancel()
--- a/internal/arch/rules_test.go
+++ b/internal/arch/rules_test.go
@@ -117,7 +117,7 @@
 // pureImports lists the packages that packages below core may import in addition to those
 // of core.
 var pureImports = []string{
-	"cmp", "container/heap", "encoding/binary", "errors", "fmt", "hash/fnv", "iter", "maps", "math",
+	"cmp", "container/heap", "crypto/sha256", "encoding/binary", "encoding/hex", "errors", "fmt", "hash/fnv", "iter", "maps", "math",
 	"math/bits", "math/rand/v2", "net/netip", "reflect", "regexp", "slices", "sort", "strconv",
 	"strings", "time", "unicode", "unicode/utf8",
 	"github.com/cespare/xxhash/v2", "github.com/dgryski/go-rendezvous", "github.com/pkg/errors",
--- a/replay/body.go
+++ b/replay/body.go
@@ -21,6 +21,8 @@
 // buffered, and the next attempt waits for that read before it reads the source itself.
 type Body struct {
 	source io.Reader
+	// length is the body's length; negative if unknown.
+	length int64
 	// maxKept bounds the buffered bytes.
 	maxKept int
 	// sourceMu is held during a read of the source.
@@ -32,6 +34,8 @@
 	// once bytes were dropped; no further attempt is possible then.
 	kept     []byte
 	keptFrom int64
+	// head has the first bytes of the body once they are no longer in kept.
+	head []byte
 	// sourceErr is the error that ended the source, or io.EOF.
 	sourceErr      error
 	currentAttempt *Attempt
@@ -50,7 +54,7 @@
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
-	return &Body{source: r.Body, maxKept: maxKept}
+	return &Body{source: r.Body, length: r.ContentLength, maxKept: maxKept}
 }
 
 // Rewind returns the body for the next attempt and ends the reads of the attempt before it. It
@@ -110,7 +114,7 @@
 		return 0, end, b.sourceErr
 	}
 	if a.offset == end && end > int64(b.maxKept) {
-		b.keptFrom, b.kept = end, b.kept[:0]
+		b.dropKept(end)
 	}
 	return n, end, nil
 }
@@ -133,7 +137,7 @@
 	}
 	stillCurrent := b.currentAttempt == a
 	if stillCurrent && end+int64(n) > int64(b.maxKept) {
-		b.keptFrom, b.kept = end+int64(n), nil
+		b.dropKept(end + int64(n))
 		a.offset = b.keptFrom
 		return n
 	}
