Refuse requests that crash targets, at all routers

Cause: a broken connection was judged by one router, for one attempt, and then forgotten. Nothing joined what ten routers saw of the same content. The class is a query of death: retries, the caller's and ours, carry the fault on.

Now each router fingerprints what a crashed target had in flight (a crash is a broken send after which the target refuses connections, unless it was leaving) and tells the leader, which counts crashes by distinct instances and sends the list by the feed. From the third crash on the request is refused with 503, not run. An answer in between clears it. The list is in the store beside the leader record, written once a second at most, so that routers that start know it. Within one attempt of a caller at most two targets may break a request off.

Why it works: the count lives with the content and not with the attempt, and the limit holds for all routers, a new leader and a fleet that was restarted.

--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -38,6 +38,7 @@
 	Unsupported
 	RouterBusy
 	BodyStalled
+	Quarantined
 	kindCount
 )
 
@@ -89,6 +90,9 @@
 const (
 	shortWait = 200 * time.Millisecond
 	longWait  = time.Second
+	// quarantineWait is longer than most callers wait: the request will not be sent before the
+	// service is corrected.
+	quarantineWait = time.Minute
 )
 
 // table maps each kind to its answer. The statuses are those of RFC 9110 and, for 429, of
@@ -125,6 +129,7 @@
 	Unsupported:        {"unsupported", 501, NotRun, false, 0, "The router supports neither tunnels nor upgraded connections.", NeverSent},
 	RouterBusy:         {"router_busy", 503, NotRun, false, shortWait, "The router is at its limit of requests in flight, or requests wait too long for its processor. Retry; another router answers.", NeverSent},
 	BodyStalled:        {"body_stalled", 408, RanUnknown, false, 0, "The request's body arrived too slowly. Send it again.", NoProof},
+	Quarantined:        {"quarantined", 503, NotRun, false, quarantineWait, "Targets crashed while they ran requests with the same content, so this one was not sent; earlier ones may have run. Correct the request or the service; an operator can release it.", NeverSent},
 }
 
 // Row returns the kind's row; an unknown kind gets the row of Internal.
--- a/core/fault/page.go
+++ b/core/fault/page.go
@@ -47,6 +47,8 @@
 | the target itself answered 5xx | retried, unless the service divides its keys | no | the target's answer |
 | the answer ended early | no | no | the connection is aborted |
 | a second answer on the connection | ignored | ignored | the request's own answer |
+| two targets ended the connection without an answer | no | no | 502, unknown |
+| three targets crashed under requests with the same content | not sent | not sent | 503, not-run, with an advised wait; 502, unknown, if this one was sent before |
 | deadline passed before the request was sent | no | no | 503, not-run |
 | deadline passed after the request was sent | no | no | 504, unknown |
 | the caller closed the connection | no; the attempt is aborted | no; the attempt is aborted | none (499 in logs) |
--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -42,7 +42,10 @@
 
 // Content is what a fingerprint covers.
 type Content struct {
-	Method, Host, URI string
+	Method, URI string
+	// Scope is what the URI belongs to: a host name, or a service where callers may address a router
+	// by its own name.
+	Scope string
 	// Caller is the caller's name where the router knows it, and Credentials are those that the
 	// request carries. With them, no caller can have the requests of another one refused.
 	Caller, Credentials string
@@ -55,7 +58,7 @@
 // Fingerprint returns the fingerprint of the content.
 func (c *Content) Fingerprint() Fingerprint {
 	var encoded []byte
-	for _, field := range []string{c.Method, c.Host, c.URI, c.Caller, c.Credentials, c.Key} {
+	for _, field := range []string{c.Method, c.Scope, c.URI, c.Caller, c.Credentials, c.Key} {
 		encoded = binary.AppendUvarint(encoded, uint64(len(field)))
 		encoded = append(encoded, field...)
 	}
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -237,6 +237,11 @@
 // handleLeader records who leads.
 func (cs *clusterState) handleLeader(c *change) {
 	found := false
+	for _, r := range c.records {
+		if r.Key == quarantineKey {
+			cs.handleQuarantine(r)
+		}
+	}
 	for _, r := range c.records {
 		if r.Key == leaderKey {
 			found = true
--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -18,7 +18,7 @@
 func (g *Gateway) serveFollowers() {
 	server := &feed.Server{
 		Log: g.log, StoreReachable: g.subscription.targetsFresh, LeaderSource: g.subscription.feedSource,
-		OnReport: g.handleReport, Clock: g.opts.Clock,
+		OnReport: g.handleReport, OnObservations: g.guard.Observe, Clock: g.opts.Clock,
 		OnJoin: func(router string, term uint64, promised time.Duration) {
 			g.leader.duty.Tell(&followerJoined{router, kv.Revision(term), promised})
 		},
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -11,6 +11,10 @@
 }
 
 func (h *updateHandler) handle(u *feed.Update) {
+	// Before the update can make this router ready.
+	if u.Quarantine != nil {
+		h.subscription.g.guard.Adopt(u.Quarantine)
+	}
 	if u.Stale {
 		h.handleStale(u)
 		return
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -9,10 +9,10 @@
 	"tarragongw/core/dispatch"
 	"tarragongw/core/fault"
 	"tarragongw/core/keyspace"
-	"tarragongw/core/quarantine"
 	"tarragongw/core/request"
 	"tarragongw/core/retry"
 	"tarragongw/core/routes"
+	"tarragongw/crashguard"
 	"tarragongw/replay"
 	"tarragongw/target"
 )
@@ -49,8 +49,10 @@
 	avoid   string
 	// table is the key table by which the request was last placed.
 	table *keyspace.Table
-	// fingerprinted is set once the request's fingerprint was needed.
-	fingerprinted *quarantine.Suspect
+	// guarded is the request as the guard against crashes sees it.
+	guarded crashguard.Request
+	// mayHaveRun is the fault of the last send after which the request may have run; nil if none.
+	mayHaveRun *fault.Fault
 }
 
 // Forward implements caller.Forwarder. This is the only place from which a request is sent more than
@@ -67,6 +69,9 @@
 		if f == nil {
 			return nil
 		}
+		if f.Kind == fault.Quarantined && x.mayHaveRun != nil {
+			return x.mayHaveRun
+		}
 		if !x.body.RewindInto(x.r) || !x.mayRepeat(f) {
 			return callerFault(f)
 		}
@@ -106,6 +111,7 @@
 		x.key = key
 		s.keyLoad.add(*key)
 	}
+	x.guarded = g.newGuardRequest(x)
 	keepRequestURI(r)
 	return x, nil
 }
@@ -125,6 +131,9 @@
 
 // attempt places the request and sends it once.
 func (x *exchange) attempt() *fault.Fault {
+	if f := x.g.guard.Check(&x.guarded); f != nil {
+		return f
+	}
 	x.table, _ = x.service.currentTable()
 	began := time.Now()
 	d, f := x.place()
@@ -180,6 +189,8 @@
 	if f != nil {
 		result = resultOf(f)
 		x.recordFailure(began, d, f)
+	} else if result == dispatch.Answered {
+		x.g.guard.Answered(&x.guarded)
 	}
 	return f
 }
@@ -193,7 +204,7 @@
 
 // mayResend reports whether the limits on the request's sends and targets allow another send.
 func (x *exchange) mayResend() bool {
-	return x.sends < maxSends && (len(x.targets) < x.route.MaxTargets || x.service.byKey) && x.r.Context().Err() == nil
+	return x.sends < maxSends && x.guarded.MayResend() && (len(x.targets) < x.route.MaxTargets || x.service.byKey) && x.r.Context().Err() == nil
 }
 
 // setHeaders sets the headers that name the target and the time left. It is called right before the
@@ -203,7 +214,7 @@
 	h := x.r.Header
 	h[names.Expect] = []string{d.Target.ID}
 	if x.meta.Deadline.IsZero() {
-		return nil
+		return x.g.guard.Begin(&x.guarded)
 	}
 	left := time.Until(x.meta.Deadline).Milliseconds()
 	if left <= 0 {
@@ -211,12 +222,12 @@
 		return f
 	}
 	h[names.Deadline] = []string{strconv.FormatInt(left, 10)}
-	return nil
+	return x.g.guard.Begin(&x.guarded)
 }
 
 func resultOf(f *fault.Fault) dispatch.Result {
 	switch {
-	case f.Kind == fault.CallerGone, f.Kind == fault.DeadlineUnmeetable:
+	case f.Kind == fault.CallerGone, f.Kind == fault.DeadlineUnmeetable, f.Kind == fault.Quarantined:
 		return dispatch.Abandoned
 	case f.Kind == fault.DeadlineExceeded:
 		return dispatch.TimedOut
@@ -237,8 +248,20 @@
 		Number: x.sends, After: began.Sub(x.began), Took: time.Since(began), Target: d.Target.ID, Fault: f,
 	}
 	x.meta.AddAttempt(a)
+	if f.Ran != fault.NotRun {
+		x.mayHaveRun = f
+	}
+	fingerprint := ""
+	if !isReplacedAnswer(f) {
+		fingerprint = x.g.guard.Failed(&x.guarded, guardTarget(&d.Target), f)
+	}
 	x.g.log.Info("attempt failed", "id", x.meta.ID, "number", a.Number, "target", a.Target, "took", a.Took,
-		"kind", f.Kind, "ran", f.Ran, "fingerprint", x.noteBrokenSend(d, f), "err", f)
+		"kind", f.Kind, "ran", f.Ran, "fingerprint", fingerprint, "err", f)
+}
+
+// isReplacedAnswer reports whether f stands for an answer of the target that another one replaces.
+func isReplacedAnswer(f *fault.Fault) bool {
+	return f.Kind == fault.TargetLost && f.Ran == fault.RanUnknown && f.Cause == nil
 }
 
 // mayRepeat decides whether the request is sent once more after f, and takes a retry from the budget
@@ -247,7 +270,7 @@
 	if x.sends == 0 || f.Kind == fault.DeadlineUnmeetable {
 		return false // it was not placed, after all the waiting that is worthwhile
 	}
-	if f.Kind == fault.TargetLost && f.Ran == fault.RanUnknown && f.Cause == nil {
+	if isReplacedAnswer(f) {
 		return true // mayReplaceAnswer has taken the retry
 	}
 	repeatable := x.route.Repeat == routes.Idempotent
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,8 +18,8 @@
 
 	"tarragongw/caller"
 	"tarragongw/core/directory"
-	"tarragongw/core/quarantine"
 	"tarragongw/core/routes"
+	"tarragongw/crashguard"
 	"tarragongw/duty"
 	"tarragongw/leasewrite/writereport"
 )
@@ -42,7 +42,9 @@
 	gate         storeGate
 	sizes        sizes
 	callerAges   callerAges
-	crashes      *crashWatch
+	guard        *crashguard.Guard
+	// quarantineRecord is what this router writes to the store while it leads.
+	quarantineRecord quarantineRecord
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -78,7 +80,7 @@
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
-	g.crashes = newCrashWatch(g, func(*directory.Target, []quarantine.Suspect) {})
+	g.guard = newGuard(g)
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
 	if err := g.listen(); err != nil {
 		g.cancel()
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -435,8 +435,10 @@
 	l.term.quorum = newQuorum(l.g.opts.Name, l.g.opts.Clock.Now()+promised)
 	l.observed = leaderStatus{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision(), present: true}
 	l.g.log.Info("leadership taken", "revision", m.term.revision())
+	l.g.guard.Keep(uint64(m.term.revision()))
 	l.g.subscription.setTerm(m.term)
 	l.g.workers.Run(func() { l.renewLease(m.term) })
+	l.g.workers.Run(func() { l.writeQuarantine(m.term) })
 	l.g.workers.Run(func() { l.triggerRebalances(m.term) })
 }
 
@@ -460,5 +462,6 @@
 	l.g.log.Info("leadership lost", "why", why, "revision", l.term.revision())
 	l.term.cancel()
 	l.term = nil
+	l.g.guard.Yield()
 	l.g.subscription.setTerm(nil)
 }
--- a/gateway/storecalls.go
+++ b/gateway/storecalls.go
@@ -9,12 +9,13 @@
 
 // The purposes of store calls; part of the label kind of the metric store_calls_total.
 const (
-	purposeLead      = "lead"
-	purposeKeys      = "keys"
-	purposeConfig    = "config"
-	purposeTargets   = "targets"
-	purposeRouters   = "routers"
-	purposeOwnRecord = "own_record"
+	purposeLead       = "lead"
+	purposeKeys       = "keys"
+	purposeConfig     = "config"
+	purposeTargets    = "targets"
+	purposeRouters    = "routers"
+	purposeOwnRecord  = "own_record"
+	purposeQuarantine = "quarantine"
 )
 
 // storeFor returns the store, with its calls counted under the purpose.
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -38,8 +38,10 @@
 
 // leaderWatchPause is the pause after a change of the leader record.
 func leaderWatchPause(changed []kv.Record) time.Duration {
-	if changed[len(changed)-1].Deleted {
-		return leaderDeletedWatchPause
+	for _, r := range changed {
+		if r.Key == leaderKey && r.Deleted {
+			return leaderDeletedWatchPause
+		}
 	}
 	return leaderFoundWatchPause
 }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -213,12 +213,14 @@
 			sub.g.membership.renewNow() // no feed tells this router any more when the store answers again
 		}
 	}()
+	sub.g.guard.Retell()
 	handler := &updateHandler{subscription: sub, leader: leader}
 	follower := &feed.Follower{
 		Router: sub.g.opts.Name, Address: leader.address, Term: uint64(leader.revision), Reports: sub.reports,
 		Promised: sub.promisedToOther(leader), Backs: sub.g.gate.isShut,
-		OnBacked: func(until time.Time) { sub.recordPromise(leader, until) },
-		OnUpdate: handler.handle,
+		OnBacked:     func(until time.Time) { sub.recordPromise(leader, until) },
+		OnUpdate:     handler.handle,
+		Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(),
 	}
 	return follower.Run(ctx)
 }
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/core/keyspace"
+	"tarragongw/core/quarantine"
 	"tarragongw/peer/feedpb"
 )
 
@@ -28,6 +29,10 @@
 	OnUpdate func(u *Update)
 	// Reports returns what has to be reported since the last call.
 	Reports func() []Report
+	// Observations returns what was observed of suspected requests since the last call. Wake makes
+	// the follower send it at once. Both may be nil.
+	Observations func() *quarantine.Observations
+	Wake         <-chan struct{}
 	// Backs says whether this router can't reach the store, so that it backs the leader;
 	// Backed is called with the time until which it does.
 	Backs    func() bool
@@ -93,12 +98,16 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-f.Wake:
 		case <-ctx.Done():
 			return
 		}
 		p := encodeReports(f.Reports())
+		if f.Observations != nil {
+			p.Observations = encodeObservations(f.Observations())
+		}
 		f.addBacking(p)
-		if len(p.Heat)+len(p.ServiceTimes) == 0 && !p.Backs {
+		if len(p.Heat)+len(p.ServiceTimes) == 0 && !p.Backs && p.Observations == nil {
 			continue
 		}
 		if err := writeMessage(conn, p); err != nil {
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -15,6 +15,7 @@
 	"tarragongw/core/directory"
 	"tarragongw/core/dispatch"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/quarantine"
 	"tarragongw/peer/feedpb"
 )
 
@@ -79,6 +80,8 @@
 	// Limits are the limited keys of each service for which these have changed: keys with
 	// more requests than their holders can serve.
 	Limits []Limits
+	// Quarantine is the list of suspected requests; nil if it has not changed.
+	Quarantine *quarantine.List
 }
 
 // Limits are the limited keys of one service.
@@ -262,6 +265,9 @@
 	for _, t := range p.GetTargets() {
 		u.Targets = append(u.Targets, decodeTarget(t))
 	}
+	if p.GetQuarantine() != nil {
+		u.Quarantine = decodeQuarantine(p.GetQuarantine(), time.Now())
+	}
 	for _, t := range p.GetTables() {
 		table, err := decodeTable(t, tables[t.GetService()])
 		if err != nil {
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -14,6 +14,7 @@
 
 	"tarragongw/clock"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/quarantine"
 	"tarragongw/peer/feedpb"
 )
 
@@ -33,8 +34,10 @@
 	OnBacked func(router string, term uint64, until time.Duration)
 	// OnReport is called with each report of a follower.
 	OnReport func(r Report)
-	Clock    clock.Clock
-	Log      *slog.Logger
+	// OnObservations is called with what a router observed of suspected requests. It may be nil.
+	OnObservations func(router string, o *quarantine.Observations)
+	Clock          clock.Clock
+	Log            *slog.Logger
 }
 
 // Serve accepts followers until the listener is closed.
@@ -150,6 +153,9 @@
 			decoded := decodeServiceTimes(serviceTimes)
 			f.server.OnReport(Report{Service: decoded.Service, ServiceTimes: decoded.Targets})
 		}
+		if p.GetObservations() != nil && f.server.OnObservations != nil {
+			f.server.OnObservations(f.hello.GetRouter(), decodeObservations(p.GetObservations()))
+		}
 		if p.GetBacks() {
 			f.recordBacking(p.GetBeat())
 		}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -6,6 +6,7 @@
 
 	"tarragongw/core/directory"
 	"tarragongw/core/dispatch"
+	"tarragongw/core/quarantine"
 	"tarragongw/peer/feedpb"
 )
 
@@ -33,6 +34,9 @@
 	serviceTimes map[string]map[string]versionedServiceTime
 	// limits are by service.
 	limits map[string]versionedLimits
+	// quarantine is the list of suspected requests, and quarantineChanged the version at which it was set.
+	quarantine        *quarantine.List
+	quarantineChanged uint64
 	// targetsComplete says that all targets have been read from the store once.
 	targetsComplete bool
 	// changed is closed and replaced at each change that wakes the feeds.
@@ -175,6 +179,14 @@
 	s.limits[l.Service] = versionedLimits{l, s.version}
 }
 
+// SetQuarantine publishes the list of suspected requests.
+func (s *Source) SetQuarantine(l *quarantine.List) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextVersionAndWake()
+	s.quarantine, s.quarantineChanged = l, s.version
+}
+
 // SetTable publishes a key table if it is newer than the last one published.
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
@@ -212,8 +224,8 @@
 
 // sentState is what a follower has been sent so far.
 type sentState struct {
-	// all is the version up to which everything was sent, and tables the version up to which
-	// the tables were; a stale leader sends only these.
+	// all is the version up to which everything was sent, and tables the version up to which the
+	// tables and the list of suspected requests were; a stale leader sends only these.
 	all, tables uint64
 }
 
@@ -240,8 +252,8 @@
 }
 
 // updateSince returns the update for a follower in the state, and the follower's state after
-// it; the caller holds the lock. A stale leader sends only tables: it writes these itself, so
-// they are right without an answer from the store.
+// it; the caller holds the lock. A stale leader sends only tables and
+// suspected requests: it keeps these itself, so they are right without an answer from the store.
 func (s *Source) updateSince(state sentState, stale bool) (*feedpb.Update, sentState) {
 	u := &feedpb.Update{Stale: stale}
 	for _, kept := range s.tables {
@@ -249,6 +261,9 @@
 			u.Tables = append(u.Tables, table)
 		}
 	}
+	if s.quarantineChanged > state.tables {
+		u.Quarantine = encodeQuarantine(s.quarantine, time.Now())
+	}
 	state.tables = s.version
 	if !stale {
 		s.addChanges(u, state.all)
