--- a/operator/api.go
+++ b/operator/api.go
@@ -27,6 +27,8 @@
 	PathExplainTarget  = "/v1/explain/target"
 	PathSeries         = "/v1/series"
 	PathRouters        = "/v1/routers"
+	PathQuarantine     = "/v1/quarantine"
+	PathRelease        = "/v1/quarantine/release"
 )
 
 // ParamRouter is the query parameter that names the router to answer a call. A router
@@ -278,9 +280,50 @@
 	Action string    `json:"action"`
 }
 
+// Quarantine is the list of requests that are suspected of crashing targets.
+type Quarantine struct {
+	Router   string             `json:"router"`
+	Requests []SuspectedRequest `json:"requests"`
+}
+
+// SuspectedRequest is a request that was in flight when targets crashed. Its fingerprint is that of the
+// log lines of its attempts.
+type SuspectedRequest struct {
+	Fingerprint string `json:"fingerprint"`
+	Service     string `json:"service"`
+	// Refused says that it is no longer sent.
+	Refused bool `json:"refused"`
+	// Crashes is how many targets crashed, First and Last when, and Targets which ones the last were.
+	Crashes int       `json:"crashes"`
+	First   time.Time `json:"first"`
+	Last    time.Time `json:"last"`
+	Targets []string  `json:"targets"`
+	// Trials is how often it was sent again since it is refused.
+	Trials int `json:"trials"`
+}
+
+// ReleaseRequest asks to send a refused request again.
+type ReleaseRequest struct {
+	Fingerprint string `json:"fingerprint"`
+	Author      string `json:"author"`
+}
+
+// ReleaseReply names the released request.
+type ReleaseReply struct {
+	Fingerprint string `json:"fingerprint"`
+}
+
+// QuarantineBackend does the work of the calls about requests that crash targets. Its methods return
+// errors of type *Error.
+type QuarantineBackend interface {
+	Quarantine(ctx context.Context) (*Quarantine, error)
+	Release(ctx context.Context, req *ReleaseRequest) (*ReleaseReply, error)
+}
+
 // Backend is implemented by the router and does the work of operator calls. Its methods
 // return errors of type *Error.
 type Backend interface {
+	QuarantineBackend
 	Config(ctx context.Context) (*Config, error)
 	Apply(ctx context.Context, req *ApplyRequest) (*ApplyReply, error)
 	Drain(ctx context.Context, req *DrainRequest) (*ApplyReply, error)
--- a/operator/endpoint.go
+++ b/operator/endpoint.go
@@ -34,8 +34,10 @@
 	{"GET " + PathExplainTarget, keys.RoleRead},
 	{"GET " + PathSeries, keys.RoleRead},
 	{"GET " + PathRouters, keys.RoleRead},
+	{"GET " + PathQuarantine, keys.RoleRead},
 
 	{"POST " + PathDrain, keys.RoleOperate},
+	{"POST " + PathRelease, keys.RoleOperate},
 
 	{"PUT " + PathConfig, keys.RoleAdminister},
 	// A wrong confirmation can give a key two owners.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -24,9 +24,11 @@
 	err   error
 	apply operator.ApplyRequest
 	drain operator.DrainRequest
-	since time.Time
-	query operator.EventQuery
-	key   string
+	// released is the request of the last call to Release.
+	released operator.ReleaseRequest
+	since    time.Time
+	query    operator.EventQuery
+	key      string
 	// passedOn is the router and URI of the last call to PassOn, which passOn answers.
 	passedOn string
 	passOn   func(ctx context.Context) (*http.Response, error)
@@ -99,6 +101,15 @@
 	return &operator.TargetExplanation{Target: name}, f.err
 }
 
+func (f *fakeBackend) Quarantine(context.Context) (*operator.Quarantine, error) {
+	return &operator.Quarantine{Router: f.Self(), Requests: []operator.SuspectedRequest{{Fingerprint: "f", Crashes: 3, Refused: true}}}, f.err
+}
+
+func (f *fakeBackend) Release(_ context.Context, req *operator.ReleaseRequest) (*operator.ReleaseReply, error) {
+	f.released = *req
+	return &operator.ReleaseReply{Fingerprint: req.Fingerprint}, f.err
+}
+
 func serve(t *testing.T, f *fakeBackend) *operator.Client {
 	t.Helper()
 	server := httptest.NewServer(operator.NewHandler(f))
@@ -132,6 +143,14 @@
 	assert.Equal(t, dead.Target, "t")
 	assert.Equal(t, len(dead.Dead), 2)
 
+	quarantined, err := c.Quarantine(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, quarantined.Requests[0].Crashes, 3)
+	released, err := c.Release(ctx, &operator.ReleaseRequest{Fingerprint: "f", Author: "ann"})
+	assert.NilError(t, err)
+	assert.Equal(t, released.Fingerprint, "f")
+	assert.Equal(t, f.released, operator.ReleaseRequest{Fingerprint: "f", Author: "ann"})
+
 	all, err := c.Revisions(ctx, true)
 	assert.NilError(t, err)
 	assert.Equal(t, len(all), 2)
--- a/operator/server.go
+++ b/operator/server.go
@@ -42,7 +42,7 @@
 }
 
 func newServer(b Backend) *server {
-	s := &server{backend: b, slots: make(chan struct{}, maxConcurrentCalls), bodyTimeout: bodyTimeout}
+	s := &server{backend: b, quarantineBackend: b, slots: make(chan struct{}, maxConcurrentCalls), bodyTimeout: bodyTimeout}
 	mux := http.NewServeMux()
 	for pattern, handle := range handlers(s) {
 		mux.HandleFunc(pattern, handle)
@@ -69,12 +69,16 @@
 		"GET " + PathExplainTarget:  s.explainTarget,
 		"GET " + PathSeries:         s.series,
 		"GET " + PathRouters:        s.routers,
+		"GET " + PathQuarantine:     s.quarantine,
+		"POST " + PathRelease:       s.release,
 	}
 }
 
 type server struct {
 	backend Backend
-	mux     *http.ServeMux
+	// quarantineBackend is the part of backend that a handler of its own may serve.
+	quarantineBackend QuarantineBackend
+	mux               *http.ServeMux
 	// slots limits the calls in flight: each holds one place in the channel.
 	slots       chan struct{}
 	bodyTimeout time.Duration
--- a/router/build.go
+++ b/router/build.go
@@ -131,4 +131,5 @@
 	r.health = newHealthDuty(r)
 	r.balance = newRebalanceDuty(r)
 	r.past = newHistoryDuty(r)
+	r.quarantine = newQuarantineDuty(r)
 }
--- a/router/forward.go
+++ b/router/forward.go
@@ -13,6 +13,7 @@
 	"tarragongw/core/routing"
 	"tarragongw/core/selector"
 	"tarragongw/core/shed"
+	"tarragongw/crashguard"
 	"tarragongw/duty"
 	"tarragongw/peer"
 	"tarragongw/replay"
@@ -45,6 +46,10 @@
 	last      route
 	// status is that of the target's answer, once there is one.
 	status int
+	// guarded is the request as the guard against crashes sees it.
+	guarded crashguard.Request
+	// mayHaveRun is the fault of the last attempt after which the request may have run; nil if none.
+	mayHaveRun *fault.Fault
 }
 
 // Forward implements caller.Forwarder. It is the only place where an attempt is
@@ -56,6 +61,7 @@
 		defer inFlight.Add(-1)
 	}
 	x := &exchange{w: w, r: req, meta: meta, body: replay.New(req, maxReplayBytes)}
+	x.guarded = newGuardRequest(x)
 	if f := x.awaitBody(); f != nil {
 		return f
 	}
@@ -66,9 +72,16 @@
 		f := r.try(x)
 		if f == nil {
 			r.retrierOf(meta.Service).success()
+			if x.status > 0 && x.status < http.StatusInternalServerError {
+				r.quarantine.guard.Answered(&x.guarded)
+			}
 			return nil
 		}
+		if f.Kind == fault.Quarantined && x.mayHaveRun != nil {
+			return x.mayHaveRun
+		}
 		x.failed(start, f)
+		r.noteFailedAttempt(x, f)
 		if !x.body.RewindInto(x.r) || !r.again(x, f) {
 			return f
 		}
@@ -96,6 +109,9 @@
 		x.waits++
 		return r.awaitRoute(x)
 	}
+	if !x.guarded.MayResend() {
+		return false
+	}
 	decision := r.retrierOf(x.meta.Service).decide(retry.Attempt{
 		Number:     x.attempt - x.waits,
 		Repeatable: x.meta.Repeatable,
@@ -123,6 +139,9 @@
 // try makes one attempt.
 func (r *Router) try(x *exchange) *fault.Fault {
 	x.last = route{}
+	if f := r.quarantine.guard.Begin(&x.guarded); f != nil {
+		return f
+	}
 	v := r.view.Load()
 	if v == nil {
 		return fault.New(fault.NotReady, "no configuration yet")
--- a/router/router.go
+++ b/router/router.go
@@ -75,6 +75,8 @@
 	// own refuses work while the router itself is too slow.
 	own     *ownDelay
 	balance *rebalanceDuty
+	// quarantine refuses requests that crash targets.
+	quarantine *quarantineDuty
 	// past keeps the measures of the last hours; history is that of the configuration.
 	past *historyDuty
 	// imbalances holds the gauge of each service by name.
@@ -147,6 +149,7 @@
 	r.run(r.pulse)
 	r.balance.start()
 	r.own.start()
+	r.run(r.quarantine.run)
 	r.peers.Start(r)
 	r.run(func() { r.serveOn("callers", r.caller.Serve, r.callerListener) })
 	r.run(func() { r.serveOn("operators", r.serveOperators, r.operatorListener) })
@@ -216,6 +219,8 @@
 		r.members.receive(from, payload)
 	case wire.KindConfirm:
 		r.confirms.receive(from, payload)
+	case kindQuarantine, kindObservations:
+		r.quarantine.receive(from, kind, payload)
 	case wire.KindLoad, wire.KindCompactLoad, wire.KindMoves:
 		r.balance.receive(from, kind, payload)
 	}
