--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/operator"
 	"tarragongw/target"
 )
 
@@ -19,6 +20,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, g.opts.Telemetry.Handler())
+	quarantine := operator.NewQuarantineHandler(quarantineOperator{g})
+	mux.Handle(operator.PathQuarantine, quarantine)
+	mux.Handle(operator.PathRelease, quarantine)
 	g.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	g.goRun(func() { g.serveInternal(g.metricsServer, g.metricsListener) })
 }
