Check doubtful targets rarely, and test the guard by itself

A target that resets connections when it is full was tried four times in 1.3 s by each router, again and again: with many routers these connections would add to its load. It is tried twice, at most every five seconds; in between, only failed connections of requests tell that it has crashed. What broke off more than a second before a crash is no suspect of it.

--- a/crashguard/watch.go
+++ b/crashguard/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -17,9 +18,12 @@
 	// of one of them that are remembered.
 	maxDoubtful    = 64
 	maxBrokenSends = 64
-	// crashMemory is how long a crash is remembered: a send that it broke off may be noticed later
-	// than the crash itself.
-	crashMemory = 5 * time.Second
+	// checkInterval is the least time between two checks of a target. A target that resets
+	// connections when it is full must not get more of them for that.
+	checkInterval = 5 * time.Second
+	// sendMemory is how long before a crash a send may have been broken off by it: for longer than
+	// the checks take.
+	sendMemory = time.Second
 	// checkTimeout bounds one check whether a target accepts connections.
 	checkTimeout = 350 * time.Millisecond
 )
@@ -27,7 +31,7 @@
 // crashCheckDelays are the pauses before each check whether a target still accepts connections. The
 // system closes the sockets of a process that has crashed in any order, so that its listening socket
 // may be open for a moment after a connection has ended.
-var crashCheckDelays = []time.Duration{0, 50 * time.Millisecond, 250 * time.Millisecond, time.Second}
+var crashCheckDelays = []time.Duration{0, 100 * time.Millisecond}
 
 // Target is one instance of a target.
 type Target struct {
@@ -56,11 +60,23 @@
 	doubtful map[Target]*doubtfulTarget
 }
 
-// doubtfulTarget is a target that broke off sends and is being checked, or that has crashed.
+// doubtfulTarget is a target that broke off sends and is being checked, was checked lately, or has
+// crashed.
 type doubtfulTarget struct {
 	target  Target
 	crashed bool
-	sends   []quarantine.Suspect
+	// sends are those that were broken off within sendMemory, oldest first.
+	sends []brokenSend
+}
+
+type brokenSend struct {
+	at      time.Time
+	suspect quarantine.Suspect
+}
+
+// dropOld drops the sends that were broken off more than sendMemory ago.
+func (d *doubtfulTarget) dropOld(now time.Time) {
+	d.sends = slices.DeleteFunc(d.sends, func(s brokenSend) bool { return now.Sub(s.at) > sendMemory })
 }
 
 func newWatch(opts *Options, onCrash func(*Target, []quarantine.Suspect)) *watch {
@@ -72,7 +88,7 @@
 	if !w.opts.IsActive(t) {
 		return
 	}
-	key := *t
+	key, now := *t, time.Now()
 	w.mu.Lock()
 	doubtful := w.doubtful[key]
 	begin := doubtful == nil && len(w.doubtful) < maxDoubtful
@@ -80,11 +96,15 @@
 		doubtful = &doubtfulTarget{target: key}
 		w.doubtful[key] = doubtful
 	}
-	if doubtful == nil || len(doubtful.sends) >= maxBrokenSends {
+	if doubtful == nil {
 		w.mu.Unlock()
 		return
 	}
-	doubtful.sends = append(doubtful.sends, s)
+	if doubtful.dropOld(now); len(doubtful.sends) >= maxBrokenSends {
+		w.mu.Unlock()
+		return
+	}
+	doubtful.sends = append(doubtful.sends, brokenSend{now, s})
 	crashed := doubtful.crashed
 	w.mu.Unlock()
 	if crashed {
@@ -95,7 +115,8 @@
 	}
 }
 
-// check tries to connect to a target until that is refused, or until all tries have been made.
+// check tries to connect to a target until that is refused, or until all tries have been made. For the
+// rest of checkInterval only failed connections of requests tell that the target has crashed.
 func (w *watch) check(doubtful *doubtfulTarget) {
 	defer w.forget(doubtful)
 	for _, delay := range crashCheckDelays {
@@ -104,10 +125,10 @@
 		}
 		if w.hasCrashed(doubtful) || w.refusesConnections(doubtful.target.Address) {
 			w.crashed(doubtful)
-			duty.Sleep(w.opts.Lifetime, crashMemory)
-			return
+			break
 		}
 	}
+	duty.Sleep(w.opts.Lifetime, checkInterval)
 }
 
 func (w *watch) hasCrashed(doubtful *doubtfulTarget) bool {
@@ -137,10 +158,14 @@
 		return
 	}
 	doubtful.crashed = true
-	sends := doubtful.sends
+	doubtful.dropOld(time.Now())
+	var suspects []quarantine.Suspect
+	for _, s := range doubtful.sends {
+		suspects = append(suspects, s.suspect)
+	}
 	w.mu.Unlock()
 	w.opts.count("target_crashes_total", doubtful.target.Service)
-	w.report(&doubtful.target, sends)
+	w.report(&doubtful.target, suspects)
 }
 
 func (w *watch) report(t *Target, suspects []quarantine.Suspect) {
--- a/crashguard/watch_test.go
+++ b/crashguard/watch_test.go
@@ -3,7 +3,10 @@
 import (
 	"log/slog"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -51,6 +54,39 @@
 	assert.Equal(t, len(crashes), 0)
 }
 
+// Guards against routers that open more connections to a target because that resets them when it is full.
+func TestTargetThatResetsConnectionsIsCheckedRarely(t *testing.T) {
+	w, _ := newTestWatch(t, true)
+	target, listener := listen(t)
+	var opened atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			_ = conn.Close()
+		}
+	}()
+	for range 50 {
+		w.brokeOff(target, suspectOf(1))
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, int(opened.Load()) <= len(crashCheckDelays), "%d connections", opened.Load())
+}
+
+// Guards against requests that are suspected of a crash although their connections ended well before it.
+func TestSendThatBrokeOffLongBeforeACrashIsNoSuspect(t *testing.T) {
+	w, crashes := newTestWatch(t, true)
+	target, _ := listen(t)
+	w.brokeOff(target, suspectOf(1))
+	time.Sleep(sendMemory + 100*time.Millisecond)
+	w.brokeOff(target, suspectOf(2))
+	w.connectFailed(target, syscall.ECONNREFUSED)
+	assert.DeepEqual(t, <-crashes, []quarantine.Suspect{suspectOf(2)})
+}
+
 // Guards against requests that are suspected because their target ended as planned.
 func TestEndOfDrainingTargetIsNoCrash(t *testing.T) {
 	w, crashes := newTestWatch(t, false)
