--- a/gateway/crashguard_test.go
+++ b/gateway/crashguard_test.go
@@ -236,3 +236,33 @@
 	t.Logf("%d of %d served", served.Load(), sent.Load())
 	assert.Assert(t, sent.Load() > 100 && sent.Load()-served.Load() <= sent.Load()/100, "%d of %d served", served.Load(), sent.Load())
 }
+
+// Guards against a crashing request that routers which start forget because the store lost the list when it
+// was restored from an older copy.
+func TestRestoredStoreIsGivenTheListAgain(t *testing.T) {
+	targets := newCrashingTargets(9, plainTarget)
+	f := newFleet(t, 0, "")
+	f.store.ReportEra(firstEra)
+	f.configure(plainConfig)
+	for _, target := range targets.all {
+		f.add(target)
+	}
+	for _, name := range []string{"router-0", "router-1"} {
+		waittest.Until(t, "it is ready", f.start(name).synced.Load)
+	}
+	f.store.Snapshot()
+	deadly := call{method: http.MethodGet, path: deadlyPath, key: testKey}
+	targets.repeatUntilKnown(f, deadly)
+	waittest.Until(t, "the list is in the store", func() bool { return f.store.Value(quarantineKey) != nil })
+	f.store.Restore(defaultRestore)
+	assert.Assert(t, f.store.Value(quarantineKey) == nil)
+	waittest.Until(t, "the list is in the store again", func() bool { return f.store.Value(quarantineKey) != nil })
+	before := targets.reached.Load()
+	for _, g := range f.gateways {
+		abandon(g)
+	}
+	f.gateways = nil
+	waittest.Until(t, "it is ready", f.start("new").synced.Load)
+	targets.repeat(f, deadly, 20, 0)
+	assert.Assert(t, targets.reached.Load()-before <= maxSendsAfter, "reached targets %d times more", targets.reached.Load()-before)
+}
