Count no second crash for a target that is back

In run, targets have no start time: for five seconds after a crash any closed connection of the restarted target counted as a part of it, and two seconds after it as another crash. A crash is remembered for a second now, for the sends that are noticed late. Found by reading; the new test fails without it.

--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -302,7 +302,7 @@
 	for i := range refused {
 		e := &refused[i]
 		g.opts.Log.Warn("request quarantined", "service", e.Service, "fingerprint", e.Fingerprint, "crashes", e.Crashes, "instances", e.Instances,
-			"first", time.Since(e.First), "seen_by", router)
+			"first_crash_ago", time.Since(e.First), "seen_by", router)
 	}
 	if changed {
 		g.publish()
--- a/crashguard/watch.go
+++ b/crashguard/watch.go
@@ -21,8 +21,8 @@
 	// checkInterval is the least time between two checks of a target. A target that resets
 	// connections when it is full must not get more of them for that.
 	checkInterval = 5 * time.Second
-	// sendMemory is how long before a crash a send may have been broken off by it: for longer than
-	// the checks take.
+	// sendMemory is how long before or after a crash is noticed a send may have been broken off by
+	// it: for longer than the checks take.
 	sendMemory = time.Second
 	// checkTimeout bounds one check whether a target accepts connections.
 	checkTimeout = 350 * time.Millisecond
@@ -125,7 +125,9 @@
 		}
 		if w.hasCrashed(doubtful) || w.refusesConnections(doubtful.target.Address) {
 			w.crashed(doubtful)
-			break
+			// Some of the sends that it broke off may be noticed a little later.
+			duty.Sleep(w.opts.Lifetime, sendMemory)
+			return
 		}
 	}
 	duty.Sleep(w.opts.Lifetime, checkInterval)
--- a/crashguard/watch_test.go
+++ b/crashguard/watch_test.go
@@ -110,6 +110,23 @@
 	assert.DeepEqual(t, <-crashes, []quarantine.Suspect{suspectOf(3)})
 }
 
+// Guards against a crash that is counted again because the target, which has no other name since, closes a
+// connection after its restart.
+func TestConnectionClosedAfterARestartIsNoSecondCrash(t *testing.T) {
+	w, crashes := newTestWatch(t, true)
+	target, listener := listen(t)
+	assert.NilError(t, listener.Close())
+	w.brokeOff(target, suspectOf(1))
+	<-crashes
+	restarted, err := net.Listen("tcp", target.Address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = restarted.Close() })
+	waittest.Until(t, "the crash is over", w.idle)
+	w.brokeOff(target, suspectOf(2))
+	waittest.Until(t, "the checks have ended", w.idle)
+	assert.Equal(t, len(crashes), 0)
+}
+
 // Guards against memory that grows with the sends that targets break off.
 func TestBrokenSendsAreBounded(t *testing.T) {
 	w, _ := newTestWatch(t, true)
