Keep the crashes of three tests apart from each other

Their three crashes came within a second, in which case a trial is due at once, as designed, and the next request was let through where the tests expected a refusal. The tests leave 1.5 s between crashes now; what they check is the same.

--- a/gateway/crashguard_test.go
+++ b/gateway/crashguard_test.go
@@ -18,6 +18,9 @@
 // besidePath is the path of an innocent request that is slower than the deadly one.
 const besidePath = "/read/beside"
 
+// betweenCrashes is longer than crashes with a common cause are apart, which would be followed by a trial.
+const betweenCrashes = 1500 * time.Millisecond
+
 // refuses reports whether a gateway refuses a request with the path and testKey.
 func refuses(g *Gateway, f quarantine.Fingerprint) bool {
 	for _, e := range g.guard.List().Entries {
@@ -185,6 +188,7 @@
 		before := targets.reached.Load()
 		got := f.send(f.gateways[0], deadly)
 		assert.Equal(t, got.status == http.StatusServiceUnavailable, targets.reached.Load() == before, "%d", got.status)
+		time.Sleep(betweenCrashes)
 	}
 	got := f.send(f.gateways[0], deadly)
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
@@ -197,7 +201,10 @@
 	targets := newCrashingTargets(9, plainTarget)
 	f := newFleet(t, 1, patientConfig, targets.all...)
 	deadly := call{method: http.MethodGet, path: deadlyPath, key: testKey}
-	targets.repeatUntilKnown(f, deadly)
+	for !refuses(f.gateways[0], fingerprintOf(deadlyPath)) {
+		f.send(f.gateways[0], deadly)
+		time.Sleep(betweenCrashes)
+	}
 	for _, target := range targets.all {
 		target.SetHandler(func(http.ResponseWriter, *http.Request) bool { return false })
 	}
--- a/gateway/quarantineoperator_test.go
+++ b/gateway/quarantineoperator_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -22,7 +23,13 @@
 		waittest.Until(t, "it is ready", f.start(name).synced.Load)
 	}
 	deadly := call{method: http.MethodGet, path: deadlyPath, key: testKey}
-	targets.repeatUntilKnown(f, deadly)
+	for !refuses(f.gateways[0], fingerprintOf(deadlyPath)) {
+		f.send(f.gateways[0], deadly)
+		time.Sleep(betweenCrashes)
+	}
+	for _, g := range f.gateways {
+		waittest.Until(t, "it is refused", func() bool { return refuses(g, fingerprintOf(deadlyPath)) })
+	}
 	for _, g := range f.gateways {
 		c := &operator.Client{Base: "http://" + g.metricsListener.Addr().String()}
 		list, err := c.Quarantine(t.Context())
