Call no request not run whose earlier send may have run

Callers of serve were answered 503, ran=not-run, where the first send of a repeatable request broke off and the second was refused: TestAttemptThatCrashed- ATargetIsNotCalledNotRun failed so in 1 of 4 runs once its crashes were apart (first send: target_lost; second: target_unreachable; one target reached). The last fault alone was told.

The attempt's last fault after which it may have run is told now, as was so for quarantined ones before: 502, unknown. Requests that may run once only are not sent again after such a fault, so nothing changes for them.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -69,7 +69,7 @@
 		if f == nil {
 			return nil
 		}
-		if f.Kind == fault.Quarantined && x.mayHaveRun != nil {
+		if f.Ran == fault.NotRun && x.mayHaveRun != nil {
 			return x.mayHaveRun
 		}
 		if !x.body.RewindInto(x.r) || !x.mayRepeat(f) {
