--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -27,8 +27,8 @@
 )
 
 // quarantineDuty exchanges what the routers know of requests that crash targets. The live router with
-// the lowest name keeps the list. Routers that disagree for a moment keep two, and each entry is
-// then at least as old as one of the lists.
+// the lowest name keeps the list. While routers disagree on who that is, several may keep one; the
+// right one takes over what the others know, see Guard.Contest.
 type quarantineDuty struct {
 	r     *Router
 	guard *crashguard.Guard
