Wait for requests of former grantors before a key moves

What callers saw: after a hand-over of a target that checks nothing, a key of it moved 98 ms later, and requests that the former grantor had begun before ran at the old target beside the new owner, 1.009 to 1.017 s after the move with that router suspended and 12 to 31 ms after it with a slow caller.

Cause: a move waits for what its own router has in flight. A hand-over let begun requests go on without an end (Gate.SendUntil), its record said nothing of them, and nobody asked; takeHandOver waits for orders under way only.

The late requests were 0.18 to 0.78 s older than the hand-over, the former grantor logged handed_over and no loss, and the move took 98 ms of its 30 s, so that neither requests begun after the hand-over, nor a lapsed right, nor a wait that was given up explain it.

Change: the record of a hand-over names the router that wrote it, with the units that have requests in flight once its gate is closed. Its right to finish them ends 320 ms after a read of a record that still names it, or after a report that the grantor answered, and the write under a lease enforces that end. The grantor moves none of these units before they are reported done; if the router is silent for 300 ms the grantor revokes the right in the record and waits until it must have ended. Claims and hand-overs carry the entries on. What remembers lapsed terms for ever (lapsedTerms) is gone: a right without an entry is no right.

Why it works: a router that can send has read, or was told, at most 320 ms ago that the units stay; whoever moves them has its word that it is done, or has made sure that it can be told so no more and waited.

--- a/cmd/tarragonctl/inspect.go
+++ b/cmd/tarragonctl/inspect.go
@@ -101,6 +101,9 @@
 	return show(c, reply, func(out io.Writer, e *operator.TargetExplanation) {
 		fmt.Fprintf(out, "target %s of %s in %s at %s: %s\n", e.Target, e.Service, e.DataCentre, e.Address, e.Health)
 		fmt.Fprintf(out, "  grantor %s, term %d; successors %s\n", orNone(e.Grantor), e.Term, orNone(strings.Join(e.Successors, ", ")))
+		if len(e.FormerGrantors) > 0 {
+			fmt.Fprintf(out, "  requests begun before a hand-over by %s\n", strings.Join(e.FormerGrantors, ", "))
+		}
 		fmt.Fprintf(out, "  owns %d units; draining %t\n", e.Units, e.Draining)
 		fmt.Fprintf(out, "  here: %d of %d slots in use, %d waiting\n", e.InFlight, e.Slots, e.Queued)
 		showEvents(out, e.Events)
--- a/core/ownership/action.go
+++ b/core/ownership/action.go
@@ -78,6 +78,19 @@
 	Abort bool
 }
 
+// CountBegun asks for the units with requests in flight at the target, as of the gate that was set
+// before. The shell answers with BegunCounted, and with BegunEnded for each of the units.
+type CountBegun struct {
+	Target   string
+	Sequence uint64
+}
+
+// CancelBegun cancels the requests in flight on the units at the target.
+type CancelBegun struct {
+	Target string
+	Units  UnitSet
+}
+
 // SetGate replaces the snapshot that the request path checks right before each send.
 type SetGate struct{ Gate *Gate }
 
@@ -102,6 +115,14 @@
 	Kind   ReportKind
 	Target string
 	Term   uint64
+	// Router is the former grantor that the report is about, if any.
+	Router string
+	// Units have requests that were begun before a hand-over. Waited is the longest time that one
+	// of their moves waited for these.
+	Units  []routing.Unit
+	Waited time.Duration
+	// Ends is within which time the right of a former grantor ends.
+	Ends time.Duration
 }
 
 // ReportKind is the kind of a Report.
@@ -136,11 +157,21 @@
 	// ClaimedElsewhere means that this router takes over a target of a data centre that is
 	// cut off. TookOver follows once no router there can order the target any more.
 	ClaimedElsewhere
+	// AwaitingFormer means that moves wait for requests that Router, a former grantor, had begun.
+	AwaitingFormer
+	// FormerAwaited means that they do no longer.
+	FormerAwaited
+	// FormerRevoked means that Router may not finish these requests, because it is silent.
+	FormerRevoked
+	// FinishRightEnded means that this router, a former grantor, may not finish requests that it
+	// had begun.
+	FinishRightEnded
 )
 
 func (r ReportKind) String() string {
 	return [...]string{"took_over", "took_over_without_store", "superseded", "handed_over", "target_lost",
-		"unprovable", "promises_only", "stale_units", "loss_held", "loss_dismissed", "claimed_elsewhere"}[r]
+		"unprovable", "promises_only", "stale_units", "loss_held", "loss_dismissed", "claimed_elsewhere",
+		"awaiting_former", "former_awaited", "former_revoked", "finish_right_ended"}[r]
 }
 
 func (Read) isAction()        {}
@@ -149,6 +180,8 @@
 func (SendPeer) isAction()    {}
 func (ProbeTarget) isAction() {}
 func (CloseSend) isAction()   {}
+func (CountBegun) isAction()  {}
+func (CancelBegun) isAction() {}
 func (SetGate) isAction()     {}
 func (Publish) isAction()     {}
 func (Assigned) isAction()    {}
--- a/core/ownership/claim.go
+++ b/core/ownership/claim.go
@@ -9,6 +9,9 @@
 	if d.phase == claiming && k.actWithoutStore(now, d) {
 		return
 	}
+	if k.countsForHandOver(now, d) {
+		return
+	}
 	if now < d.nextClaimAt || k.writes[key] != nil || !d.recordRead || len(k.live) == 0 {
 		return
 	}
@@ -170,7 +173,7 @@
 	d.nextClaimAt = now + k.cfg.RenewEvery
 	d.oldAuthorityWait = k.oldAuthority(d)
 	op := k.nextOp()
-	next := &GrantorRecord{Target: d.spec.Name, Term: TermPlaces, Router: k.cfg.Self,
+	next := &GrantorRecord{Target: d.spec.Name, Term: TermPlaces, Router: k.cfg.Self, Formers: k.formersForClaim(d),
 		Successors: k.successors(now, d, k.cfg.Self), DataCentre: k.dataCentreForRecord(d), YieldAfter: d.wantedYield(), Ops: Ops{op}}
 	if d.record != nil {
 		next.Term, next.Ops = nextEpoch(d.record.Term), d.record.Ops.with(op)
@@ -197,7 +200,8 @@
 	case d.withoutStore:
 		// The units stay assigned: no other router can have ordered the target since this one
 		// took over.
-		d.withoutStore, d.term, d.until = false, g.Term, 0
+		d.withoutStore, d.until = false, 0
+		k.setTerm(d, g.Term)
 		k.confirm(now, d, w.sentAt)
 	case d.phase == claiming:
 		if k.isRemote(d) {
@@ -224,7 +228,7 @@
 // checks refuses this router's own term. successorStopped means that the successor is known
 // to have stopped; otherwise the only proof is that the target accepts the new term.
 func (k *Keeper) raiseTerm(now time.Duration, d *duty, proved bool) {
-	k.noteLapse(d)
+	k.endFinishRight(d.key)
 	k.drop(d, d.reported)
 	d.termRaisePending, d.successorStopped = true, proved
 	k.considerClaim(now, d)
--- a/core/ownership/config.go
+++ b/core/ownership/config.go
@@ -69,6 +69,7 @@
 	omitUnproved
 	omitOrderBoundCheck
 	omitJustChanged
+	omitFormers
 )
 
 // Defaults of Config.
--- a/core/ownership/duty.go
+++ b/core/ownership/duty.go
@@ -35,6 +35,8 @@
 	term       uint64
 	// handOver is this router's hand-over of the duty while it isn't known to have landed.
 	handOver *handOver
+	// formers has the former grantors that the record names.
+	formers map[Router]*formerState
 	// until bounds the authority; see validUntil.
 	until time.Duration
 	// confirmedAt is when the latest read that found this router's term was sent.
@@ -149,6 +151,7 @@
 	case serving:
 		k.renewAuthority(now, d)
 		k.advanceGrants(now, d)
+		k.advanceFormers(now, d)
 		k.writeClaimMadeWithoutStore(now, d)
 		k.considerHandOver(now, d)
 	}
@@ -197,58 +200,37 @@
 // learnGrantor applies a record of the store, whichever way it arrived.
 func (k *Keeper) learnGrantor(now time.Duration, g *GrantorRecord, revision uint64) {
 	d := k.duties[g.Target]
-	if d == nil || revision <= d.revision {
+	if d == nil {
+		k.judgeUnconfigured(g, revision)
+		return
+	}
+	if revision <= d.revision {
 		return
 	}
-	k.learnHandOver(d, g)
+	k.judgeFinishRight(d, g, d.key, revision)
+	if g.Router != k.cfg.Self {
+		d.handOver = nil
+	}
 	d.record, d.revision, d.recordRead = g, revision, true
 	if k.cfg.omit == omitTermCheck && d.phase >= waiting {
 		return
 	}
 	if d.phase >= waiting && (g.Router != k.cfg.Self || (g.Term != d.term && !d.withoutStore)) {
-		k.noteLapse(d)
+		k.endFinishRight(d.key)
 		k.drop(d, Superseded)
 		d.supersededAt = now
 	}
-	if d.phase == idle && g.Router == k.cfg.Self && !d.termRaisePending && k.writes[d.key] == nil {
+	if d.phase == idle && g.Router == k.cfg.Self && !d.termRaisePending && k.writes[d.key] == nil && !d.countsBegun() {
 		k.takeHandOver(now, d)
 	}
 }
 
-// noteLapse records that this router's term ended without a hand-over.
-func (k *Keeper) noteLapse(d *duty) {
-	if d.term == 0 {
-		return
-	}
-	k.lapsedTerms[d.spec.Name] = max(k.lapsedTerms[d.spec.Name], d.term)
-	k.gateStale = true
-}
-
-// handOver is a hand-over whose record is being written.
-type handOver struct {
-	op Op
-	// until is the end of the authority that is handed over. Until the record has landed, requests
-	// that have started may go on for no longer: another router may take the target over instead.
-	until time.Duration
-}
-
-// learnHandOver notes what another router's record says of a hand-over by this router.
-func (k *Keeper) learnHandOver(d *duty, g *GrantorRecord) {
-	if d.record == nil || d.record.Router != k.cfg.Self || g.Router == k.cfg.Self {
-		return
-	}
-	if d.handOver == nil || !g.Ops.Landed(d.handOver.op) {
-		k.noteLapse(d)
-	}
-	d.handOver = nil
-	k.gateStale = true
-}
-
 // drop ends the duty at this router.
 func (k *Keeper) drop(d *duty, kind ReportKind) {
 	d.report(k, kind)
 	d.phase, d.withoutStore, d.promisesStoppedAt, d.until, d.meetsOrderBound = idle, false, 0, 0, false
 	d.received, d.grants, d.reachProbes = receivedPromises{sequence: d.received.sequence}, grants{sequence: d.sequence}, nil
+	k.endFormerWaits(d)
 	k.clearSuspicion(d)
 	k.dropMoves(d.spec.Name)
 	k.gateStale = true
--- a/core/ownership/event.go
+++ b/core/ownership/event.go
@@ -118,6 +118,20 @@
 	Units  []routing.Unit
 }
 
+// BegunCounted answers CountBegun: the units with requests in flight at the target.
+type BegunCounted struct {
+	Target   string
+	Sequence uint64
+	Units    []routing.Unit
+}
+
+// BegunEnded follows BegunCounted for each of its units, once no request on it is in flight.
+type BegunEnded struct {
+	Target   string
+	Sequence uint64
+	Unit     routing.Unit
+}
+
 // MovesRequested asks for moves of units from targets whose grantor is this router; other
 // moves are ignored.
 type MovesRequested struct{ Moves []Move }
@@ -146,6 +160,8 @@
 func (TargetHealth) isEvent()   {}
 func (TargetProbed) isEvent()   {}
 func (SendClosed) isEvent()     {}
+func (BegunCounted) isEvent()   {}
+func (BegunEnded) isEvent()     {}
 func (MovesRequested) isEvent() {}
 func (PeerMessage) isEvent()    {}
 func (DeadConfirmed) isEvent()  {}
--- a/core/ownership/export_test.go
+++ b/core/ownership/export_test.go
@@ -20,6 +20,7 @@
 	OmitUnproved        = omitUnproved
 	OmitOrderBoundCheck = omitOrderBoundCheck
 	OmitJustChanged     = omitJustChanged
+	OmitFormers         = omitFormers
 )
 
 // Without returns the settings with the rule disabled.
--- a/core/ownership/fault_test.go
+++ b/core/ownership/fault_test.go
@@ -46,7 +46,7 @@
 	duration time.Duration
 }
 
-const faultKinds = 11
+const faultKinds = 13
 
 func generatedFault(t *rapid.T) fault {
 	return fault{kind: rapid.IntRange(0, faultKinds-1).Draw(t, "kind"),
@@ -84,7 +84,37 @@
 		w.IsolateRouter(w.Grantor(target), f.duration)
 	case 10:
 		isolateGrantorWithStore(w, w.Grantor(target), f.duration)
+	case 11, 12:
+		moveAfterHandOver(w, target, fmt.Sprintf("t%d", f.b), func(former int) {
+			if f.kind == 12 {
+				w.PauseRouter(former, f.duration)
+			}
+		})
+	}
+}
+
+// handOverWait is for how long moveAfterHandOver waits for another grantor.
+const handOverWait = 3 * time.Second
+
+// moveAfterHandOver waits until the target has another grantor, and then requests moves of its units
+// and calls then with the former one.
+func moveAfterHandOver(w *ownershiptest.World, target, to string, then func(former int)) {
+	former, end := w.Grantor(target), w.Now()+handOverWait
+	var look func()
+	look = func() {
+		switch {
+		case w.Grantor(target) == former && w.Now() < end:
+			w.After(5*ms, look)
+		case w.Grantor(target) != former:
+			then(former)
+			for _, u := range w.Units() {
+				if w.Owner(u) == target {
+					w.RequestMoves(ownership.Move{Unit: u, From: target, To: to})
+				}
+			}
+		}
 	}
+	look()
 }
 
 // isolateGrantorWithStore cuts all routers off from the store, then cuts the grantor off
@@ -103,7 +133,7 @@
 // runHistory runs faults in a world and returns the world after they have ended.
 func runHistory(seed int64, specs []ownership.TargetSpec, rule ownership.Omitted, faults []fault) *ownershiptest.World {
 	opt := options(seed, specs, rule)
-	opt.ReplyLoss = 0.03
+	opt.ReplyLoss, opt.SlowShare = 0.03, 0.05
 	w := ownershiptest.New(opt)
 	start := w.Now()
 	for at := time.Duration(0); at < 9000*ms; at += 5 * ms {
--- a/core/ownership/gate.go
+++ b/core/ownership/gate.go
@@ -12,8 +12,6 @@
 type Gate struct {
 	table  *Table
 	rights map[string]sendRight
-	// lapsedTerms has, by target, the highest term of this router that ended without a hand-over.
-	lapsedTerms map[string]uint64
 }
 
 type sendRight struct {
@@ -21,6 +19,10 @@
 	until time.Duration
 	// closed is set while no new request may be sent under the right.
 	closed bool
+	// since is the lowest of this router's terms whose requests may be finished, finishUntil until
+	// when.
+	since       uint64
+	finishUntil time.Duration
 }
 
 // MaySend reports whether a request on the unit may be sent to the target now. It must be
@@ -68,19 +70,22 @@
 // target that was admitted under the term; zero means not at all. started is set if bytes of it
 // have been sent.
 //
-// What has started may be finished after a move, which waits for it, and after a hand-over, although
-// the next grantor doesn't. It may not be finished after another router has taken the target over
-// because this one was suspended or cut off: the unit may have moved meanwhile.
+// What has started may be finished after a move, which waits for it, and after a hand-over, for as
+// long as the next grantor waits for it; see finishRight. It may not be finished after another router
+// has taken the target over because this one was suspended or cut off: the unit may have moved
+// meanwhile.
 func (g *Gate) SendUntil(target string, term uint64, started bool) time.Duration {
-	if g == nil || term == 0 || term <= g.lapsedTerms[target] {
+	if g == nil || term == 0 {
 		return 0
 	}
-	h, held := g.rights[target]
+	h := g.rights[target]
 	switch {
-	case held && (started || h.term == term):
-		return h.until
+	case term < h.since || term > h.term:
+		return 0
 	case started:
-		return never
+		return h.finishUntil
+	case term == h.term && !h.closed:
+		return h.until
 	default:
 		return 0
 	}
--- a/core/ownership/handover.go
+++ b/core/ownership/handover.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tarragongw/core/ownership/ownershippb"
+	"tarragongw/core/routing"
 )
 
 // considerHandOver hands the duty over to a better-ranked router, or to the next one at a
@@ -46,20 +47,79 @@
 	k.writeNextGrantor(now, d, GrantorRecord{Router: to, Successors: k.successors(now, d, to), DataCentre: k.dataCentreForRecord(d)})
 }
 
-// writeNextGrantor completes the record of the next grantor, stops serving and writes the
-// record.
+// handOver is a hand-over whose record is not known to have landed.
+type handOver struct {
+	op   Op
+	next *GrantorRecord
+	// countedAt is when the requests in flight were asked for; they are awaited while counting.
+	countedAt time.Duration
+	counting  bool
+}
+
+// writeNextGrantor stops serving, has the requests in flight counted, and then writes the record
+// of the next grantor. The order matters: the record has to name all that began before the gate
+// was closed.
 func (k *Keeper) writeNextGrantor(now time.Duration, d *duty, next GrantorRecord) {
-	op := k.nextOp()
-	next.Target, next.Term = d.spec.Name, nextEpoch(d.record.Term)
-	next.YieldAfter, next.Ops = d.wantedYield(), d.record.Ops.with(op)
-	until := min(d.until, d.validUntil(k))
-	if d.handOver != nil { // an earlier attempt has failed
-		until = d.handOver.until
+	if k.formersFull(now, d) {
+		return
 	}
-	d.handOver = &handOver{op: op, until: until}
+	d.handOver = &handOver{next: &next, countedAt: now, counting: true}
+	r := k.keepFinishRight(d)
+	next.Formers = k.formersForRecord(now, d)
 	k.drop(d, d.reported) // HandedOver is reported once the record is written
 	k.refreshGate()
-	k.put(now, d.key, d.revision, op, Update{Grantor: &next})
+	if !k.dividedByKey(d.spec.Service) {
+		k.writeHandOver(now, d, nil)
+		return
+	}
+	k.countSequence++
+	r.countSequence, r.counted = k.countSequence, false
+	k.emit(CountBegun{Target: d.spec.Name, Sequence: r.countSequence})
+}
+
+// countsBegun reports whether the requests in flight are being counted for a hand-over.
+func (d *duty) countsBegun() bool { return d.handOver != nil && d.handOver.counting }
+
+// countsForHandOver reports whether a hand-over of the duty waits for the count of requests in
+// flight. If the count is late, the record says that any unit may have some.
+func (k *Keeper) countsForHandOver(now time.Duration, d *duty) bool {
+	if !d.countsBegun() {
+		return false
+	}
+	if now-d.handOver.countedAt >= k.cfg.ReplyTimeout {
+		k.writeHandOver(now, d, &UnitSet{All: true})
+	}
+	return true
+}
+
+// begunCounted continues the hand-over.
+func (k *Keeper) begunCounted(now time.Duration, e BegunCounted) {
+	r := k.finishRightOf(e.Target, e.Sequence)
+	if r == nil {
+		return
+	}
+	r.counted, r.busy = true, make(map[routing.Unit]time.Duration, len(e.Units))
+	for _, u := range e.Units {
+		r.busy[u] = 0
+	}
+	if d := k.duties[e.Target]; d != nil && d.countsBegun() {
+		units := newUnitSet(e.Units)
+		k.writeHandOver(now, d, &units)
+	}
+}
+
+// writeHandOver writes the record of the next grantor, which names this router as a former one if
+// requests of it are in flight.
+func (k *Keeper) writeHandOver(now time.Duration, d *duty, begun *UnitSet) {
+	h := d.handOver
+	h.counting, h.op = false, k.nextOp()
+	next := h.next
+	next.Target, next.Term = d.spec.Name, nextEpoch(d.record.Term)
+	next.YieldAfter, next.Ops = d.wantedYield(), d.record.Ops.with(h.op)
+	if begun != nil && !begun.Empty() {
+		next.Formers = append(next.Formers, Former{Router: k.cfg.Self, Units: *begun})
+	}
+	k.put(now, d.key, d.revision, h.op, Update{Grantor: next})
 }
 
 // reachProbe is what is known about whether another router reaches a target: when that
--- a/core/ownership/keeper.go
+++ b/core/ownership/keeper.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"maps"
 	"math"
 	"sort"
 	"time"
@@ -43,9 +42,9 @@
 	// their record.
 	dutyList  []*duty
 	dutyByKey map[string]*duty
-	// lapsedTerms has, by target, the highest term of this router that ended without a
-	// hand-over. It outlives the duties, as requests may.
-	lapsedTerms map[string]uint64
+	// finish has the rights to finish requests under earlier terms, by the store key of the
+	// target's record. They outlive the duties, as requests may.
+	finish      map[string]*finishRight
 	moves       map[routing.Unit]*move
 	writes      map[string]*write
 	shardReads  map[string]*shardRead
@@ -53,6 +52,8 @@
 	// declaredAt is when targets were declared lost within LossWindow.
 	declaredAt []time.Duration
 	opCount    uint64
+	// countSequence counts the CountBegun of this router.
+	countSequence uint64
 	// lastStepAt is the time of the latest step; a long gap means that this router was
 	// paused.
 	lastStepAt time.Duration
@@ -83,7 +84,7 @@
 	return &Keeper{cfg: cfg.withDefaults(), table: NewTable(), targets: map[string]TargetSpec{},
 		lastSeen: map[string]Router{}, liveSince: map[string]time.Duration{}, lostAt: map[string]time.Duration{}, duties: map[string]*duty{}, dutyByKey: map[string]*duty{},
 		moves: map[routing.Unit]*move{}, writes: map[string]*write{}, shardReads: map[string]*shardRead{},
-		lostTargets: map[string]bool{}, lapsedTerms: map[string]uint64{}, renewTogetherBy: never}
+		lostTargets: map[string]bool{}, finish: map[string]*finishRight{}, renewTogetherBy: never}
 }
 
 // Table returns the ownership as this router knows it now.
@@ -122,6 +123,9 @@
 		if d.silentSince != 0 {
 			d.silentSince = now
 		}
+		for _, st := range d.formers {
+			st.heardAt = now
+		}
 	}
 }
 
@@ -147,6 +151,10 @@
 		k.targetProbed(now, e)
 	case SendClosed:
 		k.sendClosed(e)
+	case BegunCounted:
+		k.begunCounted(now, e)
+	case BegunEnded:
+		k.begunEnded(now, e)
 	case MovesRequested:
 		k.requestMoves(e)
 	case PeerMessage:
@@ -167,6 +175,7 @@
 	for _, d := range k.dutyList {
 		k.advanceDuty(now, d)
 	}
+	k.advanceFinishing(now)
 	k.advanceLosses(now)
 	k.advanceUnowned(now)
 	k.advanceMoves(now)
@@ -192,13 +201,17 @@
 	sort.Strings(k.names)
 	for name, d := range k.duties {
 		if _, ok := k.targets[name]; !ok {
-			if d.phase == serving && now >= d.validUntil(k) {
-				k.noteLapse(d)
+			switch {
+			case d.phase == serving && now >= d.validUntil(k):
+				k.endFinishRight(d.key)
+			case d.phase == serving:
+				k.keepFinishRight(d)
 			}
 			delete(k.duties, name)
 			k.gateStale = true
 		}
 	}
+	k.removeFinishRights(now)
 	k.remote.scanPending, k.remote.connectedFor = true, nil
 	k.listDuties()
 	k.schedulePlanning()
@@ -307,6 +320,7 @@
 		k.resolveUnknownWrite(now, w, e)
 	}
 	if IsGrantorKey(e.Key) {
+		k.extendFinishRight(e)
 		k.grantorRead(now, e)
 		return
 	}
@@ -315,14 +329,28 @@
 
 func (k *Keeper) refreshGate() {
 	k.gateStale = false
-	g := &Gate{table: k.table, rights: map[string]sendRight{}, lapsedTerms: maps.Clone(k.lapsedTerms)}
+	g := &Gate{table: k.table, rights: map[string]sendRight{}}
+	for _, r := range k.finish {
+		g.rights[r.target] = sendRight{term: r.term, closed: true, since: r.since, finishUntil: r.until}
+	}
 	for _, d := range k.dutyList {
+		if d.phase < waiting {
+			continue
+		}
+		right, started := g.rights[d.spec.Name]
 		switch {
 		case d.phase == serving:
-			g.rights[d.spec.Name] = sendRight{term: d.term, until: d.validUntil(k), closed: !k.withinOrderBound(d)}
-		case d.handOver != nil:
-			g.rights[d.spec.Name] = sendRight{term: d.term, until: d.handOver.until, closed: true}
+			if !started {
+				right.since = d.term
+			}
+			right.term, right.until, right.closed = d.term, d.validUntil(k), !k.withinOrderBound(d)
+			right.finishUntil = max(right.finishUntil, right.until)
+		case started:
+			right.finishUntil = max(right.finishUntil, d.until)
+		default:
+			continue
 		}
+		g.rights[d.spec.Name] = right
 	}
 	k.gate = g
 	k.emit(SetGate{Gate: g})
--- a/core/ownership/move.go
+++ b/core/ownership/move.go
@@ -192,6 +192,9 @@
 		// write and may grant this one again.
 		return false
 	}
+	if !k.formersDone(now, d, m.unit) {
+		return false
+	}
 	drained := m.drained || now >= m.releasedAt+k.cfg.RequestBound
 	switch {
 	case !d.spec.Grants.Expires && !d.spec.Grants.ChecksTokens:
--- a/core/ownership/mutant_test.go
+++ b/core/ownership/mutant_test.go
@@ -20,6 +20,7 @@
 		"renew after release":           ownership.OmitRelease,
 		"no confirmation before a move": ownership.OmitConfirm,
 		"store extends in promise mode": ownership.OmitPromiseMode,
+		"no wait for former grantors":   ownership.OmitFormers,
 	}
 	for name, rule := range mutants {
 		t.Run(name, func(t *testing.T) {
--- a/core/ownership/ownershiptest/check.go
+++ b/core/ownership/ownershiptest/check.go
@@ -43,6 +43,10 @@
 	if !r.gate.MaySend(r.local(), owner.Target, u, owner.Token) {
 		return
 	}
+	if w.opt.SlowShare > 0 && w.rand.Float64() < w.opt.SlowShare {
+		w.Begin(r.index, u, time.Duration(w.rand.Int63n(int64(maxBegun))))
+		return
+	}
 	term := r.gate.Term(owner.Target)
 	t := w.targets[owner.Target]
 	latency := w.jitter(networkLatency) + w.orderDelay() + w.addedLatency(r, t)
@@ -72,10 +76,7 @@
 	if term >= t.highestTerm {
 		t.highestTerm, t.highestTermFrom = term, from
 	}
-	if token < w.highestToken[u] {
-		w.violate(fmt.Sprintf("unit %s ran at %s with token %d after token %d", u, t.spec.Name, token, w.highestToken[u]))
-	}
-	w.highestToken[u] = max(w.highestToken[u], token)
+	w.checkToken(t, u, token)
 	w.executed[assignment{u, token, t.spec.Name}] = true
 	if s := w.served[u]; s != nil {
 		if s.measuring {
@@ -87,6 +88,14 @@
 	w.served[u] = &serviceTimes{lastRun: w.now}
 }
 
+// checkToken reports a unit that runs at a former owner.
+func (w *World) checkToken(t *fakeTarget, u routing.Unit, token uint64) {
+	if token < w.highestToken[u] {
+		w.violate(fmt.Sprintf("unit %s ran at %s with token %d after token %d", u, t.spec.Name, token, w.highestToken[u]))
+	}
+	w.highestToken[u] = max(w.highestToken[u], token)
+}
+
 // checkGrants reports a unit that two targets hold at the same time.
 func (w *World) checkGrants(t *fakeTarget) {
 	if !t.spec.Grants.Expires || w.now >= t.expires {
--- a/core/ownership/ownershiptest/fault.go
+++ b/core/ownership/ownershiptest/fault.go
@@ -24,6 +24,10 @@
 		for _, u := range w.Units() {
 			w.requestFrom(r, u)
 		}
+		for _, b := range r.overdue {
+			r.finish(b)
+		}
+		r.overdue = nil
 		backlog := r.backlog
 		r.backlog = nil
 		for _, run := range backlog {
@@ -40,6 +44,9 @@
 		return
 	}
 	r.dead, r.gate = true, nil
+	for _, b := range r.begun {
+		w.targets[b.target].forget(b) // its connections are closed
+	}
 	if restart > 0 {
 		w.after(restart, func() { r.start(r.self.Incarnation + 1) })
 	}
@@ -125,6 +132,14 @@
 	w.targetsUnreachableUntil[i] = w.now + d
 }
 
+// LoseTargetFrom cuts the connection of a router to one target for d, and has its health checks say
+// so at once.
+func (w *World) LoseTargetFrom(i int, name string, d time.Duration) {
+	w.lostFrom[name] = i
+	w.after(d, func() { delete(w.lostFrom, name) })
+	w.routers[i].step(ownership.TargetHealth{Target: name, Lost: true})
+}
+
 // RefuseWrites makes the store refuse all writes immediately for d.
 func (w *World) RefuseWrites(d time.Duration) {
 	w.refusingWrites = true
@@ -175,15 +190,28 @@
 
 // Grantor returns the index of the target's grantor according to the store, or -1.
 func (w *World) Grantor(target string) int {
-	rec := w.store.records[ownership.GrantorKey(w.targets[target].spec.DataCentre, target)]
-	g, err := ownership.DecodeGrantor(rec.value)
-	if err != nil {
-		return -1
-	}
+	g := w.grantorRecord(target)
 	for _, r := range w.routers {
-		if r.self.Name == g.Router.Name {
+		if g != nil && r.self.Name == g.Router.Name {
 			return r.index
 		}
 	}
 	return -1
 }
+
+// Formers returns the former grantors in the target's record in the store.
+func (w *World) Formers(target string) []ownership.Former {
+	if g := w.grantorRecord(target); g != nil {
+		return g.Formers
+	}
+	return nil
+}
+
+func (w *World) grantorRecord(target string) *ownership.GrantorRecord {
+	rec := w.store.records[ownership.GrantorKey(w.targets[target].spec.DataCentre, target)]
+	g, err := ownership.DecodeGrantor(rec.value)
+	if err != nil {
+		return nil
+	}
+	return g
+}
--- a/core/ownership/ownershiptest/target.go
+++ b/core/ownership/ownershiptest/target.go
@@ -17,6 +17,8 @@
 	digest   uint64
 	expires  time.Duration
 	units    map[routing.Unit]uint64
+	// working are the slow requests that the target has taken on.
+	working []*begunRequest
 	// highestTerm is the highest term of an executed request, highestTermFrom the router
 	// that sent it.
 	highestTerm     uint64
--- a/core/ownership/ownershiptest/world.go
+++ b/core/ownership/ownershiptest/world.go
@@ -33,6 +33,8 @@
 	ReplyLoss float64
 	// RequestEvery is the interval at which each unit gets a request.
 	RequestEvery time.Duration
+	// SlowShare is the proportion of requests whose rest follows long after the header, from 0 to 1.
+	SlowShare float64
 	// Trace, if set, is called for each router's events and actions.
 	Trace func(at time.Duration, router string, what any)
 	// Confirm returns the settings of a router's confirm core, which relays confirmations.
@@ -70,6 +72,8 @@
 	deafToUntil map[[2]int]time.Duration
 	// targetsUnreachableUntil is until when a router reaches no target.
 	targetsUnreachableUntil map[int]time.Duration
+	// lostFrom has the router that doesn't reach a target, by target.
+	lostFrom map[string]int
 	// partitionedUntil is until when routers of a data centre reach no targets of other data
 	// centres, and routers of those no targets of this one.
 	partitionedUntil map[string]time.Duration
@@ -81,6 +85,9 @@
 	StoreDown bool
 	// Violations are the violated guarantees.
 	Violations []string
+	// FinishedBegun counts slow requests that were executed, CutOff those whose router had lost its
+	// right to finish them.
+	FinishedBegun, CutOff int
 	// Moves counts assignments away from a target.
 	Moves int
 	// Reports are the reports of all routers, in order.
@@ -120,6 +127,12 @@
 	// inFlight is when the latest request sent to each target ends.
 	inFlight        map[string]time.Duration
 	lastHeartbeatAt map[int]time.Duration
+	// begun are the slow requests in flight; overdue are those whose rest became due in a pause.
+	begun   []*begunRequest
+	overdue []*begunRequest
+	counts  []begunCount
+	// closings are those whose units have slow requests in flight.
+	closings []ownership.CloseSend
 	// members are the members that the keeper last received.
 	members ownership.Members
 	// targets are the targets in the router's configuration.
@@ -131,7 +144,7 @@
 // New returns a new world whose routers have started.
 func New(opt Options) *World {
 	w := &World{opt: opt, rand: rand.New(rand.NewSource(opt.Seed)), store: newStore(), targets: map[string]*fakeTarget{},
-		cutLinks: map[[2]int]bool{}, deafUntil: map[int]time.Duration{}, deafToUntil: map[[2]int]time.Duration{}, targetsUnreachableUntil: map[int]time.Duration{}, partitionedUntil: map[string]time.Duration{}, served: map[routing.Unit]*serviceTimes{}, highestToken: map[routing.Unit]uint64{}, executed: map[assignment]bool{}}
+		cutLinks: map[[2]int]bool{}, deafUntil: map[int]time.Duration{}, deafToUntil: map[[2]int]time.Duration{}, targetsUnreachableUntil: map[int]time.Duration{}, partitionedUntil: map[string]time.Duration{}, lostFrom: map[string]int{}, served: map[routing.Unit]*serviceTimes{}, highestToken: map[routing.Unit]uint64{}, executed: map[assignment]bool{}}
 	for _, t := range opt.Targets {
 		w.targets[t.Name] = &fakeTarget{spec: t, units: map[routing.Unit]uint64{}}
 		w.names = append(w.names, t.Name)
@@ -166,6 +179,7 @@
 	r.tickDue, r.confirmTickDue = 0, 0
 	r.startConfirmCore()
 	r.inFlight = map[string]time.Duration{}
+	r.begun, r.overdue, r.counts, r.closings = nil, nil, nil, nil
 	r.lastHeartbeatAt = map[int]time.Duration{}
 	for _, o := range r.world.routers {
 		if r.world.now >= r.world.deafUntil[r.index] {
@@ -291,7 +305,11 @@
 	case ownership.ProbeTarget:
 		w.probe(r, a)
 	case ownership.CloseSend:
-		r.deliverAfter(max(time.Millisecond, r.inFlight[a.Target]-w.now), func() ownership.Event { return ownership.SendClosed{Target: a.Target, Units: a.Units} })
+		r.closeSend(a)
+	case ownership.CountBegun:
+		r.countBegun(a)
+	case ownership.CancelBegun:
+		r.cancelBegun(a.Target, a.Units.Contains)
 	case ownership.SetGate:
 		r.gate = a.Gate
 	case ownership.Publish:
@@ -429,14 +447,15 @@
 		if ok {
 			w.checkGrants(t)
 		}
-		e := ownership.GrantResult{Target: a.Target, Sequence: a.Sequence, Accepted: ok, Term: t.term}
+		e := ownership.GrantResult{Target: a.Target, Sequence: a.Sequence, Accepted: ok, Term: t.term, Busy: t.busy()}
 		r.deliverAfter(w.jitter(networkLatency)+w.addedLatency(r, t), func() ownership.Event { return e })
 	})
 }
 
 func (w *World) reaches(r *router, t *fakeTarget) bool {
 	partitioned := r.dataCentre() != t.spec.DataCentre && w.now < max(w.partitionedUntil[r.dataCentre()], w.partitionedUntil[t.spec.DataCentre])
-	return t.up() && w.now >= w.targetsUnreachableUntil[r.index] && !partitioned
+	from, lost := w.lostFrom[t.spec.Name]
+	return t.up() && w.now >= w.targetsUnreachableUntil[r.index] && !partitioned && !(lost && from == r.index)
 }
 
 // probe checks on behalf of another router whether the router reaches the target.
--- a/core/ownership/promise.go
+++ b/core/ownership/promise.go
@@ -137,6 +137,10 @@
 		k.noteProbeReply(now, d, e)
 	case ownershippb.Peer_HAND_BACK:
 		k.handBack(now, d, e)
+	case ownershippb.Peer_FINISHING:
+		k.takeFinishing(now, d, e)
+	case ownershippb.Peer_FINISH_GRANTED:
+		k.finishGranted(d, e)
 	case ownershippb.Peer_PROMISE_ENDED:
 		if d.received.active && m.GetTerm() == d.term && m.GetSequence() == d.received.sequence {
 			d.received.active = false
@@ -239,12 +243,13 @@
 		return false
 	}
 	d.phase, d.withoutStore, d.reported = serving, true, noReport
-	d.term, d.until, d.confirmedAt = d.record.Term+1, never, g.confirmedAt
+	d.until, d.confirmedAt, d.formers = never, g.confirmedAt, nil
+	k.setTerm(d, d.record.Term+1)
 	d.received, d.grants = receivedPromises{}, grants{sequence: d.sequence}
 	d.grantsExpireAt = now + k.cfg.waitOut()
 	k.gateStale = true
 	d.report(k, TookOverWithoutStore)
-	r := &GrantorRecord{Target: d.spec.Name, Term: d.term, Router: k.cfg.Self, DataCentre: k.dataCentreForRecord(d)}
+	r := &GrantorRecord{Target: d.spec.Name, Term: d.term, Router: k.cfg.Self, DataCentre: k.dataCentreForRecord(d), Formers: d.record.Formers}
 	k.apply(now, Update{Grantor: r})
 	k.emit(Publish{Key: d.key, Value: r.Encode()})
 	return true
--- a/core/ownership/proof.go
+++ b/core/ownership/proof.go
@@ -9,10 +9,11 @@
 // this router. wait is how long the authority of others may still have effects. If nothing
 // bounds it, wait is never, and the only proof is that the target refuses the old term.
 func (k *Keeper) startProof(now time.Duration, d *duty, wait time.Duration) {
-	d.term, d.promisesStoppedAt, d.reported = d.record.Term, 0, noReport
+	d.promisesStoppedAt, d.reported = 0, noReport
+	k.setTerm(d, d.record.Term)
 	d.takenWhileStopping, d.takenAt = k.stopping, now
 	d.until, d.grants, d.termRaisePending = 0, grants{sequence: d.sequence}, false
-	d.handOver = nil
+	d.handOver, d.formers = nil, nil
 	d.received = receivedPromises{sequence: d.received.sequence}
 	d.waitUntil = never
 	if wait != never {
@@ -32,6 +33,20 @@
 	k.advanceProof(now, d)
 }
 
+// setTerm sets the term of the duty; requests begun under earlier terms of this router may go on
+// where its right to finish them has not ended.
+func (k *Keeper) setTerm(d *duty, term uint64) {
+	d.term = term
+	r := k.finish[d.key]
+	if r == nil {
+		return
+	}
+	if r.endless {
+		r.endless, r.until = false, 0
+	}
+	r.term, r.busy, r.counted = term, nil, false
+}
+
 // advanceProof continues once the old authority has provably ended; until then it sends the
 // fence.
 func (k *Keeper) advanceProof(now time.Duration, d *duty) {
--- a/core/ownership/record.go
+++ b/core/ownership/record.go
@@ -114,7 +114,9 @@
 	// Unproved means that Router has not yet proved that all grantors before it have
 	// stopped; see oldAuthority.
 	Unproved bool
-	Ops      Ops
+	// Formers are earlier grantors that may still send the rest of requests.
+	Formers []Former
+	Ops     Ops
 }
 
 // TermPlaces is how many terms one epoch of a record reserves: place 0 is the grantor's
@@ -257,6 +259,9 @@
 	for _, s := range g.Successors {
 		m.Successors = append(m.Successors, encodeRouter(s))
 	}
+	for _, f := range g.Formers {
+		m.Formers = append(m.Formers, &ownershippb.Former{Router: encodeRouter(f.Router), Units: encodeUnitSet(f.Units), Revoked: f.Revoked})
+	}
 	return marshal(m)
 }
 
@@ -271,6 +276,9 @@
 	for _, s := range m.GetSuccessors() {
 		g.Successors = append(g.Successors, decodeRouter(s))
 	}
+	for _, f := range m.GetFormers() {
+		g.Formers = append(g.Formers, Former{Router: decodeRouter(f.GetRouter()), Units: decodeUnitSet(f.GetUnits()), Revoked: f.GetRevoked()})
+	}
 	return g, nil
 }
 
--- a/core/ownership/remote.go
+++ b/core/ownership/remote.go
@@ -134,7 +134,7 @@
 		case d == nil && needed:
 			k.duties[name] = newDuty(t) // it reads its record first
 			changed = true
-		case d != nil && !needed && d.phase == idle && k.writes[d.key] == nil:
+		case d != nil && !needed && d.phase == idle && k.writes[d.key] == nil && !k.isFinishing(d.key):
 			k.removeRemoteDuty(name)
 			changed = true
 		}
--- a/core/ownership/successor.go
+++ b/core/ownership/successor.go
@@ -41,7 +41,8 @@
 	return gone && k.lastSeen[r.Name] == r && now-at < k.cfg.HoldSuccessor
 }
 
-// updateSuccessors keeps the list of successors in the record up to date. A record without
+// updateSuccessors keeps the list of successors in the record up to date, and that of former
+// grantors. A record without
 // a successor gets its first one at once, because until then no router could take over.
 func (k *Keeper) updateSuccessors(now time.Duration, d *duty) {
 	if now < d.nextSuccessorWriteAt {
@@ -49,7 +50,9 @@
 	}
 	want := k.successors(now, d, k.cfg.Self)
 	listed := slices.Equal(want, d.record.Successors) || len(d.record.Successors) > 0 && !k.liveLongEnough(now, want)
-	if listed && d.record.YieldAfter == d.wantedYield() && !d.record.Unproved {
+	formers := k.formersForRecord(now, d)
+	sameFormers := slices.EqualFunc(formers, d.record.Formers, Former.equal)
+	if listed && sameFormers && d.record.YieldAfter == d.wantedYield() && !d.record.Unproved {
 		return
 	}
 	if listed {
@@ -59,7 +62,7 @@
 	op := k.nextOp()
 	next := *d.record
 	next.Successors, next.YieldAfter, next.Ops = want, d.wantedYield(), d.record.Ops.with(op)
-	next.Unproved = false
+	next.Unproved, next.Formers = false, formers
 	k.put(now, d.key, d.revision, op, Update{Grantor: &next})
 }
 
--- a/core/ownership/table.go
+++ b/core/ownership/table.go
@@ -25,13 +25,14 @@
 	// dataCentre and yieldAfter are copied from the record.
 	dataCentre string
 	yieldAfter time.Duration
+	formers    []Former
 }
 
 func newGrantorEntry(u Update) grantorEntry {
 	routers := make([]Router, 0, 1+len(u.Grantor.Successors))
 	routers = append(append(routers, u.Grantor.Router), u.Grantor.Successors...)
 	return grantorEntry{revision: u.Revision, term: u.Grantor.Term, routers: routers,
-		dataCentre: u.Grantor.DataCentre, yieldAfter: u.Grantor.YieldAfter}
+		dataCentre: u.Grantor.DataCentre, yieldAfter: u.Grantor.YieldAfter, formers: u.Grantor.Formers}
 }
 
 type serviceTable struct {
@@ -191,6 +192,10 @@
 // not be modified.
 func (t *Table) Routers(target string) []Router { return t.grantors[target].routers }
 
+// Formers returns the former grantors that the target's record names. The slice must not be
+// modified.
+func (t *Table) Formers(target string) []Former { return t.grantors[target].formers }
+
 // EachUnit calls f for each unit of the service, ordered by kind, record and position.
 func (t *Table) EachUnit(service string, f func(routing.Unit, UnitState)) {
 	st := t.services[service]
--- a/core/ownership/wake.go
+++ b/core/ownership/wake.go
@@ -19,7 +19,7 @@
 
 // onlyRenewalsDue reports whether nothing but renewals is pending and no event is expected.
 func (k *Keeper) onlyRenewalsDue() bool {
-	if k.stopping || k.checkUnowned || len(k.moves) > 0 || len(k.writes) > 0 {
+	if k.stopping || k.checkUnowned || len(k.moves) > 0 || len(k.writes) > 0 || k.isFinishingAny() {
 		return false
 	}
 	for _, d := range k.dutyList {
@@ -38,7 +38,7 @@
 		return d.recordRead && d.record != nil && d.record.Router != k.cfg.Self && k.grantorLive(d)
 	case serving:
 		// While a reply is missing, steps are short, so that a pause of this router is noticed.
-		return !d.withoutStore && !d.received.active && d.silentSince == 0 && !d.suspicion.unhealthy &&
+		return !d.withoutStore && !d.received.active && d.silentSince == 0 && !d.suspicion.unhealthy && len(d.record.Formers) == 0 &&
 			(!d.spec.takesGrants() || d.digest == d.sentDigest)
 	default:
 		return false
--- a/operator/api.go
+++ b/operator/api.go
@@ -176,15 +176,18 @@
 
 // KeyExplanation describes which target owns a key and why.
 type KeyExplanation struct {
-	Service  string `json:"service"`
-	Key      string `json:"key"`
-	Unit     string `json:"unit"`
-	Target   string `json:"target"`
-	Token    uint64 `json:"token"`
-	State    string `json:"state"`
-	Grantor  string `json:"grantor"`
-	Term     uint64 `json:"term"`
-	Revision uint64 `json:"revision"`
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	Unit    string `json:"unit"`
+	Target  string `json:"target"`
+	Token   uint64 `json:"token"`
+	State   string `json:"state"`
+	Grantor string `json:"grantor"`
+	Term    uint64 `json:"term"`
+	// FormerGrantors are routers that handed the target over with requests begun on the unit; the
+	// unit does not move before these have ended.
+	FormerGrantors []string `json:"former_grantors,omitempty"`
+	Revision       uint64   `json:"revision"`
 	// Eligible are the targets that the selectors allow.
 	Eligible []string `json:"eligible"`
 	// Selector is the selector that decided; empty if none did.
@@ -205,14 +208,16 @@
 	Term       uint64 `json:"term"`
 	// Successors are the routers that may take the target over without the store, in order
 	// of precedence.
-	Successors []string         `json:"successors"`
-	Units      int              `json:"units"`
-	Health     string           `json:"health"`
-	Draining   bool             `json:"draining"`
-	InFlight   int              `json:"in_flight"`
-	Queued     int              `json:"queued"`
-	Slots      int              `json:"slots"`
-	Events     []eventlog.Event `json:"events,omitempty"`
+	Successors []string `json:"successors"`
+	// FormerGrantors are routers that handed the target over with requests begun there.
+	FormerGrantors []string         `json:"former_grantors,omitempty"`
+	Units          int              `json:"units"`
+	Health         string           `json:"health"`
+	Draining       bool             `json:"draining"`
+	InFlight       int              `json:"in_flight"`
+	Queued         int              `json:"queued"`
+	Slots          int              `json:"slots"`
+	Events         []eventlog.Event `json:"events,omitempty"`
 }
 
 // EventQuery selects events.
--- a/router/explain.go
+++ b/router/explain.go
@@ -54,6 +54,11 @@
 		Selector: decision.Selector,
 		Events:   b.r.journal.Events(0, eventlog.Filter{Unit: unit.String(), Limit: explainEvents}).Events,
 	}
+	for _, f := range b.r.table.Load().Formers(owner.Target) {
+		if f.Units.Contains(unit) {
+			e.FormerGrantors = append(e.FormerGrantors, f.Router.Name)
+		}
+	}
 	e.Because = b.because(v, e, unit, &decision)
 	return e, nil
 }
@@ -89,7 +94,11 @@
 	if e.Grantor == "" {
 		return append(out, "No router is the target's grantor now; requests wait or are refused as not run.")
 	}
-	return append(out, fmt.Sprintf("Router %q is the target's grantor under term %d; all requests go through it.", e.Grantor, e.Term))
+	out = append(out, fmt.Sprintf("Router %q is the target's grantor under term %d; all requests go through it.", e.Grantor, e.Term))
+	for _, name := range e.FormerGrantors {
+		out = append(out, fmt.Sprintf("Router %q handed the target over with requests begun on the unit; it does not move before these have ended.", name))
+	}
+	return out
 }
 
 func (b *backend) viewInForce() (*view, error) {
@@ -120,11 +129,13 @@
 		Grantor:    grantor.Router,
 		Term:       grantor.Term,
 		Successors: successors(table, name),
-		Units:      ownedUnits(v, b.r, spec),
-		Health:     b.health(name),
-		Draining:   spec.Drain,
-		Slots:      spec.Slots,
-		Events:     b.r.journal.Events(0, eventlog.Filter{Target: name, Limit: explainEvents}).Events,
+
+		FormerGrantors: formerGrantors(table, name),
+		Units:          ownedUnits(v, b.r, spec),
+		Health:         b.health(name),
+		Draining:       spec.Drain,
+		Slots:          spec.Slots,
+		Events:         b.r.journal.Events(0, eventlog.Filter{Target: name, Limit: explainEvents}).Events,
 	}
 	if u := b.r.upstreams.settled(name); u != nil {
 		stats := u.gate.Stats()
@@ -144,6 +155,14 @@
 	return names
 }
 
+func formerGrantors(table *ownership.Table, target string) []string {
+	var names []string
+	for _, f := range table.Formers(target) {
+		names = append(names, f.Router.Name)
+	}
+	return names
+}
+
 func ownedUnits(v *view, r *Router, spec *model.Target) int {
 	table := r.table.Load()
 	var n int
--- a/router/flights.go
+++ b/router/flights.go
@@ -35,6 +35,11 @@
 	forwarded int
 	// waits are the closings that have not ended.
 	waits []*closing
+	// followed are the units whose last work followedEnded is called for; see follow.
+	followed      map[routing.Unit]bool
+	followedEnded func(routing.Unit)
+	// followedSince is the sequence of the call of follow that is in force.
+	followedSince uint64
 }
 
 // closing waits until no work on its units is in flight.
@@ -84,10 +89,50 @@
 	if len(f.waits) > 0 {
 		ended = f.takeEnded()
 	}
+	followed, tell := f.followed[left.unit] && !f.busy(left.unit), f.followedEnded
+	if followed {
+		delete(f.followed, left.unit)
+	}
 	f.mu.Unlock()
 	for _, c := range ended {
 		c.done()
 	}
+	if followed {
+		tell(left.unit)
+	}
+}
+
+// follow calls ended for each of the units once no work on it is in flight, until a call with a higher
+// sequence takes its place.
+func (f *flights) follow(sequence uint64, units []routing.Unit, ended func(routing.Unit)) {
+	var idle []routing.Unit
+	f.mu.Lock()
+	if sequence < f.followedSince {
+		f.mu.Unlock()
+		return
+	}
+	f.followedSince, f.followed, f.followedEnded = sequence, make(map[routing.Unit]bool, len(units)), ended
+	for _, unit := range units {
+		if f.busy(unit) {
+			f.followed[unit] = true
+		} else {
+			idle = append(idle, unit)
+		}
+	}
+	f.mu.Unlock()
+	for _, unit := range idle {
+		ended(unit)
+	}
+}
+
+// busy reports whether work on the unit is in flight; mu is held.
+func (f *flights) busy(unit routing.Unit) bool {
+	for fl := f.first; fl != nil; fl = fl.next {
+		if fl.unit == unit {
+			return true
+		}
+	}
+	return false
 }
 
 // close calls done once nothing on the units is in flight, at once where that is
@@ -115,9 +160,33 @@
 	for _, unit := range units {
 		set[unit] = true
 	}
+	f.cutWhere(func(unit routing.Unit) bool { return set[unit] })
+}
+
+// cutWhere cancels the work in flight on the units that match.
+func (f *flights) cutWhere(matches func(routing.Unit) bool) {
 	f.mu.Lock()
-	f.cutUnits(set)
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	for fl := f.first; fl != nil; fl = fl.next {
+		if fl.unit.Service != "" && matches(fl.unit) {
+			fl.cut.Abort()
+		}
+	}
+}
+
+// units lists the units that have work in flight.
+func (f *flights) units() []routing.Unit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := make(map[routing.Unit]bool)
+	var units []routing.Unit
+	for fl := f.first; fl != nil; fl = fl.next {
+		if fl.unit.Service != "" && !seen[fl.unit] {
+			seen[fl.unit] = true
+			units = append(units, fl.unit)
+		}
+	}
+	return units
 }
 
 // count returns the work in flight.
--- a/router/flights_test.go
+++ b/router/flights_test.go
@@ -29,3 +29,22 @@
 	assert.Equal(t, r.awaitForwarded(over), 0)
 	assert.Equal(t, u.flights.count(), 1)
 }
+
+// Guards against a former grantor that tells too early, or never, that its requests on a unit have ended.
+func TestFollowedUnitsEndOnceTheirLastWorkHas(t *testing.T) {
+	f := new(flights)
+	busy, idle := routing.Unit{Service: "s", Slot: 1}, routing.Unit{Service: "s", Slot: 2}
+	first, second := &flight{}, &flight{}
+	f.enter(first, busy)
+	f.enter(second, busy)
+	assert.DeepEqual(t, f.units(), []routing.Unit{busy})
+	var ended []routing.Unit
+	f.follow(2, []routing.Unit{busy, idle}, func(unit routing.Unit) { ended = append(ended, unit) })
+	assert.DeepEqual(t, ended, []routing.Unit{idle})
+	f.follow(1, []routing.Unit{busy}, func(routing.Unit) { t.Error("an earlier call took the place of a later one") })
+	f.leave(first)
+	assert.Equal(t, len(ended), 1)
+	f.leave(second)
+	assert.DeepEqual(t, ended, []routing.Unit{idle, busy})
+	assert.Equal(t, len(f.followed), 0)
+}
--- a/router/ownerduty.go
+++ b/router/ownerduty.go
@@ -34,6 +34,7 @@
 	digests map[string]uint64
 	// unserved measures how long moves leave units without service.
 	unserved *unservedClock
+	formers  formerWaits
 }
 
 func newOwnerDuty(r *Router) *ownerDuty {
@@ -42,6 +43,7 @@
 		r:        r,
 		digests:  make(map[string]uint64),
 		unserved: newUnservedClock(r),
+		formers:  newFormerWaits(r),
 		keeper: ownership.NewKeeper(ownership.Config{
 			Self:       ownership.Router{Name: r.self.Name, Incarnation: r.self.Incarnation},
 			DataCentre: r.self.DataCentre,
@@ -160,6 +162,10 @@
 		o.r.workers.Run(func() { o.probe(a) })
 	case ownership.CloseSend:
 		o.closeSend(a)
+	case ownership.CountBegun:
+		o.countBegun(a)
+	case ownership.CancelBegun:
+		o.cancelBegun(a)
 	case ownership.SetGate:
 		o.setGate(a.Gate)
 	case ownership.Publish:
@@ -211,7 +217,11 @@
 	ownership.LossDismissed: {eventlog.TargetReadmitted, "the target answers, or another router has taken it over"},
 	ownership.ClaimedElsewhere: {eventlog.GrantorChanged,
 		"the target's data centre is cut off; this router takes the target over once nobody there can send to it"},
-	ownership.StaleUnits: {eventlog.UnitUnserved, "the successor does not know the units that the grantor served"},
+	ownership.AwaitingFormer:   {eventlog.MoveWaits, "a former grantor still has requests that it had begun on the units"},
+	ownership.FormerAwaited:    {eventlog.MoveGoesOn, "the moves of the units no longer wait for the former grantor"},
+	ownership.FormerRevoked:    {eventlog.FormerRevoked, "a former grantor is silent and may not finish the requests that it had begun"},
+	ownership.FinishRightEnded: {eventlog.FinishEnded, "this router may not finish the requests that it had begun before it handed the target over"},
+	ownership.StaleUnits:       {eventlog.UnitUnserved, "the successor does not know the units that the grantor served"},
 }
 
 func (o *ownerDuty) report(a ownership.Report) {
@@ -221,8 +231,9 @@
 		Cause:  row.cause,
 		Target: a.Target,
 		Router: o.r.self.Name,
-		Fields: []eventlog.Field{eventlog.F("term", uintText(a.Term)), eventlog.F("report", a.Kind.String())},
+		Fields: reportFields(a),
 	})
+	o.formers.take(a)
 	switch a.Kind {
 	case ownership.LossHeld:
 		o.r.held.set(a.Target, true)
