Wait out the router before when a target is lost after a takeover

What callers could see: a target that checks tokens and lets no grant expire is fenced by a new grantor, which then serves at once. Lost to that router within 0.3 s, its units moved after 85 ms, while the router before, cut off from the others, could still send the rest of a request that the target had taken on.

Cause: the fence is proof against new requests only, and no wait covered begun ones; a hand-over meanwhile would have lost any memory of them.

Evidence: found by review of the wait for former grantors.

A target that answers confirms releases as before.

Measured: the tests of core/ownership pass, mutants included.

--- a/core/ownership/claim.go
+++ b/core/ownership/claim.go
@@ -207,6 +207,9 @@
 		if k.isRemote(d) {
 			k.report(ClaimedElsewhere, g.Target, g.Term)
 		}
+		if d.oldAuthorityWait > 0 {
+			d.earlierSendersUntil = now + k.cfg.waitOut()
+		}
 		k.startProof(now, d, d.oldAuthorityWait)
 		k.confirm(now, d, w.sentAt)
 	}
--- a/core/ownership/duty.go
+++ b/core/ownership/duty.go
@@ -35,6 +35,9 @@
 	term       uint64
 	// handOver is this router's hand-over of the duty while it isn't known to have landed.
 	handOver *handOver
+	// earlierSendersUntil is the end of the authority of routers that this one took over from. A
+	// target that checks terms refuses their new requests earlier, but not the rest of begun ones.
+	earlierSendersUntil time.Duration
 	// formers has the former grantors that the record names.
 	formers map[Router]*formerState
 	// until bounds the authority; see validUntil.
--- a/core/ownership/former_test.go
+++ b/core/ownership/former_test.go
@@ -284,3 +284,23 @@
 		})
 	}
 }
+
+// Guards against units of a target that checks tokens and is lost just after a takeover: they must not move while the router before may still finish a request there.
+func TestLossAfterATakeoverWaitsForTheAuthorityOfTheRouterBefore(t *testing.T) {
+	for seed := range int64(10) {
+		w := servedTargets(t, seed, model.GrantCheck{ChecksTokens: true}, ownership.OmitNone, func(opt *ownershiptest.Options) {
+			opt.DetectAfter = 60 * ms
+		})
+		w.begin(230 * ms)
+		w.IsolateRouter(w.former, time.Second)
+		w.eventually("another router has the target", func() bool { return w.Grantor(w.target) != w.former })
+		w.Run(10 * ms)
+		if seed%2 == 0 {
+			w.handOver()
+			w.Run(10 * ms)
+		}
+		w.LoseTargetFrom(w.Grantor(w.target), w.target, time.Second)
+		w.Run(time.Second)
+		assert.Equal(t, len(w.Violations), 0, "seed %d: %v", seed, w.Violations)
+	}
+}
--- a/core/ownership/handover.go
+++ b/core/ownership/handover.go
@@ -60,8 +60,8 @@
 // of the next grantor. The order matters: the record has to name all that began before the gate
 // was closed.
 func (k *Keeper) writeNextGrantor(now time.Duration, d *duty, next GrantorRecord) {
-	if k.formersFull(now, d) {
-		return
+	if k.formersFull(now, d) || now < d.earlierSendersUntil {
+		return // the next grantor would not know of them
 	}
 	d.handOver = &handOver{next: &next, countedAt: now, counting: true}
 	r := k.keepFinishRight(d)
--- a/core/ownership/move.go
+++ b/core/ownership/move.go
@@ -202,7 +202,7 @@
 	case m.confirmed && drained:
 		return true
 	case !d.spec.Grants.Expires:
-		return drained && now >= m.releasedAt+k.cfg.OrderBound && k.lostTargets[m.from]
+		return drained && now >= max(m.releasedAt+k.cfg.OrderBound, d.earlierSendersUntil) && k.lostTargets[m.from]
 	case k.lostTargets[m.from]:
 		return now >= m.grantExpiresAt
 	default:
