Specify the wait for requests of former grantors

The model had no requests that outlive a term, and could not show that a move doesn't wait for them.

--- a/lab/spec/spec_test.go
+++ b/lab/spec/spec_test.go
@@ -36,6 +36,8 @@
 	{model: "promise", flags: []string{"PROGRESS"}},
 	{model: "promise", flags: []string{"PROGRESS"}, cycles: true},
 	{model: "yield"},
+	{model: "finish"},
+	{model: "finish", flags: []string{"CHANGES=5"}},
 }
 
 const (
@@ -46,6 +48,7 @@
 	twoSenders = "auth"
 	lateOrder  = "acting"
 	inTurn     = "turns<=1"
+	lateRest   = "moved"
 )
 
 // mutants each lack one rule and must be found.
@@ -74,6 +77,12 @@
 	{model: "yield", flags: []string{"SHORTER_AFTER_WRITTEN"}, violated: twoSenders},
 	{model: "yield", flags: []string{"RELIES_ON_UNPROVED"}, violated: twoSenders},
 	{model: "yield", flags: []string{"SHORTENS_UNPROVED"}, violated: twoSenders},
+	{model: "finish", flags: []string{"NO_FORMER_WAIT"}, violated: lateRest},
+	{model: "finish", flags: []string{"NO_REVOKE_WAIT"}, violated: lateRest},
+	{model: "finish", flags: []string{"CLAIM_FORGETS"}, violated: lateRest},
+	{model: "finish", flags: []string{"HAND_OVER_FORGETS"}, violated: lateRest},
+	{model: "finish", flags: []string{"HAND_OVER_DROPS_REVOKED"}, violated: lateRest},
+	{model: "finish", flags: []string{"READ_ANY"}, violated: lateRest},
 }
 
 func (c check) name() string {
