Test that rights and records forget former terms

TestRightToARemovedTargetIsForgotten and TestHandOverWaitsWhileTheRecordNamesManyFormerGrantors show the two bounds of the wait for former grantors: a right ends with its target, and a record names eight routers at most. Both pass on the code as it is.

--- a/core/ownership/lapse_test.go
+++ b/core/ownership/lapse_test.go
@@ -114,3 +114,28 @@
 	k.handOver(time.Millisecond, k.duties["t"], Router{Name: "b", Incarnation: 1})
 	assert.Assert(t, k.gate.SendUntil("t", 8, true) <= 320*time.Millisecond)
 }
+
+// Guards against rights to finish requests that are remembered for targets that left the configuration.
+func TestRightToARemovedTargetIsForgotten(t *testing.T) {
+	k, _ := servingKeeper(320 * time.Millisecond)
+	k.Step(100*time.Millisecond, Configured{})
+	assert.Equal(t, len(k.finish), 1)
+	k.Step(100*time.Millisecond+k.cfg.RequestBound, Tick{})
+	assert.Equal(t, len(k.finish), 0)
+	assert.Equal(t, len(k.gate.rights), 0)
+}
+
+// Guards against a record that names more and more former grantors.
+func TestHandOverWaitsWhileTheRecordNamesManyFormerGrantors(t *testing.T) {
+	k, _ := servingKeeper(320 * time.Millisecond)
+	d, to := k.duties["t"], Router{Name: "b", Incarnation: 1}
+	for i := range maxFormers {
+		former := Router{Name: string(rune('c' + i)), Incarnation: 1}
+		d.record.Formers = append(d.record.Formers, Former{Router: former, Units: UnitSet{All: true}})
+	}
+	k.handOver(time.Millisecond, d, to)
+	assert.Equal(t, d.phase, serving)
+	d.record.Formers = d.record.Formers[1:]
+	k.handOver(2*time.Millisecond, d, to)
+	assert.Equal(t, d.phase, idle)
+}
