Log and count the targets that the leader's orders and a router don't reach

The logs of the incident can't tell a leader that holds all targets for unreachable from one that knows no targets or has stopped, nor a router that reaches no target from targets that are down. Two lines and two gauges do, each written only on a change: 'order coverage changed' at the leader and 'reach of targets changed' at each router. No decision changes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -225,7 +225,7 @@
 	for _, spec := range c.Services {
 		s := g.services[spec.Name]
 		if s == nil || s.byKey != spec.ByKey {
-			s = newService(spec, g.opts.DataCentre, g.newBudget())
+			s = newService(spec, g.opts.DataCentre, g.newBudget(), g.logReach)
 		}
 		services[spec.Name] = s
 	}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -208,6 +208,8 @@
 	// limits are the key limits that were last sent, at limitedAt.
 	limits    []keyspace.Limit
 	limitedAt time.Time
+	// coverage is the one that was last logged.
+	coverage assign.Coverage
 }
 
 // leader is the duty that assigns keys while this router leads, and campaigns for leadership
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -52,6 +52,7 @@
 		assignment.assigner.SetStoreUnreachable(suspected)
 		actions := assignment.assigner.Step(now)
 		l.carryOut(t, name, assignment, actions, now)
+		l.observeCoverage(name, assignment)
 		if assignment.unpublished && !now.Before(assignment.publishDue) {
 			l.publishTable(assignment, now)
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/core/dispatch"
 	"tarragongw/operator"
 	"tarragongw/target"
 )
@@ -36,6 +37,28 @@
 	g.opts.Telemetry.Scope().Tagged(tags).Counter("target_connections_opened_total").Inc(1)
 }
 
+// observeCoverage logs and counts the targets that don't answer orders and the keys without a holder, if
+// they have changed.
+func (l *leader) observeCoverage(service string, assignment *serviceAssignment) {
+	c := assignment.assigner.Coverage()
+	if c == assignment.coverage {
+		return
+	}
+	assignment.coverage = c
+	l.g.log.Info("order coverage changed", "service", service, "targets", c.Targets, "unreachable", c.Unreachable, "unassigned_keys", c.UnassignedKeys)
+	if tel := l.g.opts.Telemetry; tel != nil {
+		scope := tel.Scope().Tagged(map[string]string{"service": service})
+		scope.Gauge("targets_unreachable_for_orders").Update(float64(c.Unreachable))
+		scope.Gauge("unassigned_keys").Update(float64(c.UnassignedKeys))
+	}
+}
+
+// logReach logs that the targets to which this router can open connections have become none, some or
+// all of a service's.
+func (g *Gateway) logReach(service string, r dispatch.Reach) {
+	g.log.Info("reach of targets changed", "service", service, "reached", r.Reached, "of", r.Targets)
+}
+
 // serveInternal serves an endpoint for the platform or for operators until the process ends.
 func (g *Gateway) serveInternal(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && g.lifetime.Err() == nil {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -36,13 +36,16 @@
 	// tableChanged is closed when the table changes.
 	tableChanged chan struct{}
 	keyLoad      *keySamples
+	// extent is how many targets this router last reached; logReach is called when it changes.
+	extent   dispatch.Extent
+	logReach func(service string, r dispatch.Reach)
 }
 
-func newService(spec routes.Service, dataCentre string, budget *retry.Budget) *service {
+func newService(spec routes.Service, dataCentre string, budget *retry.Budget, logReach func(string, dispatch.Reach)) *service {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &service{
 		name: spec.Name, byKey: spec.ByKey, dispatcher: dispatch.New(dataCentre, spec.ByKey, random), budget: budget,
-		waiting: map[uint64]chan dispatch.Decision{}, tableChanged: make(chan struct{}), keyLoad: &keySamples{},
+		waiting: map[uint64]chan dispatch.Decision{}, tableChanged: make(chan struct{}), keyLoad: &keySamples{}, logReach: logReach,
 	}
 }
 
@@ -137,9 +140,21 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.dispatcher.Done(now, id, result, took, turns)
+	if result == dispatch.Unreachable || result == dispatch.Answered && s.extent != dispatch.ReachesAll {
+		s.observeReach()
+	}
 	s.poll(now)
 }
 
+// observeReach reports a change of how many targets are reached; the caller holds the lock.
+func (s *service) observeReach() {
+	r := s.dispatcher.Reach()
+	if r.Extent() != s.extent {
+		s.extent = r.Extent()
+		s.logReach(s.name, r)
+	}
+}
+
 // recordReport records the load report in a target's answer.
 func (s *service) recordReport(id string, r dispatch.Report) {
 	s.mu.Lock()
