Reproduce routers cut off from the targets in a failing test

Six routers, six targets, and paths between them that are cut in the ways of the incident: silent, reset, or with new connections refused.

Targets and orders are reached through Options.DialTarget and a parameter of the order client, which default to what was there.

--- a/cmd/tarragongw/serve.go
+++ b/cmd/tarragongw/serve.go
@@ -105,7 +105,7 @@
 }
 
 func gatewayOptions(s *platform.Settings, logger *slog.Logger, metrics *telemetry.Telemetry) gateway.Options {
-	orders := platform.NewOrderClient()
+	orders := platform.NewOrderClient(nil)
 	return gateway.Options{
 		Name: s.Name, DataCentre: s.DataCentre,
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress, PeerAddress: s.PeerAddress,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
+	g.pools.dial = opts.DialTarget
 	g.guard = newGuard(g)
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
 	if err := g.listen(); err != nil {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -41,6 +42,10 @@
 	client      *http.Client
 	// links are the gateways' connections to the store, by gateway name.
 	links map[string]*storeLink
+	// paths are the gateways' paths to the targets, by gateway name.
+	paths map[string]*platformtest.Path
+	// dataCentre is Options.DataCentre of gateways that are started; "hall" if empty.
+	dataCentre string
 	// knownWithin is Options.PropagationLimit of gateways that are started.
 	knownWithin time.Duration
 	// slowPrefix is a prefix whose listings take slowListing for gateways that are started.
@@ -108,7 +113,7 @@
 
 // newFleet starts gateways with a store that has the configuration and the targets.
 func newFleet(t testing.TB, gateways int, config string, targets ...*platformtest.Target) *fleet {
-	f := &fleet{t: t, store: platformtest.NewStore(), targets: map[string]*platformtest.Target{}, links: map[string]*storeLink{}, client: &http.Client{}}
+	f := &fleet{t: t, store: platformtest.NewStore(), targets: map[string]*platformtest.Target{}, links: map[string]*storeLink{}, paths: map[string]*platformtest.Path{}, client: &http.Client{}}
 	t.Cleanup(f.close)
 	if config != "" {
 		f.configure(config)
@@ -132,6 +137,9 @@
 	for _, g := range f.gateways {
 		abandon(g)
 	}
+	for _, path := range f.paths {
+		path.Close()
+	}
 	for _, target := range f.targets {
 		target.Close()
 	}
@@ -182,7 +190,8 @@
 
 func (f *fleet) start(name string) *Gateway {
 	f.t.Helper()
-	orders := platform.NewOrderClient()
+	f.paths[name] = platformtest.NewPath()
+	orders := platform.NewOrderClient(f.paths[name].Dial)
 	f.links[name] = &storeLink{TxnStore: platform.NewStore(f.store.Address()), slowPrefix: f.slowPrefix, slowDelay: slowListing}
 	metricsAddress := ""
 	if f.metrics != nil {
@@ -190,8 +199,8 @@
 	}
 	g, err := New(Options{
 		MetricsAddress: metricsAddress, Telemetry: f.metrics,
-		Name: name, DataCentre: "hall", CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		Store: f.links[name], LeaseMin: time.Second, PropagationLimit: f.knownWithin, MaxGrantTTL: 10 * time.Second, Grace: 3 * time.Second,
+		Name: name, DataCentre: cmp.Or(f.dataCentre, "hall"), CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		Store: f.links[name], DialTarget: f.paths[name].Dial, LeaseMin: time.Second, PropagationLimit: f.knownWithin, MaxGrantTTL: 10 * time.Second, Grace: 3 * time.Second,
 		RetryShare: 0.2, RetryMin: 60, RetryWindow: 10 * time.Second,
 		Logger: slog.New(slog.NewTextHandler(&f.log, nil)).With("router", name),
 		Adapter: Adapter{
@@ -351,6 +360,20 @@
 	return platformtest.NewTarget(id, "keyed", "hall", true)
 }
 
+// mixedConfig has a service with keys and one without.
+const mixedConfig = `"routes":[
+{"name":"look","host":"h.example","prefix":"/look/","route_type":"safe","timeout":"1500ms","target_latency":"400ms","service":"keyed","max_attempts":2},
+{"name":"read","host":"h.example","prefix":"/read/","route_type":"safe","timeout":"1000ms","target_latency":"400ms","service":"any","max_attempts":2},
+{"name":"pay","host":"h.example","prefix":"/pay/","route_type":"unsafe","timeout":"1000ms","target_latency":"400ms","service":"any","max_attempts":2}],
+"services":[{"name":"keyed","max_connections":40,"sharded":true},{"name":"any","max_connections":40}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
+
+// mixedTargets are targets of the services of mixedConfig.
+func mixedTargets() []*platformtest.Target {
+	return []*platformtest.Target{
+		keyedTarget("k0"), keyedTarget("k1"), keyedTarget("k2"), plainTarget("p0"), plainTarget("p1"), plainTarget("p2"),
+	}
+}
+
 const (
 	// stallTick is how often watchStalls reads the clock, and maxStall how late it may be: leases of
 	// a second are renewed every few hundred milliseconds.
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"time"
 
@@ -54,7 +55,9 @@
 	// routers reach this one.
 	CallerAddress, ReadyAddress, MetricsAddress, PeerAddress string
 	Store                                                    kv.TxnStore
-	Adapter                                                  Adapter
+	// DialTarget opens connections to targets; nil means a net.Dialer.
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
+	Adapter    Adapter
 	// LeaseMin is the shortest TTL of a lease that the store grants.
 	LeaseMin time.Duration
 	// StoreHistory is for how long the store keeps changes for watches; zero if unknown.
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +34,8 @@
 // pools has a connection pool for each instance of each target.
 type pools struct {
 	dialect target.Dialect
+	// dial opens connections to targets; nil means a net.Dialer.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// observeAnswer is called with the header of each answer of a target.
 	observeAnswer func(t *directory.Target, h http.Header)
 	// connOpening is called for each connection that is opened, with the cause.
@@ -64,7 +68,7 @@
 	dialect.Observe = func(h http.Header) { p.observeAnswer(&id, h) }
 	pool, err := target.New(target.PoolConfig{
 		Address: t.Address, MaxConns: max(maxConns, minConns), ControlConns: -1, MaxIdle: maxIdle,
-		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Wait: -1,
+		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Dial: p.dial, Wait: -1,
 		OnDial: func(cause target.OpenCause) { p.connOpening(id.Service, cause) },
 	})
 	if err != nil {
