Probe targets that were given up, and give them keys again

Callers of a service divided by key were refused for good (0 of some 100 a second, from 7 s to 93 s of the incident, at all routers) after the leader had reached no target for 12 s. Cause: a target that leaves orders unanswered counts as unreachable until it answers one, but loses its keys, and a target without keys gets no orders. With all targets unreachable nothing was ever tried again. Evidence: the last order 4 s after the cut began and none after it; 'order coverage changed' in the failing test says 3 of 3 unreachable and 65536 keys unassigned after the path was intact again.

The assigner now probes such targets, at most once in 250 ms to 1 s each and 8 at a time, by the service's status check; any answer of that target ends the belief. A target with keys is not probed. Besides, while half of the holders or more leave orders unanswered, the keys stay with them until 1.6 s instead of 0.7 s: the cause may be at this router, and another may take over before the grants expire.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -49,6 +49,12 @@
 	// same moment.
 	minFailures      = 3
 	unreachableAfter = 700 * time.Millisecond
+	// commonCauseAfter replaces unreachableAfter while at least commonCauseShare of the holders, and
+	// minCommonCause of them, don't answer: the cause may then be at this router, and another one may
+	// still take over before the grants expire.
+	commonCauseAfter = 1600 * time.Millisecond
+	commonCauseShare = 0.5
+	minCommonCause   = 2
 	// grantRetryDelay is the pause after a failed grant. It grows with each further failure of
 	// the same target up to maxGrantRetryDelay, because a data centre that is cut off has the
 	// leader retry hundreds of ranges.
@@ -67,6 +73,12 @@
 	// saves waiting for its grants to expire.
 	releaseRetryDelay    = 250 * time.Millisecond
 	maxReleaseRetryDelay = time.Second
+	// probeDelay is the pause between two probes of a target that holds no keys because it did not
+	// answer orders. It grows with each failure up to maxProbeDelay. maxProbes bounds the probes in
+	// flight.
+	probeDelay    = 250 * time.Millisecond
+	maxProbeDelay = time.Second
+	maxProbes     = 8
 )
 
 // Config holds the durations that the assignment uses, and what is known of the store.
@@ -111,17 +123,23 @@
 const (
 	Grant Kind = iota
 	Release
+	// Probe orders nothing; it shows whether a target without keys answers.
+	Probe
 )
 
 // String returns the name used in logs.
 func (k Kind) String() string {
-	if k == Release {
+	switch k {
+	case Release:
 		return "release"
+	case Probe:
+		return "probe"
+	default:
+		return "grant"
 	}
-	return "grant"
 }
 
-// Order is an order to a target to take keys or to give them up.
+// Order is an order to a target to take keys or to give them up, or a probe.
 type Order struct {
 	ID       uint64
 	Kind     Kind
@@ -135,6 +153,8 @@
 	Handover string
 	// First reports whether this is the first grant of the keys under this token.
 	First bool
+	// HealthPath is the path of the service's health check, for probes; empty if it has none.
+	HealthPath string
 }
 
 // Outcome is the result of an order.
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -1,6 +1,8 @@
 package assign
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"tarragongw/core/directory"
@@ -15,6 +17,9 @@
 	failures    int
 	lastAnswer  time.Time
 	unreachable bool
+	// probing reports whether a probe is in flight, nextProbeAt when the next may be sent.
+	probing     bool
+	nextProbeAt time.Time
 }
 
 // SetTargets sets the known targets.
@@ -74,5 +79,85 @@
 		return
 	}
 	c.failures++
-	c.unreachable = c.unreachable || c.failures >= minFailures && now.Sub(c.lastAnswer) >= unreachableAfter
+	if c.unreachable || c.failures < minFailures {
+		return
+	}
+	c.unreachable = now.Sub(c.lastAnswer) >= a.unreachableAfter()
+}
+
+// unreachableAfter returns how long ago the last answer of a target is that counts as unreachable.
+func (a *Assigner) unreachableAfter() time.Duration {
+	if holders, silent := a.SilentHolders(1); len(silent) >= minCommonCause && float64(len(silent)) >= commonCauseShare*float64(holders) {
+		return commonCauseAfter
+	}
+	return unreachableAfter
+}
+
+// SilentHolders returns how many targets hold keys, and those of them that have left at least the
+// given number of orders in a row without an answer, by ID.
+func (a *Assigner) SilentHolders(failures int) (holders int, silent []directory.Target) {
+	seen := make(map[string]bool, len(a.candidates))
+	for i := range a.spans {
+		id := a.spans[i].Target
+		c := a.candidates[id]
+		if c == nil || seen[id] {
+			continue
+		}
+		seen[id] = true
+		holders++
+		if c.failures >= failures {
+			silent = append(silent, c.target)
+		}
+	}
+	return holders, silent
+}
+
+// sendProbes adds probes of the targets that hold no keys because they did not answer orders. Without
+// them such a target, which gets no orders any more, could never be given keys again.
+func (a *Assigner) sendProbes(now time.Time, actions *Actions) {
+	inFlight, idle := a.unreachableWithoutKeys()
+	for _, c := range idle {
+		switch {
+		case c.nextProbeAt.After(now):
+			actions.Next = earlierOf(actions.Next, c.nextProbeAt)
+		case inFlight < maxProbes:
+			inFlight++
+			c.probing = true
+			a.lastOrderID++
+			a.pendingOrders[a.lastOrderID] = pendingOrder{kind: Probe, target: c.target.ID}
+			actions.Orders = append(actions.Orders, Order{ID: a.lastOrderID, Kind: Probe, Holder: c.target.Holder(), Address: c.target.Address})
+		}
+	}
+}
+
+// unreachableWithoutKeys returns the unreachable targets that hold no keys and are not being probed, in
+// the order of their next probes, and the number of probes in flight.
+func (a *Assigner) unreachableWithoutKeys() (inFlight int, idle []*candidate) {
+	holders := make(map[string]bool, len(a.candidates))
+	for i := range a.spans {
+		holders[a.spans[i].Target] = true
+	}
+	for id, c := range a.candidates {
+		switch {
+		case c.probing:
+			inFlight++
+		case c.unreachable && !holders[id]:
+			idle = append(idle, c)
+		}
+	}
+	slices.SortFunc(idle, func(x, y *candidate) int {
+		return cmp.Or(x.nextProbeAt.Compare(y.nextProbeAt), cmp.Compare(x.target.ID, y.target.ID))
+	})
+	return inFlight, idle
+}
+
+// probeDone records the end of a probe.
+func (a *Assigner) probeDone(now time.Time, id string, outcome Outcome) {
+	c := a.candidates[id]
+	if c == nil {
+		return
+	}
+	a.recordOutcome(now, id, outcome)
+	c.probing = false
+	c.nextProbeAt = now.Add(min(probeDelay*time.Duration(max(c.failures, 1)), maxProbeDelay))
 }
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -12,6 +12,8 @@
 	token uint64
 	kind  Kind
 	ttl   time.Duration
+	// target is the target of a probe.
+	target string
 }
 
 // sendDueOrders adds the orders to send now, as far as the store has what they rest on.
@@ -113,6 +115,10 @@
 	if !known {
 		return
 	}
+	if p.kind == Probe {
+		a.probeDone(now, p.target, outcome)
+		return
+	}
 	i := a.indexOf(p.from)
 	s := &a.spans[i]
 	s.orderInFlight = false
--- a/core/assign/simulation_test.go
+++ b/core/assign/simulation_test.go
@@ -68,6 +68,9 @@
 
 // execute carries out an order that arrived at the given time, and returns its outcome.
 func (t *simTarget) execute(o *Order, arrived time.Duration) Outcome {
+	if o.Kind == Probe {
+		return Accepted
+	}
 	if o.Kind == Release {
 		t.rememberToken(o)
 		t.release(o.From, o.To)
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -22,6 +22,7 @@
 	a.merge(now)
 	actions := Actions{Next: now.Add(a.cfg.RenewInterval / 2)}
 	a.sendDueOrders(now, &actions)
+	a.sendProbes(now, &actions)
 	if !a.writeInFlight && a.generation > a.sentGeneration {
 		a.requestWrite(now, &actions)
 	}
--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -51,6 +51,8 @@
 	// MaxConns is the largest number of connections that all routers together may have to
 	// one target.
 	MaxConns int
+	// HealthPath is the path of the targets' health check; empty if they have none.
+	HealthPath string
 }
 
 // CallerLimits are the limits on requests and connections of callers.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -262,6 +262,18 @@
 	return connsPerRouter(spec.MaxConns, g.routerCount())
 }
 
+// healthPath returns the path of the service's health check; empty if it has none.
+func (g *Gateway) healthPath(name string) string {
+	v := g.view.Load()
+	if v == nil {
+		return ""
+	}
+	if spec := v.config.Service(name); spec != nil {
+		return spec.HealthPath
+	}
+	return ""
+}
+
 // defaultConns is the limit if the configuration sets none.
 const defaultConns = 8
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -350,7 +350,7 @@
 
 const keyedConfig = `"routes":[
 {"name":"read","host":"h.example","prefix":"/read/","route_type":"safe","timeout":"1500ms","target_latency":"400ms","service":"keyed","max_attempts":2}],
-"services":[{"name":"keyed","max_connections":40,"sharded":true}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
+"services":[{"name":"keyed","max_connections":40,"sharded":true,"health_path":"/healthz"}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
 
 func plainTarget(id string) *platformtest.Target {
 	return platformtest.NewTarget(id, "any", "hall", false)
@@ -365,7 +365,7 @@
 {"name":"look","host":"h.example","prefix":"/look/","route_type":"safe","timeout":"1500ms","target_latency":"400ms","service":"keyed","max_attempts":2},
 {"name":"read","host":"h.example","prefix":"/read/","route_type":"safe","timeout":"1000ms","target_latency":"400ms","service":"any","max_attempts":2},
 {"name":"pay","host":"h.example","prefix":"/pay/","route_type":"unsafe","timeout":"1000ms","target_latency":"400ms","service":"any","max_attempts":2}],
-"services":[{"name":"keyed","max_connections":40,"sharded":true},{"name":"any","max_connections":40}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
+"services":[{"name":"keyed","max_connections":40,"sharded":true,"health_path":"/healthz"},{"name":"any","max_connections":40}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"}`
 
 // mixedTargets are targets of the services of mixedConfig.
 func mixedTargets() []*platformtest.Target {
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -124,6 +124,9 @@
 
 func (l *leader) carryOut(t *term, service string, assignment *serviceAssignment, actions assign.Actions, now time.Time) {
 	for _, o := range actions.Orders {
+		if o.Kind == assign.Probe {
+			o.HealthPath = l.g.healthPath(service)
+		}
 		l.g.workers.Run(func() { l.duty.Tell(l.sendOrder(t, service, o)) })
 	}
 	if write := actions.Write; write != nil {
@@ -238,7 +241,7 @@
 
 func (l *leader) handleOrderDone(m *orderDone) {
 	o := &m.order
-	if m.outcome != assign.Accepted || o.Kind == assign.Release || o.First {
+	if m.outcome != assign.Accepted || o.Kind != assign.Grant || o.First {
 		l.g.log.Info("order", "kind", o.Kind, "service", m.service, "target", o.Holder.Target, "from", o.From, "to", o.To,
 			"token", o.Token, "hold", o.TTL, "outcome", m.outcome, "handover", m.handover != "", "took", m.took, "err", errText(m.err))
 	}
