Reach targets through another router while the own path is cut

Evidence: 'attempt failed kind=target_unreachable' at cut routers alone, and 'reach of targets changed' in the failing test.

core/reach concludes from connections that fail together, or time out again, and from services that fall silent, which paths are cut. Requests then take a connection through another router (peer/relay): the pool, the proof of 'not run', the crash list, limits and deadlines stay at the router where the caller is, and the one on the way copies bytes. It opens its own connections only, so that there is one hop and no loop, and looks the target up itself. Bytes from the target are framed: the loss of the router on the way can't look like the end of an answer. The leader names the routers that reach targets, and only while a router lacks some; a planned stop lets relayed requests end and takes no more. Requests that may be repeated and hang on a lost path are aborted and sent again. Lost paths are probed; the first that opens has all others probed at once. A refusal on a lost path is no crash of the target.

Where nothing is cut no message or connection is added.

--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -71,6 +71,8 @@
 	ReportAge time.Duration
 	// ServiceMultiple is how many service times the request is expected to stay at the target.
 	ServiceMultiple float64
+	// ServiceTime is the mean service time over all targets.
+	ServiceTime time.Duration
 	// Fault is the kind of error of a refused request, RetryAfter the advised wait, and Detail
 	// the text for the caller.
 	Fault      fault.Kind
@@ -252,6 +254,13 @@
 	}
 }
 
+// PathFound records that there is a way to a target again, so that it gets requests at once.
+func (s *Service) PathFound(id string) {
+	if t := s.targetByID[id]; t != nil {
+		t.nextConnectAt = time.Time{}
+	}
+}
+
 // shedFailure is the weight of a refusal for lack of room in the failure rate: it costs an attempt,
 // but the request can still be sent elsewhere.
 const shedFailure = 0.5
@@ -288,7 +297,8 @@
 	if t.inFlight > 0 && !s.worthQueueing(now, r, t) {
 		return Decision{}, s.tooLate(now, t)
 	}
-	d := Decision{Verdict: Send, Target: t.Target, Work: t.totalWork(now), ReportAge: -1, ServiceMultiple: t.serviceMultiple(now)}
+	d := Decision{Verdict: Send, Target: t.Target, Work: t.totalWork(now), ReportAge: -1, ServiceMultiple: t.serviceMultiple(now),
+		ServiceTime: time.Duration(s.overallServiceTime * float64(time.Second))}
 	if !t.lastReport.IsZero() {
 		d.ReportAge = now.Sub(t.lastReport)
 	}
--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -19,9 +19,11 @@
 	server := &feed.Server{
 		Log: g.log, StoreReachable: g.subscription.targetsFresh, LeaderSource: g.subscription.feedSource,
 		OnReport: g.handleReport, OnObservations: g.guard.Observe, Clock: g.opts.Clock,
-		OnJoin: func(router string, term uint64, promised time.Duration) {
-			g.leader.duty.Tell(&followerJoined{router, kv.Revision(term), promised})
+		OnJoin: func(router feed.Router, term uint64, promised time.Duration) {
+			g.relays.join(router, term)
+			g.leader.duty.Tell(&followerJoined{router.Name, kv.Revision(term), promised})
 		},
+		OnLeave: g.relays.leave, OnReach: g.relays.setReach, OnRelay: g.relayServer.Serve,
 		OnBacked: g.subscription.recordFollowerPromise,
 	}
 	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -15,6 +15,9 @@
 	if u.Quarantine != nil {
 		h.subscription.g.guard.Adopt(u.Quarantine)
 	}
+	if u.Relays != nil {
+		h.subscription.g.paths.setRelays(u.Relays.Relays)
+	}
 	if u.Stale {
 		h.handleStale(u)
 		return
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tarragongw/caller"
 	"tarragongw/core/dispatch"
 	"tarragongw/core/fault"
@@ -14,7 +16,6 @@
 	"tarragongw/core/routes"
 	"tarragongw/crashguard"
 	"tarragongw/replay"
-	"tarragongw/target"
 )
 
 const (
@@ -163,14 +164,10 @@
 	began := time.Now()
 	result := dispatch.Failed
 	defer func() { x.service.done(d.Target.ID, result, time.Since(began), d.ServiceMultiple) }()
-	pool, err := x.g.pools.get(&d.Target, x.g.connLimit(x.service.name))
-	if err != nil {
-		return fault.Wrap(fault.TargetUnreachable, err, "")
-	}
 	x.sends++
 	x.targets[d.Target.ID] = true
 	x.avoid = d.Target.ID
-	resp, f := pool.AttemptWithOptions(x.r.Context(), x.r, target.AttemptOptions{BeforeRequest: func() *fault.Fault { return x.setHeaders(d) }})
+	resp, f := x.deliver(d)
 	if f != nil {
 		result = resultOf(f)
 		x.recordFailure(began, d, f)
@@ -227,6 +224,8 @@
 
 func resultOf(f *fault.Fault) dispatch.Result {
 	switch {
+	case errors.Is(f, errPathLost):
+		return dispatch.Abandoned
 	case f.Kind == fault.CallerGone, f.Kind == fault.DeadlineUnmeetable, f.Kind == fault.Quarantined:
 		return dispatch.Abandoned
 	case f.Kind == fault.DeadlineExceeded:
@@ -252,7 +251,7 @@
 		x.mayHaveRun = f
 	}
 	fingerprint := ""
-	if !isReplacedAnswer(f) {
+	if !isReplacedAnswer(f) && !x.g.paths.explains(d.Target.ID, f) {
 		fingerprint = x.g.guard.Failed(&x.guarded, guardTarget(&d.Target), f)
 	}
 	x.g.log.Info("attempt failed", "id", x.meta.ID, "number", a.Number, "target", a.Target, "took", a.Took,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"tarragongw/crashguard"
 	"tarragongw/duty"
 	"tarragongw/leasewrite/writereport"
+	"tarragongw/peer/relay"
 )
 
 // Gateway is one router process.
@@ -43,6 +44,11 @@
 	sizes        sizes
 	callerAges   callerAges
 	guard        *crashguard.Guard
+	// paths are this router's ways to the targets, relays the routers through which others may reach
+	// them, kept while this router leads, and relayServer passes on connections for others.
+	paths       *paths
+	relays      *relayDirectory
+	relayServer *relay.Server
 	// quarantineRecord is what this router writes to the store while it leads.
 	quarantineRecord quarantineRecord
 
@@ -80,7 +86,10 @@
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
-	g.pools.dial = opts.DialTarget
+	g.paths = newPaths(g)
+	g.pools.dialDirect, g.pools.dialRelayed = g.paths.directDialer, g.paths.relayedDialer
+	g.relays = newRelayDirectory(g)
+	g.relayServer = g.newRelayServer()
 	g.guard = newGuard(g)
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
 	if err := g.listen(); err != nil {
@@ -247,6 +256,7 @@
 		s.setTargets(byService[name])
 	}
 	g.pools.retain(targets)
+	g.paths.setTargets(targets)
 }
 
 // connLimit returns how many connections this router may have to one target of the service.
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -8,7 +8,7 @@
 
 func newGuard(g *Gateway) *crashguard.Guard {
 	return crashguard.New(crashguard.Options{
-		Router: g.opts.Name, Log: g.log, Telemetry: g.opts.Telemetry, Run: g.workers.Run, Dial: g.opts.DialTarget, Lifetime: g.lifetime,
+		Router: g.opts.Name, Log: g.log, Telemetry: g.opts.Telemetry, Run: g.workers.Run, Dial: g.paths.dialCheck, Lifetime: g.lifetime,
 		IsActive: g.isActive, Publish: g.publishQuarantine,
 	})
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/core/dispatch"
+	"tarragongw/core/fault"
 	"tarragongw/operator"
 	"tarragongw/target"
 )
@@ -59,6 +60,18 @@
 	g.log.Info("reach of targets changed", "service", service, "reached", r.Reached, "of", r.Targets)
 }
 
+// countRelayed counts a request that was sent through another router, by whether there was an answer.
+func (g *Gateway) countRelayed(service string, f *fault.Fault) {
+	if g.opts.Telemetry == nil {
+		return
+	}
+	result := "answered"
+	if f != nil && !isAnswer(f) {
+		result = f.Kind.String()
+	}
+	g.opts.Telemetry.Scope().Tagged(map[string]string{"service": service, "result": result}).Counter("relayed_requests_total").Inc(1)
+}
+
 // serveInternal serves an endpoint for the platform or for operators until the process ends.
 func (g *Gateway) serveInternal(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && g.lifetime.Err() == nil {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -96,6 +96,9 @@
 	if o.Clock == nil {
 		o.Clock = clock.Boot{}
 	}
+	if o.DialTarget == nil {
+		o.DialTarget = (&net.Dialer{}).DialContext
+	}
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
--- /dev/null
+++ b/gateway/paths.go
@@ -0,0 +1,431 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"tarragongw/core/directory"
+	"tarragongw/core/dispatch"
+	"tarragongw/core/fault"
+	"tarragongw/core/reach"
+	"tarragongw/peer/feed"
+	"tarragongw/peer/relay"
+	"tarragongw/target"
+)
+
+const (
+	// pathCheckInterval is how often lost paths are looked through for those to be probed.
+	pathCheckInterval = 100 * time.Millisecond
+	// minDialTime is the part of dialTimeout after which a connection that was not opened counts as timed
+	// out; before it, the request's own time was over.
+	minDialTime = dialTimeout * 4 / 5
+	// relayPenalty is for how long a router that can't be reached is not used as a relay.
+	relayPenalty = time.Second
+	// maxRelayTries is how many routers are asked for one connection.
+	maxRelayTries = 2
+)
+
+// errPathLost is why requests that may be repeated are aborted: the path to their target is cut.
+var errPathLost = errors.New("the path to the target is lost")
+
+// paths are this router's ways to the targets: its own connections, and through other routers while its own
+// are cut.
+type paths struct {
+	g *Gateway
+	// wake has a value while there is something new to tell the leader.
+	wake chan struct{}
+	// connections counts the connections through other routers.
+	connections atomic.Uint64
+
+	mu      sync.Mutex
+	tracker *reach.Tracker
+	targets map[string]directory.Target
+	// aborters are those of requests that were sent directly, may be repeated, and have no answer yet.
+	aborters map[string]map[*target.Aborter]bool
+	// relays are the routers through which targets may be reached, without this one, and relayNotBefore
+	// says when one that could not be reached may be used again.
+	relays         []feed.Relay
+	relayNotBefore map[string]time.Time
+	// checking is set while lost paths are probed regularly.
+	checking bool
+	// told is what the leader was last told; untold is set if it has to be told again.
+	told        feed.Reach
+	untold      bool
+	unavailable bool
+}
+
+func newPaths(g *Gateway) *paths {
+	return &paths{
+		g: g, wake: make(chan struct{}, 1), tracker: reach.NewTracker(), aborters: map[string]map[*target.Aborter]bool{},
+		relayNotBefore: map[string]time.Time{},
+	}
+}
+
+func (p *paths) setTargets(targets []directory.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targets = make(map[string]directory.Target, len(targets))
+	for _, t := range targets {
+		p.targets[t.ID] = t
+	}
+	p.tracker.SetTargets(targets)
+	p.tellLocked()
+}
+
+// choose returns the path for a request. Unless it is relayed, ended has to be called when it has ended.
+func (p *paths) choose(d *dispatch.Decision) reach.Path {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.tracker.Choose(now, d.Target.ID, d.ServiceTime, len(p.relays) > 0)
+	if path != reach.Relayed {
+		p.tracker.Sent(now, d.Target.ID)
+	}
+	return path
+}
+
+// findsRelay reports whether a request whose direct connection failed is to go through another router.
+func (p *paths) findsRelay(d *dispatch.Decision) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Choose(time.Now(), d.Target.ID, d.ServiceTime, len(p.relays) > 0) == reach.Relayed
+}
+
+// ended records that a request that was sent directly has ended, or that its answer has begun.
+func (p *paths) ended(id string, answered bool, aborter *target.Aborter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.Ended(id)
+	if answered {
+		p.tracker.Answered(time.Now(), id)
+	}
+	if aborter != nil {
+		delete(p.aborters[id], aborter)
+		if len(p.aborters[id]) == 0 {
+			delete(p.aborters, id)
+		}
+	}
+}
+
+// newAborter returns an aborter that is used when the direct path to the target is lost.
+func (p *paths) newAborter(id string) *target.Aborter {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.aborters[id] == nil {
+		p.aborters[id] = map[*target.Aborter]bool{}
+	}
+	aborter := &target.Aborter{}
+	p.aborters[id][aborter] = true
+	return aborter
+}
+
+// explains reports whether a failure says nothing about the target, because its path is lost.
+func (p *paths) explains(id string, f *fault.Fault) bool {
+	if errors.Is(f, errPathLost) {
+		return true
+	}
+	if !errors.Is(f, syscall.ECONNREFUSED) || errors.Is(f, errRelayed) {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.IsLost(id)
+}
+
+// directDialer returns the function that opens direct connections to a target.
+func (p *paths) directDialer(t *directory.Target) dialFunc {
+	id := t.ID
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		began := time.Now()
+		conn, err := p.g.opts.DialTarget(ctx, network, address)
+		p.dialed(id, time.Since(began), err)
+		return conn, err
+	}
+}
+
+// dialed records whether a direct connection could be opened.
+func (p *paths) dialed(id string, took time.Duration, err error) {
+	timedOut := isTimeout(err)
+	if err != nil && (errors.Is(err, context.Canceled) || timedOut && took < minDialTime) {
+		return // the request ended first
+	}
+	now := time.Now()
+	p.mu.Lock()
+	if err == nil {
+		if p.tracker.Proved(now, id) {
+			p.pathRestored(id)
+		}
+		p.mu.Unlock()
+		return
+	}
+	lost := p.tracker.ConnectFailed(now, id, !timedOut)
+	aborters := p.pathsLost(lost)
+	p.mu.Unlock()
+	if len(lost) == 0 {
+		return
+	}
+	for _, aborter := range aborters {
+		aborter.AbortWith(&fault.Fault{Kind: fault.TargetLost, Cause: errPathLost, Detail: errPathLost.Error()})
+	}
+	p.g.pools.closeIdle(func(id *poolID) bool { return !id.relayed && slices.Contains(lost, id.target.ID) })
+	p.retry(lost)
+}
+
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// pathsLost begins to look for other ways to targets, and returns the aborters of requests that hang there;
+// the caller holds the lock.
+func (p *paths) pathsLost(lost []string) []*target.Aborter {
+	if len(lost) == 0 {
+		return nil
+	}
+	var aborters []*target.Aborter
+	for _, id := range lost {
+		for aborter := range p.aborters[id] {
+			aborters = append(aborters, aborter)
+		}
+	}
+	p.g.log.Warn("paths to targets lost", "targets", lost, "lost", len(p.tracker.Lost()), "of", p.tracker.Targets(), "relays", len(p.relays))
+	p.tellLocked()
+	if !p.checking {
+		p.checking = true
+		time.AfterFunc(pathCheckInterval, p.probe)
+	}
+	return aborters
+}
+
+// pathRestored records that a target is reached directly again; the caller holds the lock.
+func (p *paths) pathRestored(id string) {
+	p.g.log.Info("path to target restored", "target", id, "lost", len(p.tracker.Lost()), "of", p.tracker.Targets())
+	p.tellLocked()
+}
+
+// retry makes targets whose path is lost get requests again at once if there are relays.
+func (p *paths) retry(ids []string) {
+	p.mu.Lock()
+	services := map[string]string{}
+	for _, id := range ids {
+		if t, known := p.targets[id]; known && len(p.relays) > 0 {
+			services[id] = t.Service
+		}
+	}
+	p.mu.Unlock()
+	for id, name := range services {
+		if s := p.g.service(name); s != nil {
+			s.pathFound(id)
+		}
+	}
+}
+
+// probe opens connections on lost paths that are due, until none is lost.
+func (p *paths) probe() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.tracker.Lost()) == 0 || p.g.lifetime.Err() != nil {
+		p.checking = false
+		return
+	}
+	for _, id := range p.tracker.Probes(time.Now()) {
+		t := p.targets[id]
+		p.g.workers.Run(func() { p.probeTarget(&t) })
+	}
+	time.AfterFunc(pathCheckInterval, p.probe)
+}
+
+// probeTarget opens a direct connection to a target.
+func (p *paths) probeTarget(t *directory.Target) {
+	ctx, cancel := context.WithTimeout(p.g.lifetime, dialTimeout)
+	defer cancel()
+	conn, err := p.directDialer(t)(ctx, "tcp", t.Address)
+	if err == nil {
+		conn.Close()
+	}
+}
+
+// setRelays sets the routers through which targets may be reached.
+func (p *paths) setRelays(relays []feed.Relay) {
+	others := slices.DeleteFunc(slices.Clone(relays), func(r feed.Relay) bool { return r.Name == p.g.opts.Name })
+	p.mu.Lock()
+	gone := slices.ContainsFunc(p.relays, func(old feed.Relay) bool {
+		return !slices.ContainsFunc(others, func(r feed.Relay) bool { return r.Router == old.Router })
+	})
+	p.relays = others
+	lost := p.tracker.Lost()
+	p.mu.Unlock()
+	if gone {
+		p.g.pools.closeIdle(func(id *poolID) bool { return id.relayed })
+	}
+	p.retry(lost)
+}
+
+// errRelayed marks errors of connections through other routers.
+var errRelayed = errors.New("through another router")
+
+// relayedDialer returns the function that opens connections to a target through other routers.
+func (p *paths) relayedDialer(t *directory.Target) dialFunc {
+	target := *t
+	return func(ctx context.Context, _, _ string) (net.Conn, error) {
+		conn, err := p.dialRelayed(ctx, &target)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		switch {
+		case err == nil:
+			p.tracker.RelaySucceeded(target.ID)
+			return conn, nil
+		case ctx.Err() == nil:
+			p.tracker.RelayFailed(time.Now(), target.ID)
+		}
+		return nil, err
+	}
+}
+
+func (p *paths) dialRelayed(ctx context.Context, t *directory.Target) (*relay.Conn, error) {
+	err := errors.Wrap(errRelayed, "no router is known to reach the target")
+	for _, r := range p.relaysTo(t) {
+		var conn *relay.Conn
+		conn, err = relay.Dial(ctx, r.Address, p.relayRequest(t))
+		if err == nil {
+			return conn, nil
+		}
+		p.g.log.Info("relay failed", "target", t.ID, "relay", r.Name, "err", err)
+		if errors.Is(err, relay.ErrRouterUnreached) || errors.Is(err, relay.ErrUnavailable) {
+			p.mu.Lock()
+			p.relayNotBefore[r.Name] = time.Now().Add(relayPenalty)
+			p.mu.Unlock()
+		}
+		err = &relayedError{err}
+		if errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+// relayedError is the error of a connection through another router.
+type relayedError struct{ error }
+
+// Is makes it an errRelayed.
+func (e *relayedError) Is(target error) bool { return target == errRelayed }
+
+// Unwrap returns the error of the connection.
+func (e *relayedError) Unwrap() error { return e.error }
+
+func (p *paths) relayRequest(t *directory.Target) *relay.Request {
+	return &relay.Request{
+		Router: p.g.opts.Name, Connection: fmt.Sprintf("%s/%d", p.g.opts.Name, p.connections.Add(1)),
+		Service: t.Service, Target: t.ID, StartUnixMilli: t.StartUnixMilli,
+	}
+}
+
+// relaysTo returns the routers to ask for a connection to the target, those of this router's data centre
+// first and otherwise in random order.
+func (p *paths) relaysTo(t *directory.Target) []feed.Relay {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var usable []feed.Relay
+	for i := range p.relays {
+		if r := &p.relays[i]; !now.Before(p.relayNotBefore[r.Name]) && !slices.Contains(r.Unreached, t.ID) {
+			usable = append(usable, *r)
+		}
+	}
+	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
+	slices.SortStableFunc(usable, func(a, b feed.Relay) int { return p.distance(&a) - p.distance(&b) })
+	return usable[:min(len(usable), maxRelayTries)]
+}
+
+func (p *paths) distance(r *feed.Relay) int {
+	if r.DataCentre == p.g.opts.DataCentre {
+		return 0
+	}
+	return 1
+}
+
+// dialCheck opens a connection that shows whether a target has ended. A refusal on a lost path proves
+// nothing; another router is asked then.
+func (p *paths) dialCheck(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := p.g.opts.DialTarget(ctx, network, address)
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return conn, err
+	}
+	p.mu.Lock()
+	var lost *directory.Target
+	for _, t := range p.targets {
+		if t.Address == address && p.tracker.IsLost(t.ID) {
+			lost = &t
+			break
+		}
+	}
+	p.mu.Unlock()
+	if lost == nil {
+		return nil, err
+	}
+	relayed, err := p.dialRelayed(ctx, lost)
+	if err != nil {
+		return nil, err
+	}
+	return relayed, nil
+}
+
+// tellLocked makes the leader learn of what is reached if that has changed; the caller holds the lock.
+func (p *paths) tellLocked() {
+	lost := p.tracker.Lost()
+	if !p.untold && slices.Equal(lost, p.told.Unreached) && p.told.Unavailable == p.unavailable {
+		return
+	}
+	p.untold = true
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+	if p.g.opts.Telemetry != nil {
+		p.g.opts.Telemetry.Scope().Gauge("targets_out_of_reach").Update(float64(len(lost)))
+	}
+	p.g.relays.setOwn(feed.Reach{Unreached: lost, Unavailable: p.unavailable})
+}
+
+// news returns what has to be told to the leader; nil if there is nothing new.
+func (p *paths) news() *feed.Reach {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.untold {
+		return nil
+	}
+	p.untold = false
+	p.told = feed.Reach{Unreached: p.tracker.Lost(), Unavailable: p.unavailable}
+	told := p.told
+	return &told
+}
+
+// retell makes another leader learn of what is not reached.
+func (p *paths) retell() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.told = feed.Reach{}
+	p.untold = false
+	p.tellLocked()
+}
+
+// leave tells the leader that this router passes on nothing for others any more.
+func (p *paths) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unavailable = true
+	p.tellLocked()
+}
+
+// mostlyUnreached reports whether a router that doesn't reach some of the targets had better not act for
+// others.
+func mostlyUnreached(unreached, targets int) bool { return unreached > 0 && 2*unreached >= targets }
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -29,47 +29,64 @@
 	// minConns is the least number of connections of a router to a target, even if many routers share
 	// few connections.
 	minConns = 2
+	// relayedConnDivisor is how much smaller the share of a router is for connections through other
+	// routers: the target may still hold the router's own ones, which a cut has left open.
+	relayedConnDivisor = 2
 )
 
 // pools has a connection pool for each instance of each target.
 type pools struct {
 	dialect target.Dialect
-	// dial opens connections to targets; nil means a net.Dialer.
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// dialDirect and dialRelayed return the functions that open connections to a target.
+	dialDirect, dialRelayed func(t *directory.Target) dialFunc
 	// observeAnswer is called with the header of each answer of a target.
 	observeAnswer func(t *directory.Target, h http.Header)
 	// connOpening is called for each connection that is opened, with the cause.
 	connOpening func(service string, cause target.OpenCause)
 
 	mu  sync.Mutex
-	all map[directory.Target]*target.Pool
+	all map[poolID]*target.Pool
+}
+
+// dialFunc opens a connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// poolID identifies a pool: one instance of a target at one address, and whether it is reached through
+// another router.
+type poolID struct {
+	target  directory.Target
+	relayed bool
 }
 
 func newPools(
 	dialect target.Dialect, observeAnswer func(*directory.Target, http.Header), connOpening func(string, target.OpenCause),
 ) *pools {
-	return &pools{dialect: dialect, observeAnswer: observeAnswer, connOpening: connOpening, all: map[directory.Target]*target.Pool{}}
+	return &pools{dialect: dialect, observeAnswer: observeAnswer, connOpening: connOpening, all: map[poolID]*target.Pool{}}
 }
 
-// poolKey returns the key of a pool: one instance of a target at one address.
+// poolKey returns the identity of one instance of a target at one address.
 func poolKey(t *directory.Target) directory.Target {
 	return directory.Target{ID: t.ID, StartUnixMilli: t.StartUnixMilli, Address: t.Address, Service: t.Service}
 }
 
 // get returns the target's pool; maxConns bounds the connections of this router to it.
-func (p *pools) get(t *directory.Target, maxConns int) (*target.Pool, error) {
-	id := poolKey(t)
+func (p *pools) get(t *directory.Target, maxConns int, relayed bool) (*target.Pool, error) {
+	id := poolID{poolKey(t), relayed}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if pool := p.all[id]; pool != nil {
 		return pool, nil
 	}
 	dialect := p.dialect
-	dialect.Observe = func(h http.Header) { p.observeAnswer(&id, h) }
+	dialect.Observe = func(h http.Header) { p.observeAnswer(&id.target, h) }
+	dial := p.dialDirect
+	if relayed {
+		dial, maxConns = p.dialRelayed, maxConns/relayedConnDivisor
+	}
 	pool, err := target.New(target.PoolConfig{
 		Address: t.Address, MaxConns: max(maxConns, minConns), ControlConns: -1, MaxIdle: maxIdle,
-		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Dial: p.dial, Wait: -1,
-		OnDial: func(cause target.OpenCause) { p.connOpening(id.Service, cause) },
+		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Wait: -1, Dial: dial(&id.target),
+		OnDial: func(cause target.OpenCause) { p.connOpening(id.target.Service, cause) },
 	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "connections to target %s", t.ID)
@@ -78,6 +95,21 @@
 	return pool, nil
 }
 
+// closeIdle closes the idle connections of the pools for which the function returns true.
+func (p *pools) closeIdle(matches func(id *poolID) bool) {
+	p.mu.Lock()
+	var matched []*target.Pool
+	for id, pool := range p.all {
+		if matches(&id) {
+			matched = append(matched, pool)
+		}
+	}
+	p.mu.Unlock()
+	for _, pool := range matched {
+		pool.CloseIdle()
+	}
+}
+
 // retain closes the pools of all targets but the given ones; requests in flight continue.
 func (p *pools) retain(targets []directory.Target) {
 	present := make(map[directory.Target]bool, len(targets))
@@ -86,10 +118,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for key, pool := range p.all {
-		if !present[key] {
+	for id, pool := range p.all {
+		if !present[id.target] {
 			pool.Close()
-			delete(p.all, key)
+			delete(p.all, id)
 		}
 	}
 }
--- /dev/null
+++ b/gateway/relays.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"tarragongw/core/directory"
+	"tarragongw/peer/feed"
+	"tarragongw/peer/relay"
+)
+
+const (
+	// maxRelays bounds the routers that are named to others as relays.
+	maxRelays = 64
+	// relaysInterval is the least time between two lists of relays.
+	relaysInterval = 50 * time.Millisecond
+)
+
+// relayDirectory is what the leader knows of what each router reaches. While any router lacks a target,
+// all are told through which routers they may reach it.
+type relayDirectory struct {
+	g *Gateway
+
+	mu sync.Mutex
+	// own is what this router reaches, and followers what those that follow it in the term do.
+	own       feed.Reach
+	term      uint64
+	followers map[string]*followerReach
+	// published are the relays that were last published, and scheduled is set while a list is due.
+	published []feed.Relay
+	scheduled bool
+}
+
+// followerReach is a follower with what it reaches. conns counts its connections: one may begin before
+// the other has ended.
+type followerReach struct {
+	router feed.Router
+	reach  feed.Reach
+	conns  int
+}
+
+func newRelayDirectory(g *Gateway) *relayDirectory {
+	return &relayDirectory{g: g, followers: map[string]*followerReach{}}
+}
+
+// join records that a router follows this one in a term.
+func (d *relayDirectory) join(router feed.Router, term uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if term != d.term {
+		d.term, d.followers = term, map[string]*followerReach{}
+	}
+	f := d.followers[router.Name]
+	if f == nil {
+		f = &followerReach{}
+		d.followers[router.Name] = f
+	}
+	f.router, f.reach = router, feed.Reach{} // it tells again what it doesn't reach
+	f.conns++
+	d.schedule()
+}
+
+// leave records that a connection of a follower has ended.
+func (d *relayDirectory) leave(router string, term uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f := d.followers[router]
+	if term != d.term || f == nil {
+		return
+	}
+	if f.conns--; f.conns == 0 {
+		delete(d.followers, router)
+	}
+	d.schedule()
+}
+
+// setReach records what a follower reaches.
+func (d *relayDirectory) setReach(router string, term uint64, r feed.Reach) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f := d.followers[router]; term == d.term && f != nil {
+		f.reach = r
+		d.g.log.Info("router told what it reaches", "follower", router, "unreached", len(r.Unreached), "unavailable", r.Unavailable)
+		d.schedule()
+	}
+}
+
+// setOwn records what this router reaches.
+func (d *relayDirectory) setOwn(r feed.Reach) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.own = r
+	d.schedule()
+}
+
+// schedule publishes the relays soon if they may have changed; the caller holds the lock.
+func (d *relayDirectory) schedule() {
+	if d.scheduled || len(d.published) == 0 && !d.needed() {
+		return
+	}
+	d.scheduled = true
+	time.AfterFunc(relaysInterval, d.publish)
+}
+
+// needed reports whether any router lacks a target; the caller holds the lock.
+func (d *relayDirectory) needed() bool {
+	if len(d.own.Unreached) > 0 {
+		return true
+	}
+	for _, f := range d.followers {
+		if len(f.reach.Unreached) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// publish tells all routers the relays if these have changed.
+func (d *relayDirectory) publish() {
+	targets := d.g.targetCount()
+	d.mu.Lock()
+	d.scheduled = false
+	relays := d.relays(targets)
+	if !d.g.subscription.leads() || slices.EqualFunc(relays, d.published, equalRelays) {
+		d.mu.Unlock()
+		return
+	}
+	d.published = relays
+	d.mu.Unlock()
+	names := make([]string, 0, len(relays))
+	for i := range relays {
+		names = append(names, relays[i].Name)
+	}
+	d.g.log.Info("relays changed", "relays", names)
+	d.g.subscription.source.SetRelays(&feed.Relays{Relays: relays})
+	d.g.paths.setRelays(relays)
+}
+
+func equalRelays(a, b feed.Relay) bool {
+	return a.Router == b.Router && slices.Equal(a.Unreached, b.Unreached)
+}
+
+// relays returns the routers through which others may reach targets; none if that is not needed. The
+// caller holds the lock.
+func (d *relayDirectory) relays(targets int) []feed.Relay {
+	if !d.needed() {
+		return nil
+	}
+	var relays []feed.Relay
+	add := func(router feed.Router, r *feed.Reach) {
+		if router.Address != "" && !r.Unavailable && !mostlyUnreached(len(r.Unreached), targets) {
+			relays = append(relays, feed.Relay{Router: router, Unreached: r.Unreached})
+		}
+	}
+	add(d.g.asRouter(), &d.own)
+	for _, f := range d.followers {
+		add(f.router, &f.reach)
+	}
+	slices.SortFunc(relays, func(a, b feed.Relay) int { return cmp.Compare(a.Name, b.Name) })
+	return relays[:min(len(relays), maxRelays)]
+}
+
+// asRouter returns this router as the others know it.
+func (g *Gateway) asRouter() feed.Router {
+	return feed.Router{Name: g.opts.Name, Address: g.opts.PeerAddress, DataCentre: g.opts.DataCentre}
+}
+
+func (g *Gateway) targetCount() int {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return len(g.targets)
+}
+
+// newRelayServer returns what passes on connections for other routers.
+func (g *Gateway) newRelayServer() *relay.Server {
+	return &relay.Server{Lifetime: g.lifetime, Log: g.log, Open: g.openForRouter}
+}
+
+// openForRouter opens a direct connection to a target for another router.
+func (g *Gateway) openForRouter(ctx context.Context, r *relay.Request) (net.Conn, error) {
+	t, known := g.findTarget(r)
+	if !known {
+		return nil, relay.ErrTargetUnreached
+	}
+	return g.paths.directDialer(&t)(ctx, "tcp", t.Address)
+}
+
+func (g *Gateway) findTarget(r *relay.Request) (directory.Target, bool) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for i := range g.targets {
+		if t := &g.targets[i]; t.ID == r.Target && t.StartUnixMilli == r.StartUnixMilli && t.Service == r.Service {
+			return *t, true
+		}
+	}
+	return directory.Target{}, false
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -146,6 +146,14 @@
 	s.poll(now)
 }
 
+// pathFound records that there is a way to a target again.
+func (s *service) pathFound(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dispatcher.PathFound(id)
+	s.poll(time.Now())
+}
+
 // observeReach reports a change of how many targets are reached; the caller holds the lock.
 func (s *service) observeReach() {
 	r := s.dispatcher.Reach()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -24,6 +24,8 @@
 	began := time.Now()
 	g.stopping.Store(true)
 	g.log.Info("stopping", "grace", g.opts.Grace)
+	g.paths.leave()
+	g.relayServer.Leave()
 	down := &stepDown{finished: make(chan struct{})}
 	g.leader.duty.Tell(down)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(fraction(g.opts.Grace, drainShare)))
@@ -45,6 +47,7 @@
 	case <-down.finished:
 	case <-ctx.Done(): // the store didn't answer, so this router led until now
 	}
+	g.relayServer.Wait(ctx)
 	g.membership.remove(ctx)
 	g.cancel()
 	g.pools.closeAll()
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -214,13 +214,14 @@
 		}
 	}()
 	sub.g.guard.Retell()
+	sub.g.paths.retell()
 	handler := &updateHandler{subscription: sub, leader: leader}
 	follower := &feed.Follower{
-		Router: sub.g.opts.Name, Address: leader.address, Term: uint64(leader.revision), Reports: sub.reports,
+		Router: sub.g.asRouter(), Address: leader.address, Term: uint64(leader.revision), Reports: sub.reports,
 		Promised: sub.promisedToOther(leader), Backs: sub.g.gate.isShut,
 		OnBacked:     func(until time.Time) { sub.recordPromise(leader, until) },
 		OnUpdate:     handler.handle,
-		Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(),
+		Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(), Reach: sub.g.paths.news, WakeReach: sub.g.paths.wake,
 	}
 	return follower.Run(ctx)
 }
@@ -297,6 +298,13 @@
 	return sub.connected && sub.term == nil
 }
 
+// leads reports whether this router leads.
+func (sub *subscription) leads() bool {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	return sub.term != nil
+}
+
 // isSubscribed reports whether the feed of a leader that reaches the store is up.
 func (sub *subscription) isSubscribed() bool {
 	sub.mu.Lock()
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -18,8 +18,8 @@
 // A follower that can't reach the store backs its leader if that can't reach it either: it
 // promises to follow no other leader until BackedFor after the heartbeat that it answers.
 type Follower struct {
-	// Router is this router's name.
-	Router string
+	// Router is this router.
+	Router Router
 	// Address is the leader's address for followers, and Term its term.
 	Address string
 	Term    uint64
@@ -33,6 +33,10 @@
 	// the follower send it at once. Both may be nil.
 	Observations func() *quarantine.Observations
 	Wake         <-chan struct{}
+	// Reach returns what this router reaches if that has changed since the last call, else nil. WakeReach
+	// makes the follower send it at once. Both may be nil.
+	Reach     func() *Reach
+	WakeReach <-chan struct{}
 	// Backs says whether this router can't reach the store, so that it backs the leader;
 	// Backed is called with the time until which it does.
 	Backs    func() bool
@@ -54,7 +58,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	hello := &feedpb.Hello{Router: f.Router, Term: f.Term, PromisedMs: f.Promised.Milliseconds(), Unpacks: true}
+	hello := &feedpb.Hello{
+		Router: f.Router.Name, Term: f.Term, PromisedMs: f.Promised.Milliseconds(), Unpacks: true,
+		Address: f.Router.Address, DataCentre: f.Router.DataCentre,
+	}
 	if err := writeMessage(conn, hello); err != nil {
 		return err
 	}
@@ -99,6 +106,7 @@
 		select {
 		case <-ticker.C:
 		case <-f.Wake:
+		case <-f.WakeReach:
 		case <-ctx.Done():
 			return
 		}
@@ -106,8 +114,11 @@
 		if f.Observations != nil {
 			p.Observations = encodeObservations(f.Observations())
 		}
+		if f.Reach != nil {
+			p.Reach = encodeReach(f.Reach())
+		}
 		f.addBacking(p)
-		if len(p.Heat)+len(p.ServiceTimes) == 0 && !p.Backs && p.Observations == nil {
+		if len(p.Heat)+len(p.ServiceTimes) == 0 && !p.Backs && p.Observations == nil && p.Reach == nil {
 			continue
 		}
 		if err := writeMessage(conn, p); err != nil {
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -82,6 +82,8 @@
 	Limits []Limits
 	// Quarantine is the list of suspected requests; nil if it has not changed.
 	Quarantine *quarantine.List
+	// Relays are the routers through which others may reach targets; nil if they have not changed.
+	Relays *Relays
 }
 
 // Limits are the limited keys of one service.
@@ -265,6 +267,9 @@
 	for _, t := range p.GetTargets() {
 		u.Targets = append(u.Targets, decodeTarget(t))
 	}
+	if p.GetRelays() != nil {
+		u.Relays = decodeRelays(p.GetRelays())
+	}
 	if p.GetQuarantine() != nil {
 		u.Quarantine = decodeQuarantine(p.GetQuarantine(), time.Now())
 	}
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -137,7 +137,7 @@
 			}
 			return leader.termCtx, leader.source
 		},
-		OnJoin:         func(router string, term uint64, promised time.Duration) { leader.joined <- promised },
+		OnJoin:         func(router Router, term uint64, promised time.Duration) { leader.joined <- promised },
 		OnBacked:       func(router string, term uint64, until time.Duration) { leader.backed <- until - clock.Boot{}.Now() },
 		StoreReachable: leader.fresh.Load, OnReport: func(r Report) { leader.reports <- r }, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler),
 	}
@@ -153,7 +153,7 @@
 	ended := make(chan error, 1)
 	reported := false
 	f := &Follower{
-		Router: "r", Address: leader.addr, Term: term,
+		Router: Router{Name: "r"}, Address: leader.addr, Term: term,
 		OnUpdate: func(u *Update) { updates <- u }, Promised: 30 * time.Millisecond,
 		Backs: leader.followerCutOff.Load, OnBacked: func(time.Time) {},
 		Reports: func() []Report {
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -28,7 +28,14 @@
 	StoreReachable func() bool
 	// OnJoin is called when a router begins to follow, with the time for which that router is
 	// still bound by having backed another leader.
-	OnJoin func(router string, term uint64, promised time.Duration)
+	OnJoin func(router Router, term uint64, promised time.Duration)
+	// OnLeave is called when a router that began to follow no longer does. It may be nil.
+	OnLeave func(router string, term uint64)
+	// OnReach is called when a router tells what it reaches. It may be nil.
+	OnReach func(router string, term uint64, r Reach)
+	// OnRelay serves a connection of a router that asks for one to a target, and closes it. Without it,
+	// such connections are closed.
+	OnRelay func(conn net.Conn, reader *bufio.Reader, hello *feedpb.Hello)
 	// OnBacked is called when a router backs this leader, with the time of Clock until which it
 	// follows no other.
 	OnBacked func(router string, term uint64, until time.Duration)
@@ -75,12 +82,21 @@
 const keptHeartbeats = 64
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	defer conn.Close()
 	f := &follower{server: s, conn: conn, reader: bufio.NewReader(conn), hello: &feedpb.Hello{}}
 	if err := readMessage(conn, f.reader, f.hello, silenceTimeout); err != nil {
-		s.Log.Info("invalid hello from a follower", "from", conn.RemoteAddr().String(), "err", err)
+		s.Log.Info("invalid hello from a router", "from", conn.RemoteAddr().String(), "err", err)
+		conn.Close()
+		return
+	}
+	if f.hello.GetRelay() != nil && s.OnRelay != nil {
+		s.OnRelay(conn, f.reader, f.hello)
 		return
 	}
+	defer conn.Close()
+	s.serveFollower(ctx, f)
+}
+
+func (s *Server) serveFollower(ctx context.Context, f *follower) {
 	term := f.hello.GetTerm()
 	termCtx, source := s.LeaderSource(term)
 	if source == nil {
@@ -89,7 +105,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(termCtx, cancel)()
-	s.OnJoin(f.hello.GetRouter(), term, time.Duration(f.hello.GetPromisedMs())*time.Millisecond)
+	router := Router{Name: f.hello.GetRouter(), Address: f.hello.GetAddress(), DataCentre: f.hello.GetDataCentre()}
+	s.OnJoin(router, term, time.Duration(f.hello.GetPromisedMs())*time.Millisecond)
+	if s.OnLeave != nil {
+		defer s.OnLeave(router.Name, term)
+	}
 	go func() {
 		defer cancel()
 		f.receiveReports()
@@ -156,6 +176,9 @@
 		if p.GetObservations() != nil && f.server.OnObservations != nil {
 			f.server.OnObservations(f.hello.GetRouter(), decodeObservations(p.GetObservations()))
 		}
+		if p.GetReach() != nil && f.server.OnReach != nil {
+			f.server.OnReach(f.hello.GetRouter(), f.hello.GetTerm(), Reach{p.GetReach().GetUnreached(), p.GetReach().GetUnavailable()})
+		}
 		if p.GetBacks() {
 			f.recordBacking(p.GetBeat())
 		}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -37,6 +37,9 @@
 	// quarantine is the list of suspected requests, and quarantineChanged the version at which it was set.
 	quarantine        *quarantine.List
 	quarantineChanged uint64
+	// relays are the routers that reach targets, and relaysChanged the version at which they were set.
+	relays        *Relays
+	relaysChanged uint64
 	// targetsComplete says that all targets have been read from the store once.
 	targetsComplete bool
 	// changed is closed and replaced at each change that wakes the feeds.
@@ -187,6 +190,14 @@
 	s.quarantine, s.quarantineChanged = l, s.version
 }
 
+// SetRelays publishes the routers through which others may reach targets.
+func (s *Source) SetRelays(r *Relays) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextVersionAndWake()
+	s.relays, s.relaysChanged = r, s.version
+}
+
 // SetTable publishes a key table if it is newer than the last one published.
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
@@ -225,7 +236,7 @@
 // sentState is what a follower has been sent so far.
 type sentState struct {
 	// all is the version up to which everything was sent, and tables the version up to which the
-	// tables and the list of suspected requests were; a stale leader sends only these.
+	// tables, the list of suspected requests and the relays were; a stale leader sends only these.
 	all, tables uint64
 }
 
@@ -252,8 +263,8 @@
 }
 
 // updateSince returns the update for a follower in the state, and the follower's state after
-// it; the caller holds the lock. A stale leader sends only tables and
-// suspected requests: it keeps these itself, so they are right without an answer from the store.
+// it; the caller holds the lock. A stale leader sends only tables, suspected
+// requests and relays: it keeps these itself, so they are right without an answer from the store.
 func (s *Source) updateSince(state sentState, stale bool) (*feedpb.Update, sentState) {
 	u := &feedpb.Update{Stale: stale}
 	for _, kept := range s.tables {
@@ -264,6 +275,9 @@
 	if s.quarantineChanged > state.tables {
 		u.Quarantine = encodeQuarantine(s.quarantine, time.Now())
 	}
+	if s.relaysChanged > state.tables {
+		u.Relays = encodeRelays(s.relays)
+	}
 	state.tables = s.version
 	if !stale {
 		s.addChanges(u, state.all)
--- a/target/acquire.go
+++ b/target/acquire.go
@@ -13,20 +13,25 @@
 	ready chan *conn
 }
 
-// acquire returns a connection that is ready for an exchange.
-func (p *Pool) acquire(ctx context.Context) (*conn, *fault.Fault) {
+// acquire returns a connection that is ready for an exchange. If fresh is set, it takes no idle one, and
+// closes one where the limit leaves no room for another.
+func (p *Pool) acquire(ctx context.Context, fresh bool) (*conn, *fault.Fault) {
 	for {
 		p.mu.Lock()
 		if p.closed {
 			p.mu.Unlock()
 			return nil, notRun(fault.TargetUnreachable, nil, "the pool is closed")
 		}
-		if c := p.popIdle(); c != nil {
-			p.mu.Unlock()
-			if p.checkReuse(c) {
-				return c, nil
+		if !fresh || p.open >= p.maxWorkConns {
+			if c := p.popIdle(); c != nil {
+				p.mu.Unlock()
+				if fresh {
+					p.closeInUse(c, &p.counts.Stale, OpenedStale)
+				} else if p.checkReuse(c) {
+					return c, nil
+				}
+				continue
 			}
-			continue
 		}
 		if p.open < p.maxWorkConns {
 			cause := p.openCause()
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -95,6 +96,11 @@
 	LeaseExpiry func(started bool) time.Duration
 	// Aborter aborts the attempt from outside.
 	Aborter *Aborter
+	// Fresh opens a new connection although one may be idle, because those that are open may be dead.
+	// If every connection is in use, the attempt still waits for one of them.
+	Fresh bool
+	// GotConn is called with the connection that the attempt uses, before anything is written to it.
+	GotConn func(raw net.Conn)
 }
 
 // AttemptWithOptions is Attempt with options.
@@ -102,10 +108,13 @@
 	if ctx.Err() != nil {
 		return nil, contextFault(ctx, fault.NotRun)
 	}
-	c, f := p.acquire(ctx)
+	c, f := p.acquire(ctx, opts.Fresh)
 	if f != nil {
 		return nil, f
 	}
+	if opts.GotConn != nil {
+		opts.GotConn(c.raw)
+	}
 	if opts.BeforeRequest != nil {
 		if f := opts.BeforeRequest(); f != nil {
 			p.release(c)
--- a/target/conn_test.go
+++ b/target/conn_test.go
@@ -189,7 +189,7 @@
 func TestAbandonedWaitPassesOnItsConnection(t *testing.T) {
 	s := startTarget(t, respondAlways(okResponse))
 	p := newPool(t, s.addr(), nil)
-	c, f := p.acquire(background)
+	c, f := p.acquire(background, false)
 	assert.Assert(t, f == nil)
 	w := &waiter{ready: make(chan *conn, 1)}
 	w.ready <- c
@@ -197,7 +197,7 @@
 	assert.Equal(t, p.Stats().Idle, 1)
 	assert.Equal(t, p.Stats().InUse, 0)
 
-	_, f = p.acquire(background)
+	_, f = p.acquire(background, false)
 	assert.Assert(t, f == nil)
 	w.ready <- nil // the connection is closed, its slot is passed on
 	p.abandonWait(w, false)
@@ -208,13 +208,13 @@
 func TestMostRecentlyUsedConnectionIsReusedFirst(t *testing.T) {
 	s := startTarget(t, respondAlways(okResponse))
 	p := newPool(t, s.addr(), nil)
-	first, f := p.acquire(background)
+	first, f := p.acquire(background, false)
 	assert.Assert(t, f == nil)
-	second, f := p.acquire(background)
+	second, f := p.acquire(background, false)
 	assert.Assert(t, f == nil)
 	p.release(first)
 	p.release(second)
-	got, f := p.acquire(background)
+	got, f := p.acquire(background, false)
 	assert.Assert(t, f == nil)
 	assert.Assert(t, got == second)
 	p.release(got)
