Let a leader that is cut off from targets give up leadership

Callers of the service divided by key were refused by all routers, cut off or not, while the leader reached no target: its lease is renewed through the store, which it does reach, so that no other router took over, and all grants expired. Evidence: orders 'not-sent' from 6.2 s on and no 'leadership lost' before the processes were killed at 93 s; the keyed part of the failing test.

A leader whose orders stay unanswered at a quarter of the holders, and two at least, now compares itself with up to three followers that reach most targets: both sides open a connection to the same four targets. Where another router gains half of them, it ends its lease. Routers that reach less than half of the targets campaign after the others. Leaders whose targets are down find no router that reaches them and go on leading; a leader gives way at most every 5 s. The grants bridge the change: they last 2 s, and keys stay with their holders for 1.6 s while many are silent.

--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -234,6 +234,10 @@
 	timer          *time.Timer
 	due            time.Time
 	steps          pacer
+	// comparing is set while this router compares its reach with others, and compareNotBefore is the
+	// earliest time of the next comparison.
+	comparing        bool
+	compareNotBefore time.Time
 	// serviceTimesDue is when the targets' service times are published next.
 	serviceTimesDue time.Time
 }
@@ -273,6 +277,10 @@
 		l.handleLeaseEnded(m)
 	case *termResumed:
 		l.finishResume(m)
+	case *comparison:
+		l.handleComparison(m)
+	case *yielded:
+		l.handleYielded(m)
 	}
 	l.proceed()
 }
@@ -376,7 +384,7 @@
 		if routers == 0 {
 			routers = assumedRouters
 		}
-		duty.Sleep(l.g.lifetime, campaignDelay(l.g.opts.CPUShare, routers))
+		l.awaitCampaign(routers)
 		l.g.gate.wait(l.g.lifetime)
 		if l.g.subscription.leaderKnown() {
 			l.duty.Tell(&campaignDone{nil, errOtherLeader})
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -63,6 +63,7 @@
 			due = actions.Next
 		}
 	}
+	l.compareReach(t, now)
 	return due
 }
 
