Pass on connections also at routers that lack some services

Callers of a service that few routers reached were refused although those routers reached it: a router that lacked half of all targets took nothing on for others, also where it reached all targets of the service in question.

Routers now tell what they don't reach by service, and by target where that is a part of a service, and others choose a relay by that. Every router that reaches any service is one. Leaders are compared first with routers that lack the fewest services with keys.

--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -158,3 +158,19 @@
 	assert.Equal(t, len(tracker.Lost()), 0)
 	assert.Equal(t, tracker.Targets(), 1)
 }
+
+func TestUnreachedServicesAreNamedAsAWhole(t *testing.T) {
+	tracker := newTracker()
+	u := tracker.Unreached()
+	assert.Assert(t, u.Empty())
+	tracker.ConnectFailed(start, "a", true)
+	tracker.ConnectFailed(start, "x", true)
+	assert.DeepEqual(t, tracker.Unreached(), Unreached{Services: []string{"other"}, Targets: []string{"a"}})
+	tracker.ConnectFailed(start, "b", true)
+	tracker.ConnectFailed(start, "c", true)
+	all := Unreached{Services: []string{"other", "s"}}
+	assert.DeepEqual(t, tracker.Unreached(), all)
+	u = tracker.Unreached()
+	assert.Assert(t, u.Equal(&all))
+	assert.Assert(t, !u.Empty())
+}
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -337,7 +337,7 @@
 	defer p.mu.Unlock()
 	var usable []feed.Relay
 	for i := range p.relays {
-		if r := &p.relays[i]; !now.Before(p.relayNotBefore[r.Name]) && !slices.Contains(r.Unreached, t.ID) {
+		if r := &p.relays[i]; !now.Before(p.relayNotBefore[r.Name]) && r.Reaches(t) {
 			usable = append(usable, *r)
 		}
 	}
@@ -381,8 +381,8 @@
 
 // tellLocked makes the leader learn of what is reached if that has changed; the caller holds the lock.
 func (p *paths) tellLocked() {
-	lost := p.tracker.Lost()
-	if !p.untold && slices.Equal(lost, p.told.Unreached) && p.told.Unavailable == p.unavailable {
+	now := p.reachLocked()
+	if !p.untold && now.Unreached.Equal(&p.told.Unreached) && now.Unavailable == p.told.Unavailable {
 		return
 	}
 	p.untold = true
@@ -391,9 +391,14 @@
 	default:
 	}
 	if p.g.opts.Telemetry != nil {
-		p.g.opts.Telemetry.Scope().Gauge("targets_out_of_reach").Update(float64(len(lost)))
+		p.g.opts.Telemetry.Scope().Gauge("targets_out_of_reach").Update(float64(len(p.tracker.Lost())))
 	}
-	p.g.relays.setOwn(feed.Reach{Unreached: lost, Unavailable: p.unavailable})
+	p.g.relays.setOwn(now)
+}
+
+// reachLocked returns what this router reaches; the caller holds the lock.
+func (p *paths) reachLocked() feed.Reach {
+	return feed.Reach{Unreached: p.tracker.Unreached(), Unavailable: p.unavailable}
 }
 
 // news returns what has to be told to the leader; nil if there is nothing new.
@@ -404,7 +409,7 @@
 		return nil
 	}
 	p.untold = false
-	p.told = feed.Reach{Unreached: p.tracker.Lost(), Unavailable: p.unavailable}
+	p.told = p.reachLocked()
 	told := p.told
 	return &told
 }
@@ -425,7 +430,3 @@
 	p.unavailable = true
 	p.tellLocked()
 }
-
-// mostlyUnreached reports whether a router that doesn't reach some of the targets had better not act for
-// others.
-func mostlyUnreached(unreached, targets int) bool { return unreached > 0 && 2*unreached >= targets }
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -84,7 +84,7 @@
 	defer d.mu.Unlock()
 	if f := d.followers[router]; term == d.term && f != nil {
 		f.reach = r
-		d.g.log.Info("router told what it reaches", "follower", router, "unreached", len(r.Unreached), "unavailable", r.Unavailable)
+		d.g.log.Info("router told what it doesn't reach", "follower", router, "services", r.Unreached.Services, "targets", r.Unreached.Targets, "unavailable", r.Unavailable)
 		d.schedule()
 	}
 }
@@ -108,11 +108,11 @@
 
 // needed reports whether any router lacks a target; the caller holds the lock.
 func (d *relayDirectory) needed() bool {
-	if len(d.own.Unreached) > 0 {
+	if !d.own.Unreached.Empty() {
 		return true
 	}
 	for _, f := range d.followers {
-		if len(f.reach.Unreached) > 0 {
+		if !f.reach.Unreached.Empty() {
 			return true
 		}
 	}
@@ -121,10 +121,10 @@
 
 // publish tells all routers the relays if these have changed.
 func (d *relayDirectory) publish() {
-	targets := d.g.targetCount()
+	services := d.g.targetServices()
 	d.mu.Lock()
 	d.scheduled = false
-	relays := d.relays(targets)
+	relays := d.relays(services)
 	if !d.g.subscription.leads() || slices.EqualFunc(relays, d.published, equalRelays) {
 		d.mu.Unlock()
 		return
@@ -141,18 +141,18 @@
 }
 
 func equalRelays(a, b feed.Relay) bool {
-	return a.Router == b.Router && slices.Equal(a.Unreached, b.Unreached)
+	return a.Router == b.Router && a.Unreached.Equal(&b.Unreached)
 }
 
-// relays returns the routers through which others may reach targets; none if that is not needed. The
-// caller holds the lock.
-func (d *relayDirectory) relays(targets int) []feed.Relay {
+// relays returns the routers through which others may reach targets, which are of that many services; none
+// if that is not needed. The caller holds the lock.
+func (d *relayDirectory) relays(services int) []feed.Relay {
 	if !d.needed() {
 		return nil
 	}
 	var relays []feed.Relay
 	add := func(router feed.Router, r *feed.Reach) {
-		if router.Address != "" && !r.Unavailable && !mostlyUnreached(len(r.Unreached), targets) {
+		if router.Address != "" && !r.Unavailable && len(r.Unreached.Services) < services {
 			relays = append(relays, feed.Relay{Router: router, Unreached: r.Unreached})
 		}
 	}
@@ -169,10 +169,15 @@
 	return feed.Router{Name: g.opts.Name, Address: g.opts.PeerAddress, DataCentre: g.opts.DataCentre}
 }
 
-func (g *Gateway) targetCount() int {
+// targetServices returns the number of services that have targets.
+func (g *Gateway) targetServices() int {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
-	return len(g.targets)
+	services := map[string]bool{}
+	for i := range g.targets {
+		services[g.targets[i].Service] = true
+	}
+	return len(services)
 }
 
 // newRelayServer returns what passes on connections for other routers.
--- a/gateway/relays_test.go
+++ b/gateway/relays_test.go
@@ -97,21 +97,22 @@
 
 // Guards against requests that are cut off by the planned stop of the router through which they go.
 func TestRequestThroughAnotherRouterOutlivesItsStop(t *testing.T) {
-	target := plainTarget("p0")
-	f, cut, leader := cutFollower(t, target, plainTarget("p1"))
+	f, cut, leader := cutFollower(t, plainTarget("p0"), plainTarget("p1"))
 	for _, other := range f.targets {
 		other.SetServiceTime(800 * time.Millisecond)
 	}
-	answers := make(chan answer, 4)
-	for range cap(answers) {
-		go func() { answers <- f.send(cut, call{method: "POST", path: "/pay/1", key: -1}) }()
+	ids := []string{f.newID(), f.newID(), f.newID(), f.newID()}
+	answers := make(chan answer, len(ids))
+	for _, id := range ids {
+		go func() { answers <- f.sendAs(cut, call{method: "POST", path: "/pay/1", key: -1}, id) }()
 	}
-	waittest.Until(t, "all are at targets", func() bool {
-		return len(f.targets["p0"].Runs())+len(f.targets["p1"].Runs()) >= cap(answers) && leader.relayServer.Conns() > 0
-	})
+	for _, id := range ids {
+		waittest.Until(t, "it runs", func() bool { return f.runsOf(id) > 0 })
+	}
+	assert.Assert(t, leader.relayServer.Conns() > 0)
 	stopped := make(chan int, 1)
 	go func() { stopped <- leader.Stop() }()
-	for range cap(answers) {
+	for range ids {
 		got := <-answers
 		assert.Check(t, got.status == http.StatusOK, "%d %s", got.status, got.body)
 	}
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,7 +30,7 @@
 	yieldedCampaignDelay = 1500 * time.Millisecond
 	minYieldInterval     = 5 * time.Second
 	// cutOffCampaignDelay is the additional campaign delay of a router that reaches less than half of the
-	// targets; it ends after the last of the others has campaigned.
+	// targets of a service with keys; it ends after the last of the others has campaigned.
 	cutOffCampaignDelay = maxCampaignSpread + 200*time.Millisecond
 )
 
@@ -51,19 +52,21 @@
 		return
 	}
 	var silent []directory.Target
+	var services []string
 	holders := 0
-	for _, assignment := range t.services {
+	for name, assignment := range t.services {
 		if assignment.assigner == nil {
 			continue
 		}
 		n, some := assignment.assigner.SilentHolders(1)
 		holders += n
 		silent = append(silent, some...)
+		services = append(services, name)
 	}
 	if len(silent) < min(minSilentHolders, holders) || float64(len(silent)) < silentHoldersShare*float64(holders) || len(silent) == 0 {
 		return
 	}
-	routers := l.g.relays.candidates()
+	routers := l.g.relays.candidates(services)
 	if len(routers) == 0 {
 		return
 	}
@@ -162,19 +165,33 @@
 	l.endTerm("another router reaches more targets")
 }
 
-// candidates returns some followers that could lead, in random order.
-func (d *relayDirectory) candidates() []feed.Router {
-	targets := d.g.targetCount()
+// candidates returns the followers that are likely to reach targets of the services, those that lack the
+// fewest services first and otherwise in random order.
+func (d *relayDirectory) candidates(services []string) []feed.Router {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var all []feed.Router
+	var all []*followerReach
 	for _, f := range d.followers {
-		if f.router.Address != "" && !f.reach.Unavailable && !mostlyUnreached(len(f.reach.Unreached), targets) {
-			all = append(all, f.router)
+		if f.router.Address != "" && !f.reach.Unavailable {
+			all = append(all, f)
 		}
 	}
+	lacks := func(f *followerReach) int {
+		n := 0
+		for _, name := range services {
+			if slices.Contains(f.reach.Unreached.Services, name) {
+				n++
+			}
+		}
+		return n
+	}
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(len(all), comparedRouters)]
+	slices.SortStableFunc(all, func(a, b *followerReach) int { return lacks(a) - lacks(b) })
+	var routers []feed.Router
+	for _, f := range all[:min(len(all), comparedRouters)] {
+		routers = append(routers, f.router)
+	}
+	return routers
 }
 
 // reachesNow reports whether this router can open a connection to the target.
@@ -203,16 +220,28 @@
 	return true
 }
 
-// mostlyLost reports whether this router reaches less than half of the targets.
-func (p *paths) mostlyLost() bool {
+// lacksKeyedTargets reports whether this router reaches less than half of the targets of a service that is
+// divided by key.
+func (g *Gateway) lacksKeyedTargets() bool {
+	for _, s := range g.leader.keyedServices() {
+		if g.paths.lacks(s.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// lacks reports whether this router reaches less than half of the targets of a service.
+func (p *paths) lacks(service string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return mostlyUnreached(len(p.tracker.Lost()), p.tracker.Targets())
+	targets, lost := p.tracker.Service(service)
+	return 2*lost > targets
 }
 
 // campaignPenalty is for how long this router leaves a campaign to others because it reaches few targets.
 func (g *Gateway) campaignPenalty() time.Duration {
-	if g.paths.mostlyLost() {
+	if g.lacksKeyedTargets() {
 		return cutOffCampaignDelay
 	}
 	return 0
--- a/peer/feed/reach.go
+++ b/peer/feed/reach.go
@@ -1,11 +1,16 @@
 package feed
 
-import "tarragongw/peer/feedpb"
+import (
+	"slices"
+
+	"tarragongw/core/directory"
+	"tarragongw/core/reach"
+	"tarragongw/peer/feedpb"
+)
 
 // Reach is what a router reaches.
 type Reach struct {
-	// Unreached are the targets to which the router can open no connections.
-	Unreached []string
+	Unreached reach.Unreached
 	// Unavailable says that the router is stopping and passes on nothing for others.
 	Unavailable bool
 }
@@ -20,17 +25,30 @@
 // Relay is a router through which others may reach targets, but not those that it doesn't reach itself.
 type Relay struct {
 	Router
-	Unreached []string
+	Unreached reach.Unreached
+}
+
+// Reaches reports whether the relay reaches the target, as far as is known.
+func (r *Relay) Reaches(t *directory.Target) bool {
+	return !slices.Contains(r.Unreached.Services, t.Service) && !slices.Contains(r.Unreached.Targets, t.ID)
 }
 
 // Relays are all such routers; none is needed while every router reaches all targets.
 type Relays struct{ Relays []Relay }
 
+func encodeUnreached(u *reach.Unreached) *feedpb.Unreached {
+	return &feedpb.Unreached{Services: u.Services, Targets: u.Targets}
+}
+
+func decodeUnreached(p *feedpb.Unreached) reach.Unreached {
+	return reach.Unreached{Services: p.GetServices(), Targets: p.GetTargets()}
+}
+
 func encodeReach(r *Reach) *feedpb.Reach {
 	if r == nil {
 		return nil
 	}
-	return &feedpb.Reach{Unreached: r.Unreached, Unavailable: r.Unavailable}
+	return &feedpb.Reach{Unreached: encodeUnreached(&r.Unreached), Unavailable: r.Unavailable}
 }
 
 func encodeRelays(r *Relays) *feedpb.Relays {
@@ -38,7 +56,7 @@
 	for i := range r.Relays {
 		relay := &r.Relays[i]
 		p.Relays = append(p.Relays, &feedpb.Relay{
-			Router: relay.Name, Address: relay.Address, DataCentre: relay.DataCentre, Unreached: relay.Unreached,
+			Router: relay.Name, Address: relay.Address, DataCentre: relay.DataCentre, Unreached: encodeUnreached(&relay.Unreached),
 		})
 	}
 	return p
@@ -49,7 +67,7 @@
 	for _, relay := range p.GetRelays() {
 		r.Relays = append(r.Relays, Relay{
 			Router:    Router{Name: relay.GetRouter(), Address: relay.GetAddress(), DataCentre: relay.GetDataCentre()},
-			Unreached: relay.GetUnreached(),
+			Unreached: decodeUnreached(relay.GetUnreached()),
 		})
 	}
 	return r
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -177,7 +177,7 @@
 			f.server.OnObservations(f.hello.GetRouter(), decodeObservations(p.GetObservations()))
 		}
 		if p.GetReach() != nil && f.server.OnReach != nil {
-			f.server.OnReach(f.hello.GetRouter(), f.hello.GetTerm(), Reach{p.GetReach().GetUnreached(), p.GetReach().GetUnavailable()})
+			f.server.OnReach(f.hello.GetRouter(), f.hello.GetTerm(), Reach{decodeUnreached(p.GetReach().GetUnreached()), p.GetReach().GetUnavailable()})
 		}
 		if p.GetBacks() {
 			f.recordBacking(p.GetBeat())
