Keep paths in doubt while lost ones go on timing out

A router with few requests could again hang on a connection that the cut had left open, more than 3 s after it had noticed the cut: the doubt in paths that were not proved ended with the last burst of timeouts. Probes of lost paths now prolong it; a path that was proved since it began is not doubted again.

Besides, the leader's checks of silent and unreachable targets cost one pass over the targets where there are none.

--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -93,9 +93,12 @@
 	return unreachableAfter
 }
 
-// SilentHolders returns how many targets hold keys, and those of them that have left at least the
-// given number of orders in a row without an answer, by ID.
+// SilentHolders returns the targets that hold keys and have left at least the given number of orders in a
+// row without an answer, and how many targets hold keys if there are any such.
 func (a *Assigner) SilentHolders(failures int) (holders int, silent []directory.Target) {
+	if !a.anyCandidate(func(c *candidate) bool { return c.failures >= failures }) {
+		return 0, nil
+	}
 	seen := make(map[string]bool, len(a.candidates))
 	for i := range a.spans {
 		id := a.spans[i].Target
@@ -112,9 +115,21 @@
 	return holders, silent
 }
 
+func (a *Assigner) anyCandidate(matches func(c *candidate) bool) bool {
+	for _, c := range a.candidates {
+		if matches(c) {
+			return true
+		}
+	}
+	return false
+}
+
 // sendProbes adds probes of the targets that hold no keys because they did not answer orders. Without
 // them such a target, which gets no orders any more, could never be given keys again.
 func (a *Assigner) sendProbes(now time.Time, actions *Actions) {
+	if !a.anyCandidate(func(c *candidate) bool { return c.unreachable }) {
+		return
+	}
 	inFlight, idle := a.unreachableWithoutKeys()
 	for _, c := range idle {
 		switch {
--- a/core/reach/tracker.go
+++ b/core/reach/tracker.go
@@ -27,6 +27,8 @@
 	// its path is in doubt: the longer of minSilence and of silenceFactor times the service time.
 	minSilence    = 600 * time.Millisecond
 	silenceFactor = 2.5
+	// minTimeouts is how many targets must time out together for all other paths to be in doubt.
+	minTimeouts = 2
 	// doubtTime is how long all paths that have not been proved since are in doubt after connections to
 	// several targets have timed out.
 	doubtTime = 3 * time.Second
@@ -255,7 +257,8 @@
 	return failing
 }
 
-// doubt puts all paths in doubt that have not been proved since the first of several timeouts.
+// doubt puts all paths in doubt that have not been proved since the first of several timeouts. While
+// probes of lost paths go on timing out, the doubt goes on, but a path that was proved is not doubted again.
 func (t *Tracker) doubt(now time.Time, failing []*targetState) {
 	first, timeouts := now, 0
 	for _, s := range failing {
@@ -264,9 +267,13 @@
 			first = earlierOf(first, s.failedAt)
 		}
 	}
-	if timeouts > 1 {
-		t.doubtedAt, t.doubtedUntil = first, now.Add(doubtTime)
+	if timeouts < minTimeouts {
+		return
 	}
+	if !now.Before(t.doubtedUntil) {
+		t.doubtedAt = first
+	}
+	t.doubtedUntil = now.Add(doubtTime)
 }
 
 // RelayFailed records that other routers did not reach a target either.
--- a/core/reach/tracker_test.go
+++ b/core/reach/tracker_test.go
@@ -89,6 +89,10 @@
 	tracker.Proved(later, "x")
 	assert.Equal(t, tracker.Choose(later, "x", serviceTime, true), Direct)
 	assert.Equal(t, tracker.Choose(now.Add(4*time.Second), "c", serviceTime, true), Direct, "doubt ends")
+	tracker.ConnectFailed(now.Add(2*time.Second), "a", false)
+	tracker.ConnectFailed(now.Add(2*time.Second), "b", false)
+	assert.Equal(t, tracker.Choose(now.Add(4*time.Second), "c", serviceTime, true), Fresh, "probes still time out")
+	assert.Equal(t, tracker.Choose(now.Add(4*time.Second), "x", serviceTime, true), Direct, "proved since")
 }
 
 // Guards against the same at a router whose requests all find an open connection, so that none fails.
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -262,6 +263,7 @@
 		return !slices.ContainsFunc(others, func(r feed.Relay) bool { return r.Router == old.Router })
 	})
 	p.relays = others
+	maps.DeleteFunc(p.relayNotBefore, func(_ string, until time.Time) bool { return time.Now().After(until) })
 	lost := p.tracker.Lost()
 	p.mu.Unlock()
 	if gone {
