--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -19,7 +16,6 @@
 	"tarragongw/core/fault"
 	"tarragongw/core/reach"
 	"tarragongw/peer/feed"
-	"tarragongw/peer/relay"
 	"tarragongw/target"
 )
 
@@ -29,10 +25,8 @@
 	// minDialTime is the part of dialTimeout after which a connection that was not opened counts as timed
 	// out; before it, the request's own time was over.
 	minDialTime = dialTimeout * 4 / 5
-	// relayPenalty is for how long a router that can't be reached is not used as a relay.
-	relayPenalty = time.Second
-	// maxRelayTries is how many routers are asked for one connection.
-	maxRelayTries = 2
+	// maxLoggedTargets bounds the targets that one log line names.
+	maxLoggedTargets = 16
 )
 
 // errPathLost is why requests that may be repeated are aborted: the path to their target is cut.
@@ -134,9 +128,11 @@
 	if errors.Is(f, errPathLost) {
 		return true
 	}
-	if !errors.Is(f, syscall.ECONNREFUSED) || errors.Is(f, errRelayed) {
-		return false
-	}
+	return errors.Is(f, syscall.ECONNREFUSED) && !errors.Is(f, errRelayed) && p.isLost(id)
+}
+
+// isLost reports whether the direct path to the target is lost.
+func (p *paths) isLost(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.tracker.IsLost(id)
@@ -169,7 +165,11 @@
 		return
 	}
 	lost := p.tracker.ConnectFailed(now, id, !timedOut)
-	aborters := p.pathsLost(lost)
+	var aborters []*target.Aborter
+	if timedOut { // where connections are refused, those that are open may still be alive
+		aborters = p.abortersOf(lost)
+	}
+	p.pathsLost(lost)
 	p.mu.Unlock()
 	if len(lost) == 0 {
 		return
@@ -186,25 +186,28 @@
 	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// pathsLost begins to look for other ways to targets, and returns the aborters of requests that hang there;
-// the caller holds the lock.
-func (p *paths) pathsLost(lost []string) []*target.Aborter {
-	if len(lost) == 0 {
-		return nil
-	}
+// abortersOf returns the aborters of requests that hang at the targets; the caller holds the lock.
+func (p *paths) abortersOf(ids []string) []*target.Aborter {
 	var aborters []*target.Aborter
-	for _, id := range lost {
+	for _, id := range ids {
 		for aborter := range p.aborters[id] {
 			aborters = append(aborters, aborter)
 		}
 	}
-	p.g.log.Warn("paths to targets lost", "targets", lost, "lost", len(p.tracker.Lost()), "of", p.tracker.Targets(), "relays", len(p.relays))
+	return aborters
+}
+
+// pathsLost begins to look for other ways to targets; the caller holds the lock.
+func (p *paths) pathsLost(lost []string) {
+	if len(lost) == 0 {
+		return
+	}
+	p.g.log.Warn("paths to targets lost", "targets", lost[:min(len(lost), maxLoggedTargets)], "lost", len(p.tracker.Lost()), "of", p.tracker.Targets(), "relays", len(p.relays))
 	p.tellLocked()
 	if !p.checking {
 		p.checking = true
 		time.AfterFunc(pathCheckInterval, p.probe)
 	}
-	return aborters
 }
 
 // pathRestored records that a target is reached directly again; the caller holds the lock.
@@ -254,181 +257,3 @@
 		conn.Close()
 	}
 }
-
-// setRelays sets the routers through which targets may be reached.
-func (p *paths) setRelays(relays []feed.Relay) {
-	others := slices.DeleteFunc(slices.Clone(relays), func(r feed.Relay) bool { return r.Name == p.g.opts.Name })
-	p.mu.Lock()
-	gone := slices.ContainsFunc(p.relays, func(old feed.Relay) bool {
-		return !slices.ContainsFunc(others, func(r feed.Relay) bool { return r.Router == old.Router })
-	})
-	p.relays = others
-	maps.DeleteFunc(p.relayNotBefore, func(_ string, until time.Time) bool { return time.Now().After(until) })
-	lost := p.tracker.Lost()
-	p.mu.Unlock()
-	if gone {
-		p.g.pools.closeIdle(func(id *poolID) bool { return id.relayed })
-	}
-	p.retry(lost)
-}
-
-// errRelayed marks errors of connections through other routers.
-var errRelayed = errors.New("through another router")
-
-// relayedDialer returns the function that opens connections to a target through other routers.
-func (p *paths) relayedDialer(t *directory.Target) dialFunc {
-	target := *t
-	return func(ctx context.Context, _, _ string) (net.Conn, error) {
-		conn, err := p.dialRelayed(ctx, &target)
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		switch {
-		case err == nil:
-			p.tracker.RelaySucceeded(target.ID)
-			return conn, nil
-		case ctx.Err() == nil:
-			p.tracker.RelayFailed(time.Now(), target.ID)
-		}
-		return nil, err
-	}
-}
-
-func (p *paths) dialRelayed(ctx context.Context, t *directory.Target) (*relay.Conn, error) {
-	err := errors.Wrap(errRelayed, "no router is known to reach the target")
-	for _, r := range p.relaysTo(t) {
-		var conn *relay.Conn
-		conn, err = relay.Dial(ctx, r.Address, p.relayRequest(t))
-		if err == nil {
-			return conn, nil
-		}
-		p.g.log.Info("relay failed", "target", t.ID, "relay", r.Name, "err", err)
-		if errors.Is(err, relay.ErrRouterUnreached) || errors.Is(err, relay.ErrUnavailable) {
-			p.mu.Lock()
-			p.relayNotBefore[r.Name] = time.Now().Add(relayPenalty)
-			p.mu.Unlock()
-		}
-		err = &relayedError{err}
-		if errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil {
-			break
-		}
-	}
-	return nil, err
-}
-
-// relayedError is the error of a connection through another router.
-type relayedError struct{ error }
-
-// Is makes it an errRelayed.
-func (e *relayedError) Is(target error) bool { return target == errRelayed }
-
-// Unwrap returns the error of the connection.
-func (e *relayedError) Unwrap() error { return e.error }
-
-func (p *paths) relayRequest(t *directory.Target) *relay.Request {
-	return &relay.Request{
-		Router: p.g.opts.Name, Connection: fmt.Sprintf("%s/%d", p.g.opts.Name, p.connections.Add(1)),
-		Service: t.Service, Target: t.ID, StartUnixMilli: t.StartUnixMilli,
-	}
-}
-
-// relaysTo returns the routers to ask for a connection to the target, those of this router's data centre
-// first and otherwise in random order.
-func (p *paths) relaysTo(t *directory.Target) []feed.Relay {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var usable []feed.Relay
-	for i := range p.relays {
-		if r := &p.relays[i]; !now.Before(p.relayNotBefore[r.Name]) && r.Reaches(t) {
-			usable = append(usable, *r)
-		}
-	}
-	rand.Shuffle(len(usable), func(i, j int) { usable[i], usable[j] = usable[j], usable[i] })
-	slices.SortStableFunc(usable, func(a, b feed.Relay) int { return p.distance(&a) - p.distance(&b) })
-	return usable[:min(len(usable), maxRelayTries)]
-}
-
-func (p *paths) distance(r *feed.Relay) int {
-	if r.DataCentre == p.g.opts.DataCentre {
-		return 0
-	}
-	return 1
-}
-
-// dialCheck opens a connection that shows whether a target has ended. A refusal on a lost path proves
-// nothing; another router is asked then.
-func (p *paths) dialCheck(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := p.g.opts.DialTarget(ctx, network, address)
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return conn, err
-	}
-	p.mu.Lock()
-	var lost *directory.Target
-	for _, t := range p.targets {
-		if t.Address == address && p.tracker.IsLost(t.ID) {
-			lost = &t
-			break
-		}
-	}
-	p.mu.Unlock()
-	if lost == nil {
-		return nil, err
-	}
-	relayed, err := p.dialRelayed(ctx, lost)
-	if err != nil {
-		return nil, err
-	}
-	return relayed, nil
-}
-
-// tellLocked makes the leader learn of what is reached if that has changed; the caller holds the lock.
-func (p *paths) tellLocked() {
-	now := p.reachLocked()
-	if !p.untold && now.Unreached.Equal(&p.told.Unreached) && now.Unavailable == p.told.Unavailable {
-		return
-	}
-	p.untold = true
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
-	if p.g.opts.Telemetry != nil {
-		p.g.opts.Telemetry.Scope().Gauge("targets_out_of_reach").Update(float64(len(p.tracker.Lost())))
-	}
-	p.g.relays.setOwn(now)
-}
-
-// reachLocked returns what this router reaches; the caller holds the lock.
-func (p *paths) reachLocked() feed.Reach {
-	return feed.Reach{Unreached: p.tracker.Unreached(), Unavailable: p.unavailable}
-}
-
-// news returns what has to be told to the leader; nil if there is nothing new.
-func (p *paths) news() *feed.Reach {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.untold {
-		return nil
-	}
-	p.untold = false
-	p.told = p.reachLocked()
-	told := p.told
-	return &told
-}
-
-// retell makes another leader learn of what is not reached.
-func (p *paths) retell() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.told = feed.Reach{}
-	p.untold = false
-	p.tellLocked()
-}
-
-// leave tells the leader that this router passes on nothing for others any more.
-func (p *paths) leave() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.unavailable = true
-	p.tellLocked()
-}
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tarragongw/core/directory"
 	"tarragongw/peer/feed"
 	"tarragongw/peer/relay"
@@ -191,7 +193,11 @@
 	if !known {
 		return nil, relay.ErrTargetUnreached
 	}
-	return g.paths.directDialer(&t)(ctx, "tcp", t.Address)
+	conn, err := g.paths.directDialer(&t)(ctx, "tcp", t.Address)
+	if err != nil && g.paths.isLost(t.ID) {
+		return nil, errors.Wrap(relay.ErrTargetUnreached, err.Error()) // a refusal may be the cut's
+	}
+	return conn, err
 }
 
 func (g *Gateway) findTarget(r *relay.Request) (directory.Target, bool) {
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -196,10 +196,7 @@
 
 // reachesNow reports whether this router can open a connection to the target.
 func (p *paths) reachesNow(ctx context.Context, t *directory.Target) bool {
-	p.mu.Lock()
-	lost := p.tracker.IsLost(t.ID)
-	p.mu.Unlock()
-	if lost {
+	if p.isLost(t.ID) {
 		return false
 	}
 	conn, err := p.directDialer(t)(ctx, "tcp", t.Address)
