--- a/target/conn_test.go
+++ b/target/conn_test.go
@@ -219,3 +219,27 @@
 	assert.Assert(t, got == second)
 	p.release(got)
 }
+
+// Guards against requests that hang, one after the other, on connections that a cut path has left open.
+func TestFreshAttemptTakesNoIdleConnection(t *testing.T) {
+	s := startTarget(t, respondAlways(okResponse))
+	p := newPool(t, s.addr(), nil)
+	idle, f := p.acquire(background, false)
+	assert.Assert(t, f == nil)
+	p.release(idle)
+	fresh, f := p.acquire(background, true)
+	assert.Assert(t, f == nil)
+	assert.Assert(t, fresh != idle)
+	assert.Equal(t, p.Stats().Open, 2)
+	p.release(fresh)
+
+	full := newPool(t, s.addr(), func(cfg *PoolConfig) { cfg.MaxConns, cfg.ControlConns = 1, -1 })
+	idle, f = full.acquire(background, false)
+	assert.Assert(t, f == nil)
+	full.release(idle)
+	fresh, f = full.acquire(background, true)
+	assert.Assert(t, f == nil)
+	assert.Assert(t, fresh != idle)
+	assert.Equal(t, full.Stats().Open, 1, "an idle one makes room")
+	full.release(fresh)
+}
