--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -7,7 +7,6 @@
 
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
-	"tarragongw/core/retry"
 	"tarragongw/core/routes"
 	"tarragongw/duty"
 	"tarragongw/kv"
@@ -147,7 +146,7 @@
 		}
 		cs.config = config
 		cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
-			"routes", len(config.Routes), "services", len(config.Services))
+			"routes", len(config.Routes), "services", len(config.Services), "confirmed", cs.g.freshness.age())
 		cs.g.subscription.source.SetConfig(config.Version, r.Value)
 		cs.applyConfig(config)
 	}
@@ -354,19 +353,3 @@
 		s.setTable(t)
 	}
 }
-
-// newBudget returns the retry budget of one service.
-//
-// The platform limits the attempts beyond the first of all routers together in any window of time:
-// to a share of the requests plus a fixed number. Half of the fixed number may accumulate as a burst
-// and half is refilled within a window, so that no window gets more. A tenth of the limit is left
-// unused, for routers whose count of routers is out of date.
-func (g *Gateway) newBudget() *retry.Budget {
-	minRetries := g.opts.RetryMin * budgetUsableShare / 2
-	return retry.NewBudget(retry.BudgetConfig{
-		RetriesPerSuccess: g.opts.RetryShare * budgetUsableShare, Burst: max(minRetries, 1), DivideBurst: true, MinPerSecond: minRetries / g.opts.RetryWindow.Seconds(),
-	}, g.routerCount())
-}
-
-// budgetUsableShare is the part of the platform's limit that is used, see newBudget.
-const budgetUsableShare = 0.9
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "tarragongw/peer/feed"
+import (
+	"time"
+
+	"tarragongw/peer/feed"
+)
 
 // updateHandler handles the updates that one leader sends to this router.
 type updateHandler struct {
@@ -25,11 +29,12 @@
 	sub := h.subscription
 	if !h.current {
 		h.current = true
-		sub.g.log.Info("fed", "leader", h.leader.name, "term", h.leader.revision)
+		sub.g.log.Info("fed", "leader", h.leader.name, "term", h.leader.revision, "confirmed", sub.g.freshness.age())
 		sub.setConnected(true)
 		sub.stopWatching()
 		sub.g.membership.renewNow()
 	}
+	sub.g.freshness.confirm(time.Now())
 	sub.checkConfigVersion(u.ConfigVersion)
 	sub.g.setServiceTimes(u.ServiceTimes)
 	sub.g.setLimits(u.Limits)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -199,7 +199,7 @@
 // answer. If so, it takes a retry from the budget, and the request is certainly sent again. For a
 // service with keys there is no other target.
 func (x *exchange) mayReplaceAnswer() bool {
-	return x.route.Repeat == routes.Idempotent && !x.service.byKey && x.mayResend() && x.service.takeRetry()
+	return x.route.Repeat == routes.Idempotent && !x.service.byKey && x.mayResend() && x.takeRetry()
 }
 
 // mayResend reports whether the limits on the request's sends and targets allow another send.
@@ -285,7 +285,7 @@
 	if f.Kind == fault.TargetUnreachable {
 		return true // no target has received the request
 	}
-	return x.service.takeRetry()
+	return x.takeRetry()
 }
 
 // waitForNewerTable waits for a newer key table than the one by which the request was sent to a target
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,7 @@
 	membership   *membership
 	subscription *subscription
 	gate         storeGate
+	freshness    *freshness
 	sizes        sizes
 	callerAges   callerAges
 	guard        *crashguard.Guard
@@ -83,6 +84,7 @@
 	}
 	g := &Gateway{opts: opts, log: opts.Logger, services: map[string]*service{}, firstSync: make(chan struct{})}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
+	g.freshness = newFreshness(g)
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
@@ -147,6 +149,7 @@
 	g.membership = newMembership(g)
 	g.state = newClusterState(g)
 	g.subscription = newSubscription(g)
+	g.freshness.start()
 	g.goRun(g.subscription.run)
 	if g.peerListener != nil {
 		g.goRun(g.serveFollowers)
@@ -212,7 +215,9 @@
 func (g *Gateway) countedRouters() int { return int(g.routers.Load()) }
 
 func (g *Gateway) setRouters(n int) {
-	g.routers.Store(int64(n))
+	if before := g.routers.Swap(int64(n)); before != int64(n) {
+		g.log.Info("limits divided anew", "routers", n, "before", before)
+	}
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	for _, s := range g.services {
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithCancel(sub.g.lifetime)
 	w := &watch{stop: cancel, watcher: &watcher{
 		store: sub.g.storeFor(sub.g.purposeOf(prefix)), log: sub.g.log, prefix: prefix, pause: pause, wait: wait, historyLost: sub.restartWatches,
-		gate: &sub.g.gate, probe: sub.g.membership.renewNow,
+		gate: &sub.g.gate, probe: sub.g.membership.renewNow, answered: sub.confirmState,
 		notify: func(message any) {
 			if ctx.Err() == nil {
 				sub.g.state.duty.Tell(&prefixMessage{prefix, message})
@@ -31,6 +31,20 @@
 	return w
 }
 
+// confirmState records that the store has answered a watch: the state is as new as the last answer about the
+// targets. The watch of the configuration is only answered when that changes, but it must not be failing.
+func (sub *subscription) confirmState() {
+	sub.mu.Lock()
+	var at *time.Time
+	if sub.targetsWatch != nil && sub.configWatch != nil && sub.configWatch.healthy.Load() {
+		at = sub.targetsWatch.lastContact.Load()
+	}
+	sub.mu.Unlock()
+	if at != nil {
+		sub.g.freshness.confirm(*at)
+	}
+}
+
 // constantPause returns a pause that doesn't depend on the changed records.
 func constantPause(pause time.Duration) func([]kv.Record) time.Duration {
 	return func([]kv.Record) time.Duration { return pause }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -173,7 +173,7 @@
 		} else {
 			if leader.present && leader.name != sub.g.opts.Name && leader.address != "" {
 				err := sub.subscribe(leader, changed)
-				sub.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "err", err)
+				sub.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "confirmed", sub.g.freshness.age(), "err", err)
 			}
 			sub.searchLeader(0)
 			sub.scheduleFallback(sub.fallbackDelay())
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -53,6 +53,8 @@
 	wait time.Duration
 	// gate holds watches back while the store doesn't answer.
 	gate *storeGate
+	// answered is called after each answer of the store.
+	answered func()
 	// probe triggers the cheapest call to the store.
 	probe func()
 	// historyLost is called when the store no longer has the history that the watch needs.
@@ -68,6 +70,8 @@
 	// lastContact is when the store last answered; nil before its first answer. It keeps its
 	// monotonic reading, so that a step of the VM's clock doesn't change its age.
 	lastContact atomic.Pointer[time.Time]
+	// healthy is set while the records are known and the last call succeeded.
+	healthy atomic.Bool
 
 	// mu guards cancelWatch, which cancels the pending watch.
 	mu          sync.Mutex
@@ -147,6 +151,8 @@
 	}
 	w.failingSince, w.backoff = time.Time{}, 0
 	w.lastContact.Store(&message.at)
+	w.healthy.Store(true)
+	w.answered()
 	if message.listed || message.unreachableFor > 0 || len(message.records) > 0 {
 		w.notify(message)
 	}
@@ -156,6 +162,7 @@
 	if ctx.Err() != nil {
 		return
 	}
+	w.healthy.Store(false)
 	if w.failingSince.IsZero() {
 		w.failingSince = began
 		w.log.Warn("store lost", "prefix", w.prefix, "err", err)
