Give started routers no share of the retries that are saved

Callers saw nothing; targets got more retries than the platform's limit for all routers together. Cause: a router's bucket was full from its start, with its share of the saved part of the fixed number, so that each start added it once more. In addition the tokens that come with time and those of requests could each fill the bucket.

A bucket now begins empty, and both kinds of tokens share one capacity, so that no window gets more than half of the fixed number as savings and half as refill, however many routers start in it. WindowBudget is a type of its own: Budget stays that of run, whose limit is a share of successes. TestSharedSavingsKeepEachWindowWithinItsBound tests the new type with the same numbers.

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -19,11 +19,6 @@
 	// tokens that all routers together can hold without any success, except that each
 	// router can always hold one.
 	Burst float64
-	// DivideBurst also divides the capacity for tokens from successes among the routers, so
-	// that Burst bounds the tokens of all routers together, whatever their number (each
-	// can still hold one). Without it each router can save up to Burst tokens, and all of
-	// them spend these at the same moment when a target fails.
-	DivideBurst bool
 	// MinPerSecond is the rate at which all routers together receive tokens without any
 	// success, so that a service with little load can retry too.
 	MinPerSecond float64
@@ -91,11 +86,7 @@
 
 // Success adds the tokens of one request that was answered.
 func (b *Budget) Success() {
-	capacity := b.cfg.Burst
-	if b.cfg.DivideBurst {
-		capacity = b.maxTimeTokens()
-	}
-	b.successTokens = max(min(b.successTokens+b.cfg.RetriesPerSuccess, capacity-b.timeTokens), b.successTokens)
+	b.successTokens = max(min(b.successTokens+b.cfg.RetriesPerSuccess, b.cfg.Burst-b.timeTokens), b.successTokens)
 }
 
 // Take removes the token for one retry and reports whether there was one.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -221,7 +221,7 @@
 	g.mu.RLock()
 	defer g.mu.RUnlock()
 	for _, s := range g.services {
-		s.setRouters(n)
+		s.setRetryFraction(g.retryFraction())
 	}
 }
 
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -1,24 +1,27 @@
 package gateway
 
 import (
+	"time"
+
 	"tarragongw/core/retry"
 )
 
 // newBudget returns the retry budget of one service.
-//
-// The platform limits the attempts beyond the first of all routers together in any window of time:
-// to a share of the requests plus a fixed number. Half of the fixed number may accumulate as a burst
-// and half is refilled within a window, so that no window gets more. A tenth of the limit is left
-// unused, for routers whose count of routers is out of date.
-func (g *Gateway) newBudget() *retry.Budget {
-	minRetries := g.opts.RetryMin * budgetUsableShare / 2
-	return retry.NewBudget(retry.BudgetConfig{
-		RetriesPerSuccess: g.opts.RetryShare * budgetUsableShare, Burst: max(minRetries, 1), DivideBurst: true, MinPerSecond: minRetries / g.opts.RetryWindow.Seconds(),
-	}, g.routerCount())
+func (g *Gateway) newBudget() *retry.WindowBudget {
+	b := retry.NewWindowBudget(retry.WindowLimit{Share: g.opts.RetryShare, Fixed: g.opts.RetryMin, Window: g.opts.RetryWindow})
+	b.SetFraction(time.Now(), g.retryFraction())
+	return b
 }
 
-// budgetUsableShare is the part of the platform's limit that is used, see newBudget.
-const budgetUsableShare = 0.9
+// retryFraction returns this router's part of the retries that don't depend on the number of requests; zero
+// until the routers are counted.
+func (g *Gateway) retryFraction() float64 {
+	n := g.countedRouters()
+	if n == 0 {
+		return 0
+	}
+	return 1 / float64(n)
+}
 
 // takeRetry takes a retry from the service's budget, and reports whether there was one.
 func (x *exchange) takeRetry() bool {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -27,7 +27,7 @@
 
 	mu         sync.Mutex
 	dispatcher *dispatch.Service
-	budget     *retry.Budget
+	budget     *retry.WindowBudget
 	waiting    map[uint64]chan dispatch.Decision
 	lastID     uint64
 	timer      *time.Timer
@@ -41,7 +41,7 @@
 	logReach func(service string, r dispatch.Reach)
 }
 
-func newService(spec routes.Service, dataCentre string, budget *retry.Budget, logReach func(string, dispatch.Reach)) *service {
+func newService(spec routes.Service, dataCentre string, budget *retry.WindowBudget, logReach func(string, dispatch.Reach)) *service {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &service{
 		name: spec.Name, byKey: spec.ByKey, dispatcher: dispatch.New(dataCentre, spec.ByKey, random), budget: budget,
@@ -196,7 +196,7 @@
 func (s *service) countRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.Success()
+	s.budget.Request()
 }
 
 // takeRetry takes a retry from the budget, and reports whether there was one.
@@ -206,10 +206,11 @@
 	return s.budget.Take(time.Now())
 }
 
-func (s *service) setRouters(n int) {
+// setRetryFraction sets this router's part of the service's retries, see WindowBudget.SetFraction.
+func (s *service) setRetryFraction(fraction float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.SetRouters(n)
+	s.budget.SetFraction(time.Now(), fraction)
 }
 
 // drainServiceTimes returns the service times that this router has measured since the last call.
