--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -145,3 +145,26 @@
 		}
 	}
 }
+
+// Guards against retries over the limit because routers that are cut off from the store are no longer counted,
+// and all others divide the limit among fewer.
+func TestRoutersThatAreNoLongerCountedAddNoRetries(t *testing.T) {
+	const routers = 6
+	f := refusingFleet(t, routers)
+	leader := f.leader()
+	for _, g := range f.gateways {
+		waittest.Until(t, "it is subscribed or leads", func() bool { return g == leader || g.subscription.isSubscribed() })
+	}
+	l := newRetryLoad(f)
+	go func() {
+		time.Sleep(testRetryWindow / 10)
+		for _, g := range f.gateways {
+			if g != leader {
+				f.links[g.opts.Name].cut.Store(true)
+				f.store.Delete(routerPrefix + g.opts.Name)
+			}
+		}
+	}()
+	l.run(testRetryWindow, 100*time.Millisecond)
+	l.check()
+}
