Let a router that starts in run hold one retry, not its share of the burst

It now holds one retry at its start, as each router may in any case, and fills at the rate that all share.

TestStartedRouterHoldsOneRetry fails without the change (20 tokens).

--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -63,12 +63,13 @@
 	denied uint64
 }
 
-// NewBudget returns the bucket of one of several live routers, holding its share of the
-// tokens that need no success.
+// NewBudget returns the bucket of one of several live routers. It holds one token: a single request must be
+// retryable through whichever router it arrives. With its share of the burst, each start of a router would
+// add to what the routers may send at once.
 func NewBudget(cfg BudgetConfig, routers int) *Budget {
 	b := &Budget{cfg: cfg.withDefaults()}
 	b.SetRouters(routers)
-	b.timeTokens = b.maxTimeTokens()
+	b.timeTokens = min(b.maxTimeTokens(), 1)
 	return b
 }
 
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -184,3 +184,10 @@
 		assert.Assert(t, !b.Take(epoch.Add(time.Duration(i)*time.Second)))
 	}
 }
+
+// Guards against a burst of retries that grows with each start of a router.
+func TestStartedRouterHoldsOneRetry(t *testing.T) {
+	b := NewBudget(BudgetConfig{Burst: 20}, 1)
+	assert.Assert(t, b.Take(epoch))
+	assert.Assert(t, !b.Take(epoch))
+}
