Divide a target's connections among all routers before they are counted

Same class as the retries: a router that had not counted the others yet, or whose count fell because records were lost, allowed itself all connections that a target accepts from all routers (90 % of max_connections), and the target resets what is beyond. The limit is now divided by the highest count of the last 10 s, and by 20 before the first count, as other estimates of the fleet's size are.

TestConnectionsAreDividedAmongRoutersThatAreNotCounted fails without the change.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -272,7 +272,7 @@
 	if spec == nil || spec.MaxConns <= 0 {
 		return defaultConns
 	}
-	return connsPerRouter(spec.MaxConns, g.routerCount())
+	return connsPerRouter(spec.MaxConns, g.share.routers())
 }
 
 // healthPath returns the path of the service's health check; empty if it has none.
--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -168,3 +168,17 @@
 	l.run(testRetryWindow, 100*time.Millisecond)
 	l.check()
 }
+
+// Guards against a router that opens as many connections to a target as that accepts from all routers, because
+// it has not counted them yet or their records were lost.
+func TestConnectionsAreDividedAmongRoutersThatAreNotCounted(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("p"))
+	g := f.gateways[0]
+	waittest.Until(t, "the router is counted", func() bool { return g.countedRouters() == 1 })
+	const maxConns = 40 // of plainConfig
+	assert.Equal(t, newRouterShare(g).routers(), assumedRouters)
+	assert.Equal(t, g.connLimit("any"), connsPerRouter(maxConns, 1))
+	g.setRouters(10)
+	g.setRouters(1)
+	assert.Equal(t, g.connLimit("any"), connsPerRouter(maxConns, 10))
+}
