--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -46,6 +46,10 @@
 	// cuttable is set.
 	paths    map[string]*platformtest.Path
 	cuttable bool
+	// proxies are the ways to gateways for other routers, by gateway name, of gateways that are started while
+	// proxied is set.
+	proxies map[string]*peerProxy
+	proxied bool
 	// dataCentre is Options.DataCentre of gateways that are started; "hall" if empty.
 	dataCentre string
 	// knownWithin is Options.PropagationLimit of gateways that are started.
@@ -103,6 +107,30 @@
 	return records, at, err
 }
 
+// Commit implements kv.TxnStore.
+func (w *storeLink) Commit(ctx context.Context, txn kv.Txn) (kv.Revision, []kv.Record, error) {
+	if err := w.errIfCut(); err != nil {
+		return 0, nil, err
+	}
+	return w.TxnStore.Commit(ctx, txn)
+}
+
+// NewLease implements kv.TxnStore.
+func (w *storeLink) NewLease(ctx context.Context, ttl time.Duration) (kv.LeaseID, time.Duration, error) {
+	if err := w.errIfCut(); err != nil {
+		return kv.LeaseID{}, 0, err
+	}
+	return w.TxnStore.NewLease(ctx, ttl)
+}
+
+// EndLease implements kv.TxnStore.
+func (w *storeLink) EndLease(ctx context.Context, id kv.LeaseID) error {
+	if err := w.errIfCut(); err != nil {
+		return err
+	}
+	return w.TxnStore.EndLease(ctx, id)
+}
+
 // RenewLease implements kv.TxnStore.
 func (w *storeLink) RenewLease(ctx context.Context, id kv.LeaseID) error {
 	if err := w.errIfCut(); err != nil {
@@ -113,9 +141,11 @@
 
 const host = "h.example"
 
+func routerName(i int) string { return fmt.Sprintf("router-%d", i) }
+
 // newFleet starts gateways with a store that has the configuration and the targets.
 func newFleet(t testing.TB, gateways int, config string, targets ...*platformtest.Target) *fleet {
-	f := &fleet{t: t, store: platformtest.NewStore(), targets: map[string]*platformtest.Target{}, links: map[string]*storeLink{}, paths: map[string]*platformtest.Path{}, client: &http.Client{}}
+	f := &fleet{t: t, store: platformtest.NewStore(), targets: map[string]*platformtest.Target{}, links: map[string]*storeLink{}, paths: map[string]*platformtest.Path{}, proxies: map[string]*peerProxy{}, client: &http.Client{}}
 	t.Cleanup(f.close)
 	if config != "" {
 		f.configure(config)
@@ -124,7 +154,7 @@
 		f.add(target)
 	}
 	for i := range gateways {
-		f.start(fmt.Sprintf("router-%d", i))
+		f.start(routerName(i))
 	}
 	if config != "" {
 		for _, g := range f.gateways {
@@ -240,6 +270,10 @@
 	})
 	assert.NilError(f.t, err)
 	g.opts.PeerAddress = g.peerListener.Addr().String()
+	if f.proxied {
+		f.proxies[name] = newPeerProxy(f.t, g.opts.PeerAddress)
+		g.opts.PeerAddress = f.proxies[name].address()
+	}
 	g.Start()
 	f.gateways = append(f.gateways, g)
 	return g
