Count the time limit of a change from the last confirmation of the configuration

Callers were refused or served as an older version of the configuration says, longer than the limit after a change. Cause: the limit was cut into parts (silence of the feed, a delay, reading the store), each counted from the loss before it; a feed that came up ended them all, whatever its leader knew and however long the update had been on its way; and a leader counted as up to date as soon as it had the targets, without having read the configuration. Evidence: in TestChangeIsInForceInTimeWhereFeedsAreLostInSteps 'feed lost confirmed=700ms' stands 1.55 s after the change, since the last heartbeat, not the store, was taken for the confirmation, and the store is read 0.6 s later.

Each router now notes when its configuration was last known to be the newest: at an answer of the store to its own watches, or at an update of a leader, less the age that the leader states and the time that the update was on its way. Whatever is lost, it reads the store when the limit less 0.4 s is over from there: the delay before that is cut to what is left, and a router whose feed is up but late reads the configuration alone. A leader states an age only for what its healthy watches confirm. A watch that failed or was restarted asks first whether there are changes, so that it is known to work again. Where nothing is lost there is no call, connection or message more; the heartbeat has two numbers more.

--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -39,6 +39,14 @@
 	tableLogs     map[string]tableLog
 }
 
+// configConfirmed reports that a version of the configuration, or a later one, was the newest at a time. It
+// follows the message that has the version.
+type configConfirmed struct {
+	version uint64
+	// at is by the clock that goes on during suspension.
+	at time.Duration
+}
+
 // tick asks a duty to do what has become due.
 type tick struct{}
 
@@ -65,6 +73,10 @@
 		cs.applyUpdate(m)
 	case *feed.Table:
 		cs.useNewerTable(m)
+	case *configConfirmed:
+		if cs.config != nil && cs.config.Version >= m.version {
+			cs.g.configAge.confirm(m.at)
+		}
 	case tick:
 		cs.publishTargets(cs.directory.Tick(time.Now()))
 	}
@@ -146,7 +158,7 @@
 		}
 		cs.config = config
 		cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
-			"routes", len(config.Routes), "services", len(config.Services), "confirmed", cs.g.freshness.age())
+			"routes", len(config.Routes), "services", len(config.Services), "confirmed", cs.g.configAge.age())
 		cs.g.subscription.source.SetConfig(config.Version, r.Value)
 		cs.applyConfig(config)
 	}
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -1,10 +1,6 @@
 package gateway
 
-import (
-	"time"
-
-	"tarragongw/peer/feed"
-)
+import "tarragongw/peer/feed"
 
 // updateHandler handles the updates that one leader sends to this router.
 type updateHandler struct {
@@ -27,14 +23,13 @@
 		return
 	}
 	sub := h.subscription
-	if !h.current {
+	if !h.current || !sub.isSubscribed() && h.isRecent(u) {
 		h.current = true
-		sub.g.log.Info("fed", "leader", h.leader.name, "term", h.leader.revision, "confirmed", sub.g.freshness.age())
+		sub.g.log.Info("fed", "leader", h.leader.name, "term", h.leader.revision, "confirmed", sub.g.configAge.age())
 		sub.setConnected(true)
 		sub.stopWatching()
 		sub.g.membership.renewNow()
 	}
-	sub.g.freshness.confirm(time.Now())
 	sub.g.share.counted(u.Routers)
 	sub.checkConfigVersion(u.ConfigVersion)
 	sub.g.setServiceTimes(u.ServiceTimes)
@@ -42,6 +37,15 @@
 	if u.TargetsComplete || len(u.Targets)+len(u.RemovedTargets)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != sub.g.routerCount() {
 		sub.g.state.duty.Tell(u)
 	}
+	if u.ConfigAgeKnown {
+		sub.g.state.duty.Tell(&configConfirmed{version: u.ConfigVersion, at: sub.g.opts.Clock.Now() - u.ConfigAge})
+	}
+}
+
+// isRecent reports whether the update confirms the configuration in time, so that the feed can replace the
+// watches on the store.
+func (h *updateHandler) isRecent(u *feed.Update) bool {
+	return !u.ConfigAgeKnown || u.ConfigAge < h.subscription.g.configAge.overdueAfter()
 }
 
 // handleStale handles an update of a leader that can't reach the store. It contains at most key tables.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,7 +41,7 @@
 	membership   *membership
 	subscription *subscription
 	gate         storeGate
-	freshness    *freshness
+	configAge    *configAge
 	share        *routerShare
 	sizes        sizes
 	callerAges   callerAges
@@ -85,7 +85,7 @@
 	}
 	g := &Gateway{opts: opts, log: opts.Logger, services: map[string]*service{}, firstSync: make(chan struct{})}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
-	g.freshness = newFreshness(g)
+	g.configAge = newConfigAge(g)
 	g.share = newRouterShare(g)
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
@@ -151,7 +151,7 @@
 	g.membership = newMembership(g)
 	g.state = newClusterState(g)
 	g.subscription = newSubscription(g)
-	g.freshness.start()
+	g.configAge.start()
 	g.goRun(g.subscription.run)
 	if g.peerListener != nil {
 		g.goRun(g.serveFollowers)
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -31,25 +31,31 @@
 	return w
 }
 
-// confirmState records that the store has answered a watch: the state is as new as the last answer about the
-// targets. The other watches are only answered at changes, but they must not be failing.
+// confirmState records that the store has answered a watch: the configuration was the newest at the last answer
+// about the targets. The other watches are only answered at changes, but they must not be failing.
 func (sub *subscription) confirmState() {
 	sub.mu.Lock()
-	var at *time.Time
 	counted := len(sub.otherWatches) > 0 && sub.otherWatches[0].healthy.Load()
-	if sub.targetsWatch != nil && sub.configWatch != nil && sub.configWatch.healthy.Load() {
-		at = sub.targetsWatch.lastContact.Load()
-	}
+	at := sub.lastConfirmation()
 	sub.mu.Unlock()
 	if at == nil {
 		return
 	}
-	sub.g.freshness.confirm(*at)
+	sub.g.state.duty.Tell(&configConfirmed{at: sub.g.opts.Clock.Now() - time.Since(*at)})
 	if counted {
 		sub.g.share.counted(sub.g.countedRouters())
 	}
 }
 
+// lastConfirmation returns when the watches last showed that the configuration is the newest, or nil if they
+// don't; the caller holds the lock.
+func (sub *subscription) lastConfirmation() *time.Time {
+	if sub.targetsWatch == nil || sub.configWatch == nil || !sub.configWatch.healthy.Load() {
+		return nil
+	}
+	return sub.targetsWatch.lastContact.Load()
+}
+
 // constantPause returns a pause that doesn't depend on the changed records.
 func constantPause(pause time.Duration) func([]kv.Record) time.Duration {
 	return func([]kv.Record) time.Duration { return pause }
@@ -140,15 +146,19 @@
 }
 
 // scheduleFallback records that no feed of a leader that reaches the store is up. Unless one comes up
-// within the delay, this router reads the state from the store.
+// within the delay, this router reads the state from the store; sooner if its configuration has to be confirmed
+// sooner.
 func (sub *subscription) scheduleFallback(delay time.Duration) {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	sub.subscribed = false
-	if !sub.fallbackPending && !sub.watchesTables() {
-		sub.fallbackPending, sub.fallbackDue = true, time.Now().Add(delay)
-		sub.fallBackAfter(delay, sub.fallbackGeneration)
+	delay = max(min(delay, sub.g.configAge.untilOverdue()), 0)
+	due := time.Now().Add(delay)
+	if sub.watchesTables() || sub.fallbackPending && !due.Before(sub.fallbackDue) {
+		return
 	}
+	sub.fallbackPending, sub.fallbackDue = true, due
+	sub.fallBackAfter(delay, sub.fallbackGeneration)
 }
 
 func (sub *subscription) fallBackAfter(delay time.Duration, generation int) {
@@ -158,7 +168,7 @@
 // postponeFallback postpones a pending fallback, because a leader was found; the caller holds the lock.
 func (sub *subscription) postponeFallback() {
 	if sub.fallbackPending && sub.g.opts.PropagationLimit >= fallbackReserve+maxFallbackDelay {
-		earliest := time.Now().Add(newLeaderGrace)
+		earliest := time.Now().Add(max(min(newLeaderGrace, sub.g.configAge.untilOverdue()), 0))
 		if sub.fallbackDue.Before(earliest) {
 			sub.fallbackDue = earliest
 		}
@@ -259,13 +269,25 @@
 	sub.leaderWatch, sub.configWatch, sub.targetsWatch, sub.otherWatches = nil, nil, nil, nil
 }
 
-// targetsFresh reports whether the store has answered a targets watch within freshnessLimit.
-func (sub *subscription) targetsFresh() bool {
+// isFresh reports whether the store has confirmed this router's state within freshnessLimit.
+func (sub *subscription) isFresh() bool {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
-	if sub.targetsWatch == nil {
-		return false
+	last := sub.lastConfirmation()
+	return last != nil && time.Since(*last) < freshnessLimit && sub.g.configAge.age() < freshnessLimit
+}
+
+// recheckConfig has this router's configuration confirmed, which is overdue.
+func (sub *subscription) recheckConfig() {
+	sub.mu.Lock()
+	subscribed, watching := sub.subscribed, sub.configWatch != nil
+	sub.mu.Unlock()
+	switch {
+	case watching || sub.g.gate.isShut():
+		// The watch is retried once the store answers.
+	case subscribed:
+		sub.g.goRun(sub.fetchConfig)
+	default:
+		sub.scheduleFallback(0)
 	}
-	last := sub.targetsWatch.lastContact.Load()
-	return last != nil && time.Since(*last) < freshnessLimit
 }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tarragongw/kv"
 	"tarragongw/peer/feed"
 )
@@ -173,7 +175,7 @@
 		} else {
 			if leader.present && leader.name != sub.g.opts.Name && leader.address != "" {
 				err := sub.subscribe(leader, changed)
-				sub.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "confirmed", sub.g.freshness.age(), "err", err)
+				sub.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "confirmed", sub.g.configAge.age(), "err", err)
 			}
 			sub.searchLeader(0)
 			sub.scheduleFallback(sub.fallbackDelay())
@@ -219,9 +221,9 @@
 	follower := &feed.Follower{
 		Router: sub.g.asRouter(), Address: leader.address, Term: uint64(leader.revision), Reports: sub.reports,
 		Promised: sub.promisedToOther(leader), Backs: sub.g.gate.isShut,
-		OnBacked:     func(until time.Time) { sub.recordPromise(leader, until) },
-		OnUpdate:     handler.handle,
-		Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(), Reach: sub.g.paths.news, WakeReach: sub.g.paths.wake,
+		OnBacked: func(until time.Time) { sub.recordPromise(leader, until) },
+		OnUpdate: handler.handle,
+		Clock:    sub.g.opts.Clock, Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(), Reach: sub.g.paths.news, WakeReach: sub.g.paths.wake,
 	}
 	return follower.Run(ctx)
 }
@@ -254,13 +256,17 @@
 
 // fetchConfig reads the configuration from the store.
 func (sub *subscription) fetchConfig() {
-	a := &sub.g.opts.Adapter
+	a, began := &sub.g.opts.Adapter, sub.g.opts.Clock.Now()
 	r, err := sub.g.storeFor(purposeConfig).Get(sub.g.lifetime, a.ConfigKey)
 	if err != nil {
 		sub.g.log.Warn("configuration not read", "err", err)
+		if !errors.Is(err, kv.ErrNotFound) {
+			sub.g.membership.renewNow() // it shuts the gate if the store doesn't answer
+		}
 		return
 	}
 	sub.g.state.duty.Tell(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{r}, at: time.Now()}})
+	sub.g.state.duty.Tell(&configConfirmed{at: began})
 }
 
 // recordPromise records that this router has promised a leader to follow no other until a time.
--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"tarragongw/clock"
 	"tarragongw/core/routes"
 	"tarragongw/internal/waittest"
 	"tarragongw/platform"
@@ -27,6 +28,8 @@
 	t.Cleanup(client.Close)
 	g := &Gateway{log: slog.New(slog.DiscardHandler), opts: Options{Store: client}}
 	g.opts.Adapter.ConfigKey = platform.ConfigKey
+	g.opts.Clock = clock.Boot{}
+	g.configAge, g.share = newConfigAge(g), newRouterShare(g)
 	g.lifetime, g.cancel = context.WithCancel(t.Context())
 	t.Cleanup(g.running.Wait)
 	t.Cleanup(g.cancel)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -19,12 +19,18 @@
 	// spread the calls of many routers to a store that has just recovered.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
+	// reassuringWait is the wait of the first watch after one without an answer: whether there are changes
+	// must be known at once.
+	reassuringWait = time.Millisecond
 	// minOutage is the shortest outage of the store in which entries can expire: that takes
 	// three missed heartbeats of a target, about a second each. A single interrupted watch is
 	// not an outage.
 	minOutage = 1500 * time.Millisecond
 )
 
+// errRestarted ends a watch that was restarted.
+var errRestarted = errors.New("watch restarted")
+
 // change reports records that a watcher has read.
 type change struct {
 	// listed is set if records are all records under the prefix, not only the changed ones.
@@ -70,7 +76,7 @@
 	// lastContact is when the store last answered; nil before its first answer. It keeps its
 	// monotonic reading, so that a step of the VM's clock doesn't change its age.
 	lastContact atomic.Pointer[time.Time]
-	// healthy is set while the records are known and the last call succeeded.
+	// healthy is set while the records are known and the last call was answered.
 	healthy atomic.Bool
 
 	// mu guards cancelWatch, which cancels the pending watch.
@@ -94,9 +100,13 @@
 	w.mu.Lock()
 	w.cancelWatch = cancel
 	w.mu.Unlock()
-	records, at, err := w.store.Watch(asked, w.prefix, w.since, w.wait)
+	wait := w.wait
+	if !w.healthy.Load() {
+		wait = reassuringWait
+	}
+	records, at, err := w.store.Watch(asked, w.prefix, w.since, wait)
 	if err != nil && asked.Err() != nil && ctx.Err() == nil {
-		return nil, w.since, nil
+		return nil, w.since, errRestarted
 	}
 	return records, at, err
 }
@@ -106,6 +116,10 @@
 	for w.gate.wait(ctx) {
 		began := time.Now()
 		message, err := w.step(ctx)
+		if errors.Is(err, errRestarted) {
+			w.healthy.Store(false)
+			continue
+		}
 		if err != nil {
 			w.failed(ctx, began, err)
 			continue
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/clock"
 	"tarragongw/core/keyspace"
 	"tarragongw/core/quarantine"
 	"tarragongw/peer/feedpb"
@@ -41,6 +42,8 @@
 	// Backed is called with the time until which it does.
 	Backs    func() bool
 	OnBacked func(until time.Time)
+	// Clock measures how long updates are on their way. The default is clock.Boot.
+	Clock clock.Clock
 
 	// mu guards the number of the last heartbeat and when it arrived.
 	mu          sync.Mutex
@@ -50,6 +53,10 @@
 
 // Run follows the leader until ctx ends or the feed fails; the error says why.
 func (f *Follower) Run(ctx context.Context) error {
+	if f.Clock == nil {
+		f.Clock = clock.Boot{}
+	}
+	began := f.Clock.Now()
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", f.Address)
 	if err != nil {
@@ -75,10 +82,10 @@
 	// then.
 	defer reporting.Wait()
 	defer cancel()
-	return f.receiveUpdates(conn)
+	return f.receiveUpdates(conn, &ageEstimator{began: began})
 }
 
-func (f *Follower) receiveUpdates(conn net.Conn) error {
+func (f *Follower) receiveUpdates(conn net.Conn, ages *ageEstimator) error {
 	reader, tables := newUpdateReader(conn), map[string]*keyspace.Table{}
 	for {
 		p, err := reader.next()
@@ -92,6 +99,7 @@
 		if err != nil {
 			return err
 		}
+		u.ConfigAge, u.ConfigAgeKnown = ages.age(f.Clock.Now(), p)
 		f.OnUpdate(u)
 	}
 }
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -84,6 +84,10 @@
 	Quarantine *quarantine.List
 	// Relays are the routers through which others may reach targets; nil if they have not changed.
 	Relays *Relays
+	// ConfigAge is how long ago, when the update arrived, the leader's configuration was last known to be the
+	// newest. It is valid if ConfigAgeKnown is set.
+	ConfigAge      time.Duration
+	ConfigAgeKnown bool
 }
 
 // Limits are the limited keys of one service.
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -47,7 +47,7 @@
 	t.Helper()
 	f, _, err := source.frameSince(state, true, stale)
 	assert.NilError(t, err)
-	data, err := f.withHeartbeat(3)
+	data, err := f.withHeartbeat(&feedpb.Update{Beat: 3})
 	assert.NilError(t, err)
 	u := &feedpb.Update{}
 	assert.NilError(t, unmarshalFrom(bufio.NewReader(bytes.NewReader(data)), u))
@@ -352,7 +352,7 @@
 func TestLongFramesMayTakeLongerThanSilenceWhileTheyProgress(t *testing.T) {
 	f, _, err := sourceWithTargets(3000).frameSince(sentState{}, true, false)
 	assert.NilError(t, err)
-	data, err := f.withHeartbeat(1)
+	data, err := f.withHeartbeat(&feedpb.Update{Beat: 1})
 	assert.NilError(t, err)
 	readFrame := func(parts int, pause time.Duration, sent int) error {
 		leader, follower := net.Pipe()
--- a/peer/feed/frame.go
+++ b/peer/feed/frame.go
@@ -52,10 +52,10 @@
 }
 
 // withHeartbeat returns the frame's bytes preceded by their length and followed by the
-// heartbeat number: concatenated encodings of a protobuf message are decoded as one message,
+// heartbeat: concatenated encodings of a protobuf message are decoded as one message,
 // so the rest of the frame can be shared.
-func (f *frame) withHeartbeat(heartbeat uint64) ([]byte, error) {
-	tail, err := proto.Marshal(&feedpb.Update{Beat: heartbeat})
+func (f *frame) withHeartbeat(heartbeat *feedpb.Update) ([]byte, error) {
+	tail, err := proto.Marshal(heartbeat)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a heartbeat")
 	}
@@ -76,7 +76,7 @@
 	if err := proto.Unmarshal(data, unpacked); err != nil {
 		return nil, errors.Wrap(err, "decode a packed update")
 	}
-	unpacked.Beat = u.GetBeat()
+	unpacked.Beat, unpacked.SentMs, unpacked.ConfigConfirmedMs = u.GetBeat(), u.GetSentMs(), u.GetConfigConfirmedMs()
 	return unpacked, nil
 }
 
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -26,6 +26,8 @@
 	// StoreReachable says whether the store has answered this router recently. If it has not, updates
 	// are marked as stale, and followers read the store themselves.
 	StoreReachable func() bool
+	// ConfigAge returns how long ago this router's configuration was last known to be the newest. It may be nil.
+	ConfigAge func() time.Duration
 	// OnJoin is called when a router begins to follow, with the time for which that router is
 	// still bound by having backed another leader.
 	OnJoin func(router Router, term uint64, promised time.Duration)
@@ -146,13 +148,19 @@
 	}
 }
 
-// nextHeartbeat returns the number of the update that is sent now and records the time.
-func (f *follower) nextHeartbeat() uint64 {
+// nextHeartbeat returns the heartbeat of the update that is sent now and records the time.
+func (f *follower) nextHeartbeat() *feedpb.Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.server.Clock.Now()
 	f.heartbeat++
-	f.heartbeatSentAt[f.heartbeat%keptHeartbeats] = f.server.Clock.Now()
-	return f.heartbeat
+	f.heartbeatSentAt[f.heartbeat%keptHeartbeats] = now
+	heartbeat := &feedpb.Update{Beat: f.heartbeat}
+	if f.server.ConfigAge != nil {
+		heartbeat.SentMs = uint64(now.Milliseconds())
+		heartbeat.ConfigConfirmedMs = uint64(max((now - f.server.ConfigAge()).Milliseconds(), 0))
+	}
+	return heartbeat
 }
 
 // receiveReports handles the follower's reports until the connection ends.
