Reproduce routers that keep an old configuration beside others in a failing test

The leader and another of five routers lose their own paths to the store for 8 s and reach the other routers all the while.

--- a/gateway/configloss_test.go
+++ b/gateway/configloss_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
 
 	"tarragongw/internal/waittest"
 )
@@ -71,3 +73,108 @@
 		return nil
 	})
 }
+
+// versionLog records when the versions of the configuration come into force at gateways.
+type versionLog struct {
+	mu   sync.Mutex
+	seen map[*Gateway]map[int]time.Time
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+func watchVersions(gateways []*Gateway) *versionLog {
+	l := &versionLog{seen: map[*Gateway]map[int]time.Time{}, stop: make(chan struct{})}
+	for _, g := range gateways {
+		l.seen[g] = map[int]time.Time{}
+		l.done.Add(1)
+		go l.watch(g)
+	}
+	return l
+}
+
+func (l *versionLog) watch(g *Gateway) {
+	defer l.done.Done()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	last := 0
+	for {
+		select {
+		case <-ticker.C:
+		case <-l.stop:
+			return
+		}
+		if version := int(g.view.Load().config.Version); version != last {
+			last = version
+			l.mu.Lock()
+			l.seen[g][version] = time.Now()
+			l.mu.Unlock()
+		}
+	}
+}
+
+func (l *versionLog) end() {
+	close(l.stop)
+	l.done.Wait()
+}
+
+// since returns when a version or a later one came into force at a gateway; false if it has not.
+func (l *versionLog) since(g *Gateway, version int) (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var first time.Time
+	for v, at := range l.seen[g] {
+		if v >= version && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// Guards against routers that serve with an old configuration while they have lost their own path to the store, and
+// the leader with it, although they reach routers that have the new one.
+func TestRoutersWithoutTheStoreKeepUpWithTheRoutersThatTheyReach(t *testing.T) {
+	retryOnStall(t, func() error {
+		f := newLossyFleet(t, 5)
+		leader := f.leader()
+		cut, others := []*Gateway{leader}, []*Gateway{}
+		for _, g := range f.gateways {
+			switch {
+			case g == leader:
+			case len(cut) < 2:
+				cut = append(cut, g)
+			default:
+				others = append(others, g)
+			}
+		}
+		versions := watchVersions(f.gateways)
+		first := f.version + 3
+		for _, g := range cut {
+			f.links[g.opts.Name].cut.Store(true)
+		}
+		for end := time.Now().Add(3 * configApply); time.Now().Before(end); time.Sleep(configApply / 5) {
+			f.configure(plainConfig)
+		}
+		time.Sleep(configApply)
+		versions.end()
+		for version := first; version <= f.version; version += 3 {
+			var known time.Time
+			for _, g := range others {
+				at, inForce := versions.since(g, version)
+				assert.Assert(t, inForce, "version %d at %s", version, g.opts.Name)
+				if known.IsZero() || at.Before(known) {
+					known = at
+				}
+			}
+			for _, g := range cut {
+				at, inForce := versions.since(g, version)
+				if !inForce {
+					return errors.Errorf("version %d of up to %d never came into force at %s", version, f.version, g.opts.Name)
+				}
+				if late := at.Sub(known); late > configApply {
+					return errors.Errorf("version %d came into force %v later at %s", version, late, g.opts.Name)
+				}
+			}
+		}
+		return nil
+	})
+}
