Let routers without the store learn the configuration and the leader from others

Cause: who leads is written in the store alone. When the leader was lost, or was the router itself, there was no way to the next one.

A router whose configuration has not been confirmed for the limit less 0.4 s now asks up to eight other routers for their configuration, its age and the leader that they know. Their addresses are in the routers' records, which all hold under a lease already, and in the feed. An older version is never taken, a leader of an earlier term is ignored. In an outage of the store for all, the pause between questions grows to 1.2 s. Where nothing is lost nobody asks; the record has the address in addition.

--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -31,8 +31,8 @@
 	config    *routes.Config
 	// tables are the key tables by service, with the revisions of their records.
 	tables map[string]feed.Table
-	// routers has the names of the live routers.
-	routers map[string]bool
+	// routers are the live routers by name.
+	routers map[string]feed.Router
 	// knownPrefixes has the prefixes whose records are known.
 	knownPrefixes map[string]bool
 	timer         *time.Timer
@@ -58,7 +58,7 @@
 
 func newClusterState(g *Gateway) *clusterState {
 	cs := &clusterState{
-		g: g, directory: directory.New(), tables: map[string]feed.Table{}, routers: map[string]bool{}, knownPrefixes: map[string]bool{},
+		g: g, directory: directory.New(), tables: map[string]feed.Table{}, routers: map[string]feed.Router{}, knownPrefixes: map[string]bool{},
 		tableLogs: map[string]tableLog{},
 	}
 	cs.duty = g.startDuty(cs.handle)
@@ -74,9 +74,9 @@
 	case *feed.Table:
 		cs.useNewerTable(m)
 	case *configConfirmed:
-		if cs.config != nil && cs.config.Version >= m.version {
-			cs.g.configAge.confirm(m.at)
-		}
+		cs.confirmConfig(m)
+	case *toldState:
+		cs.useState(m)
 	case tick:
 		cs.publishTargets(cs.directory.Tick(time.Now()))
 	}
@@ -100,6 +100,13 @@
 	}
 }
 
+// confirmConfig records that the configuration in force was the newest at a time.
+func (cs *clusterState) confirmConfig(m *configConfirmed) {
+	if cs.config != nil && cs.config.Version >= m.version {
+		cs.g.configAge.confirm(m.at)
+	}
+}
+
 // markKnown records that the records under the prefix are known.
 func (cs *clusterState) markKnown(prefix string) {
 	cs.knownPrefixes[prefix] = true
@@ -276,35 +283,37 @@
 	before, changed := len(cs.routers), 0
 	present := make(map[string]bool, len(c.records))
 	for _, r := range c.records {
-		name := strings.TrimPrefix(r.Key, routerPrefix)
-		present[name] = !r.Deleted
-		changed += cs.setRouter(name, !r.Deleted)
+		router := decodeRouter(strings.TrimPrefix(r.Key, routerPrefix), r.Value)
+		present[router.Name] = !r.Deleted
+		changed += cs.setRouter(router, !r.Deleted)
 	}
-	for name := range cs.routers {
+	for name, router := range cs.routers {
 		if c.listed && !present[name] {
-			changed += cs.setRouter(name, false)
+			changed += cs.setRouter(router, false)
 		}
 	}
 	if changed == 0 && !c.listed {
 		return
 	}
 	cs.g.log.Info("routers changed", "changes", changed, "before", before, "known", len(cs.routers))
+	cs.g.contacts.setRecorded(cs.routers)
 	cs.g.setRouters(max(len(cs.routers), 1))
 	cs.g.subscription.source.SetRouters(max(len(cs.routers), 1))
 	cs.g.leader.duty.Tell(routerCountRead{})
 }
 
-// setRouter records whether a router is live, and returns 1 if that has changed, else 0.
-func (cs *clusterState) setRouter(name string, present bool) int {
-	if present == cs.routers[name] {
+// setRouter records whether a router is live, and returns 1 if that or its address has changed, else 0.
+func (cs *clusterState) setRouter(router feed.Router, present bool) int {
+	known, before := cs.routers[router.Name]
+	if present == before && (!present || known == router) {
 		return 0
 	}
 	if present {
-		cs.routers[name] = true
+		cs.routers[router.Name] = router
 		return 1
 	}
-	delete(cs.routers, name)
-	if name == cs.g.opts.Name {
+	delete(cs.routers, router.Name)
+	if router.Name == cs.g.opts.Name {
 		cs.g.membership.renewNow()
 	}
 	return 1
--- a/gateway/configage.go
+++ b/gateway/configage.go
@@ -12,6 +12,10 @@
 	// confirmReserve is the part of Options.PropagationLimit that is left for learning of a change from
 	// the store or from other routers.
 	confirmReserve = 400 * time.Millisecond
+	// minRecheckInterval and maxRecheckInterval bound the pause between two attempts to have the
+	// configuration confirmed.
+	minRecheckInterval = 300 * time.Millisecond
+	maxRecheckInterval = 1200 * time.Millisecond
 )
 
 // configAge is what this router knows about the age of its configuration. The configuration is confirmed as
@@ -24,13 +28,17 @@
 	// confirmedAt is the last time at which the configuration was certainly the newest, by the clock that goes
 	// on during suspension; before the first, when this router started.
 	confirmedAt time.Duration
-	// overdue is set while the configuration has not been confirmed for longer than overdueAfter.
-	overdue bool
-	timer   *time.Timer
+	// late is set while the configuration has not been confirmed for longer than the limit.
+	late  bool
+	timer *time.Timer
+	// jitter spreads the calls of routers that were confirmed at the same moment.
+	jitter time.Duration
+	// pause is the time until the next attempt to have the configuration confirmed.
+	pause time.Duration
 }
 
 func newConfigAge(g *Gateway) *configAge {
-	a := &configAge{g: g, confirmedAt: g.opts.Clock.Now()}
+	a := &configAge{g: g, confirmedAt: g.opts.Clock.Now(), pause: minRecheckInterval, jitter: rand.N(fallbackJitter)}
 	if tel := g.opts.Telemetry; tel != nil {
 		tel.GaugeFunc("configuration_age_seconds", nil, func() float64 { return a.age().Seconds() })
 	}
@@ -44,13 +52,17 @@
 	a.timer = time.AfterFunc(a.overdueAfter(), a.check)
 }
 
+// limit is the time within which a change must be in force.
+func (a *configAge) limit() time.Duration {
+	if limit := a.g.opts.PropagationLimit; limit > 0 {
+		return limit
+	}
+	return defaultPropagationLimit
+}
+
 // overdueAfter is how old the configuration may be before this router has to look for a newer one.
 func (a *configAge) overdueAfter() time.Duration {
-	limit := a.g.opts.PropagationLimit
-	if limit <= 0 {
-		limit = defaultPropagationLimit
-	}
-	return max(limit-confirmReserve, limit/2)
+	return max(a.limit()-confirmReserve, a.limit()/2) - a.jitter
 }
 
 // age returns for how long this router's configuration may have been out of date.
@@ -60,11 +72,8 @@
 	return a.g.opts.Clock.Now() - a.confirmedAt
 }
 
-// untilOverdue returns how long this router may still wait for a confirmation, less a random time, which
-// spreads the calls of routers that were confirmed at the same moment.
-func (a *configAge) untilOverdue() time.Duration {
-	return a.overdueAfter() - a.age() - rand.N(fallbackJitter)
-}
+// untilOverdue returns how long this router may still wait for a confirmation.
+func (a *configAge) untilOverdue() time.Duration { return a.overdueAfter() - a.age() }
 
 // confirm records that the configuration was the newest at a time, by the clock that goes on during suspension.
 func (a *configAge) confirm(at time.Duration) {
@@ -75,9 +84,10 @@
 	}
 	before := a.confirmedAt
 	a.confirmedAt = at
+	a.pause = minRecheckInterval
 	left := a.overdueAfter() - (a.g.opts.Clock.Now() - at)
-	if a.overdue && left > 0 {
-		a.overdue = false
+	if a.late && left > 0 {
+		a.late = false
 		a.g.log.Info("configuration confirmed again", "unconfirmed", at-before)
 	}
 	if a.timer != nil && left > 0 {
@@ -87,22 +97,28 @@
 
 // check looks for a newer configuration if this router's has not been confirmed in time.
 func (a *configAge) check() {
+	if a.recordCheck() {
+		a.g.subscription.recheckConfig()
+	}
+}
+
+// recordCheck reports whether the configuration has not been confirmed in time, and schedules the next check.
+func (a *configAge) recordCheck() (overdue bool) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	age := a.g.opts.Clock.Now() - a.confirmedAt
-	overdue := age >= a.overdueAfter() && a.g.lifetime.Err() == nil
-	began := overdue && !a.overdue
-	a.overdue = overdue
-	if overdue {
-		a.timer.Reset(recheckInterval)
+	if a.g.lifetime.Err() != nil {
+		return false
 	}
-	a.mu.Unlock()
-	if began {
-		a.g.log.Warn("configuration may be out of date", "age", age)
+	if age < a.overdueAfter() {
+		a.timer.Reset(a.overdueAfter() - age)
+		return false
 	}
-	if overdue {
-		a.g.subscription.recheckConfig()
+	if !a.late && age >= a.limit() {
+		a.late = true
+		a.g.log.Warn("configuration may be out of date", "age", age)
 	}
+	a.timer.Reset(a.pause)
+	a.pause = min(2*a.pause, maxRecheckInterval)
+	return true
 }
-
-// recheckInterval is the pause between two attempts to have the configuration confirmed.
-const recheckInterval = 300 * time.Millisecond
--- a/gateway/configloss_test.go
+++ b/gateway/configloss_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -78,20 +79,28 @@
 type versionLog struct {
 	mu   sync.Mutex
 	seen map[*Gateway]map[int]time.Time
-	stop chan struct{}
-	done sync.WaitGroup
+	// reverted are the gateways that have gone back to an older version.
+	reverted []*Gateway
+	stop     chan struct{}
+	done     sync.WaitGroup
 }
 
 func watchVersions(gateways []*Gateway) *versionLog {
 	l := &versionLog{seen: map[*Gateway]map[int]time.Time{}, stop: make(chan struct{})}
 	for _, g := range gateways {
-		l.seen[g] = map[int]time.Time{}
-		l.done.Add(1)
-		go l.watch(g)
+		l.add(g)
 	}
 	return l
 }
 
+func (l *versionLog) add(g *Gateway) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seen[g] = map[int]time.Time{}
+	l.done.Add(1)
+	go l.watch(g)
+}
+
 func (l *versionLog) watch(g *Gateway) {
 	defer l.done.Done()
 	ticker := time.NewTicker(5 * time.Millisecond)
@@ -103,7 +112,14 @@
 		case <-l.stop:
 			return
 		}
-		if version := int(g.view.Load().config.Version); version != last {
+		v := g.view.Load()
+		if v == nil {
+			continue
+		}
+		if version := int(v.config.Version); version != last {
+			if version < last {
+				l.setReverted(g)
+			}
 			last = version
 			l.mu.Lock()
 			l.seen[g][version] = time.Now()
@@ -112,6 +128,20 @@
 	}
 }
 
+func (l *versionLog) setReverted(g *Gateway) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reverted = append(l.reverted, g)
+}
+
+// errIfReverted returns an error if a gateway has gone back to an older version.
+func (l *versionLog) errIfReverted(g *Gateway) error {
+	if slices.Contains(l.reverted, g) {
+		return errors.Errorf("%s went back to an older version", g.opts.Name)
+	}
+	return nil
+}
+
 func (l *versionLog) end() {
 	close(l.stop)
 	l.done.Wait()
@@ -178,3 +208,34 @@
 		return nil
 	})
 }
+
+// Guards against a router that has lost its path to the store and hears of no leader until that is back.
+func TestRouterWithoutTheStoreFollowsTheNextLeader(t *testing.T) {
+	retryOnStall(t, func() error {
+		f := newLossyFleet(t, 5)
+		old := f.leader()
+		f.links[old.opts.Name].cut.Store(true)
+		waittest.Until(t, "another router leads", func() bool { return f.leaderOtherThan(old) != nil })
+		began := time.Now()
+		waittest.Until(t, "the old leader follows it", old.subscription.isSubscribed)
+		if took := time.Since(began); took > configApply {
+			return errors.Errorf("followed after %v", took)
+		}
+		return nil
+	})
+}
+
+// Guards against a leader that confirms a configuration to all routers which it has not read from the store yet.
+func TestLeaderConfirmsNothingWithoutAWatchOfTheConfiguration(t *testing.T) {
+	g, _ := idleGateway(t)
+	now := time.Now()
+	sub := newSubscription(g)
+	sub.targetsWatch, sub.configWatch = &watch{watcher: &watcher{}}, &watch{watcher: &watcher{}}
+	assert.Assert(t, !sub.isFresh())
+	sub.targetsWatch.lastContact.Store(&now)
+	assert.Assert(t, !sub.isFresh())
+	sub.configWatch.healthy.Store(true)
+	assert.Assert(t, sub.isFresh())
+	now = now.Add(-freshnessLimit)
+	assert.Assert(t, !sub.isFresh())
+}
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -18,6 +18,9 @@
 	if u.Relays != nil {
 		h.subscription.g.paths.setRelays(u.Relays.Relays)
 	}
+	if u.Contacts != nil {
+		h.subscription.g.contacts.set(u.Contacts)
+	}
 	if u.Stale {
 		h.handleStale(u)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,7 @@
 	gate         storeGate
 	configAge    *configAge
 	share        *routerShare
+	contacts     *contacts
 	sizes        sizes
 	callerAges   callerAges
 	guard        *crashguard.Guard
@@ -87,6 +88,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.configAge = newConfigAge(g)
 	g.share = newRouterShare(g)
+	g.contacts = newContacts(g)
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	_, _, err = m.g.storeFor(purposeOwnRecord).Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: routerPrefix + m.g.opts.Name, Value: []byte(m.g.opts.DataCentre), Lease: lease}}})
+	_, _, err = m.g.storeFor(purposeOwnRecord).Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: routerPrefix + m.g.opts.Name, Value: m.g.ownRecord(), Lease: lease}}})
 	if err != nil {
 		return err
 	}
--- a/gateway/peerproxy_test.go
+++ b/gateway/peerproxy_test.go
@@ -34,16 +34,20 @@
 
 func (p *peerProxy) address() string { return p.listener.Addr().String() }
 
-// setSilent makes the proxy pass nothing, or pass everything again.
-func (p *peerProxy) setSilent(silent bool) {
+// setSilent makes the proxy pass nothing, or pass everything again. It reports whether that is a change.
+func (p *peerProxy) setSilent(silent bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if silent && !p.silent {
+	if silent == p.silent {
+		return false
+	}
+	p.silent = silent
+	if silent {
 		p.passing = make(chan struct{})
-	} else if !silent && p.silent {
+	} else {
 		close(p.passing)
 	}
-	p.silent = silent
+	return true
 }
 
 func (p *peerProxy) close() {
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -63,6 +63,7 @@
 	}
 	f.router, f.reach = router, feed.Reach{} // it tells again what it doesn't reach
 	f.conns++
+	d.g.contacts.join(router)
 	d.schedule()
 }
 
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -146,13 +146,11 @@
 }
 
 // scheduleFallback records that no feed of a leader that reaches the store is up. Unless one comes up
-// within the delay, this router reads the state from the store; sooner if its configuration has to be confirmed
-// sooner.
+// within the delay, this router reads the state from the store. A delay that is pending is only shortened.
 func (sub *subscription) scheduleFallback(delay time.Duration) {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	sub.subscribed = false
-	delay = max(min(delay, sub.g.configAge.untilOverdue()), 0)
 	due := time.Now().Add(delay)
 	if sub.watchesTables() || sub.fallbackPending && !due.Before(sub.fallbackDue) {
 		return
@@ -277,7 +275,8 @@
 	return last != nil && time.Since(*last) < freshnessLimit && sub.g.configAge.age() < freshnessLimit
 }
 
-// recheckConfig has this router's configuration confirmed, which is overdue.
+// recheckConfig has this router's configuration confirmed, which is overdue: by the store, and by other routers, as
+// the store may not answer this one alone.
 func (sub *subscription) recheckConfig() {
 	sub.mu.Lock()
 	subscribed, watching := sub.subscribed, sub.configWatch != nil
@@ -290,4 +289,5 @@
 	default:
 		sub.scheduleFallback(0)
 	}
+	sub.g.contacts.ask()
 }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -122,12 +122,21 @@
 }
 
 // leaderKnown reports whether a router is known to lead.
-func (sub *subscription) leaderKnown() bool {
+func (sub *subscription) leaderKnown() bool { return sub.knownLeader().present }
+
+// knownLeader returns the last known leader.
+func (sub *subscription) knownLeader() leaderStatus {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
-	return sub.leader.present
+	return sub.leader
 }
 
+// leaderRevision returns the revision at which the last known leader was recorded, or its absence.
+func (sub *subscription) leaderRevision() kv.Revision { return sub.knownLeader().revision }
+
+// leaderAddress returns the address of the last known leader; empty if none is known.
+func (sub *subscription) leaderAddress() string { return sub.knownLeader().address }
+
 // setLeader records who leads.
 func (sub *subscription) setLeader(leader leaderStatus) {
 	sub.mu.Lock()
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -88,6 +88,8 @@
 	// newest. It is valid if ConfigAgeKnown is set.
 	ConfigAge      time.Duration
 	ConfigAgeKnown bool
+	// Contacts are the addresses of some routers that answer AskState; nil if they have not changed.
+	Contacts []string
 }
 
 // Limits are the limited keys of one service.
@@ -274,6 +276,9 @@
 	if p.GetRelays() != nil {
 		u.Relays = decodeRelays(p.GetRelays())
 	}
+	if p.GetContacts() != nil {
+		u.Contacts = p.GetContacts().GetAddresses()
+	}
 	if p.GetQuarantine() != nil {
 		u.Quarantine = decodeQuarantine(p.GetQuarantine(), time.Now())
 	}
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -38,6 +38,9 @@
 	// OnRelay serves a connection of a router that asks for one to a target, and closes it. Without it,
 	// such connections are closed.
 	OnRelay func(conn net.Conn, reader *bufio.Reader, hello *feedpb.Hello)
+	// State returns what this router tells others that ask for the state, whether it leads or not. Without it, such
+	// connections are closed.
+	State func() *State
 	// OnBacked is called when a router backs this leader, with the time of Clock until which it
 	// follows no other.
 	OnBacked func(router string, term uint64, until time.Duration)
@@ -95,6 +98,10 @@
 		return
 	}
 	defer conn.Close()
+	if f.hello.GetState() != nil && s.State != nil {
+		s.serveState(conn, f.hello)
+		return
+	}
 	s.serveFollower(ctx, f)
 }
 
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -24,10 +24,10 @@
 	tables map[string][]versionedTable
 	// config is the version number of the configuration in force.
 	config uint64
-	// configValue is that configuration, which is compressed when a follower first needs it
-	// (configCompressed), and configChanged the version at which it was set.
+	// configValue is that configuration, and configChanged the version at which it was set.
+	// compressedConfig is what the feed carries of it; nil until a follower first needs it.
 	configValue      []byte
-	configCompressed bool
+	compressedConfig *[]byte
 	configChanged    uint64
 	routers          int
 	// serviceTimes are by service and target.
@@ -40,6 +40,9 @@
 	// relays are the routers that reach targets, and relaysChanged the version at which they were set.
 	relays        *Relays
 	relaysChanged uint64
+	// contacts are some routers that answer AskState, and contactsChanged the version at which they were set.
+	contacts        []string
+	contactsChanged uint64
 	// targetsComplete says that all targets have been read from the store once.
 	targetsComplete bool
 	// changed is closed and replaced at each change that wakes the feeds.
@@ -139,15 +142,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextVersionAndWake()
-	s.config, s.configValue, s.configCompressed, s.configChanged = version, value, false, s.version
+	s.config, s.configValue, s.compressedConfig, s.configChanged = version, value, nil, s.version
 }
 
-// compressedConfig returns the configuration as a feed carries it; the caller holds the lock.
-func (s *Source) compressedConfig() []byte {
-	if !s.configCompressed {
-		s.configValue, s.configCompressed = compressConfig(s.configValue), true
+// Config returns the configuration in force and its version.
+func (s *Source) Config() (uint64, []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config, s.configValue
+}
+
+// feedConfig returns the configuration as a feed carries it; the caller holds the lock.
+func (s *Source) feedConfig() []byte {
+	if s.compressedConfig == nil {
+		compressed := compressConfig(s.configValue)
+		s.compressedConfig = &compressed
 	}
-	return s.configValue
+	return *s.compressedConfig
 }
 
 // SetRouters publishes the number of live routers.
@@ -198,6 +209,14 @@
 	s.relays, s.relaysChanged = r, s.version
 }
 
+// SetContacts publishes the addresses of some routers that answer AskState. The next heartbeat carries them.
+func (s *Source) SetContacts(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextVersion()
+	s.contacts, s.contactsChanged = addresses, s.version
+}
+
 // SetTable publishes a key table if it is newer than the last one published.
 func (s *Source) SetTable(t Table) {
 	s.mu.Lock()
@@ -236,7 +255,7 @@
 // sentState is what a follower has been sent so far.
 type sentState struct {
 	// all is the version up to which everything was sent, and tables the version up to which the
-	// tables, the list of suspected requests and the relays were; a stale leader sends only these.
+	// tables, the list of suspected requests, the relays and the contacts were; a stale leader sends only these.
 	all, tables uint64
 }
 
@@ -264,7 +283,7 @@
 
 // updateSince returns the update for a follower in the state, and the follower's state after
 // it; the caller holds the lock. A stale leader sends only tables, suspected
-// requests and relays: it keeps these itself, so they are right without an answer from the store.
+// requests, relays and contacts: it keeps these itself, so they are right without an answer from the store.
 func (s *Source) updateSince(state sentState, stale bool) (*feedpb.Update, sentState) {
 	u := &feedpb.Update{Stale: stale}
 	for _, kept := range s.tables {
@@ -278,6 +297,9 @@
 	if s.relaysChanged > state.tables {
 		u.Relays = encodeRelays(s.relays)
 	}
+	if s.contactsChanged > state.tables {
+		u.Contacts = &feedpb.Contacts{Addresses: s.contacts}
+	}
 	state.tables = s.version
 	if !stale {
 		s.addChanges(u, state.all)
@@ -292,7 +314,7 @@
 	now := time.Now()
 	u.Whole, u.Config, u.Routers = version == 0, s.config, uint32(s.routers)
 	if s.configChanged > version {
-		u.ConfigValue = s.compressedConfig()
+		u.ConfigValue = s.feedConfig()
 	}
 	for _, t := range s.targets {
 		if t.version > version {
