Count no quorum by a number of routers that may be of lost records

Same class as the retries: the store can lose the routers' records, as with leases that end in an outage, and until they are written again a leader counted itself alone. By that count it was a quorum, which may renew grants for 10 s without the store, while the next leader of the others, who count it right, expects it to stop after 2 s. The quorum now counts with the highest number of the last 10 s, and is checked again when that falls.

TestLostRecordsMakeNoRouterAQuorum fails without the change. go test ./gateway -run 'Quorum|LateLong|Grant|Restore': passed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -59,6 +60,8 @@
 	services map[string]*service
 	targets  []directory.Target
 	routers  atomic.Int64
+	// highestCount is the highest number of routers that was counted in the last countHold; zero if unknown.
+	highestCount atomic.Int64
 	// tables are the newest key tables, a feed.Table by service.
 	tables sync.Map
 
@@ -218,6 +221,10 @@
 // countedRouters returns the number of routers; zero if unknown.
 func (g *Gateway) countedRouters() int { return int(g.routers.Load()) }
 
+// recentRouters returns the highest number of routers of the last countHold; zero if unknown. A lower count may be
+// that of a store that has lost records, and all routers would take more than their part by it.
+func (g *Gateway) recentRouters() int { return max(int(g.highestCount.Load()), g.countedRouters()) }
+
 func (g *Gateway) setRouters(n int) {
 	if before := g.routers.Swap(int64(n)); before != int64(n) {
 		g.log.Info("limits divided anew", "routers", n, "before", before)
@@ -274,7 +281,7 @@
 	if spec == nil || spec.MaxConns <= 0 {
 		return defaultConns
 	}
-	return connsPerRouter(spec.MaxConns, g.share.routers())
+	return connsPerRouter(spec.MaxConns, cmp.Or(g.recentRouters(), assumedRouters))
 }
 
 // healthPath returns the path of the service's health check; empty if it has none.
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -39,7 +39,7 @@
 	t := l.term
 	l.readMissingTables(t)
 	bootTime := l.g.opts.Clock.Now()
-	suspected := t.leaseAge(bootTime) > storeSuspectAfter && t.quorum.reached(bootTime, l.g.countedRouters())
+	suspected := t.leaseAge(bootTime) > storeSuspectAfter && t.quorum.reached(bootTime, l.g.recentRouters())
 	if suspected != l.storeSuspected {
 		l.storeSuspected = suspected
 		l.g.log.Info("grant mode for store outages changed", "away", suspected, "lease_age", t.leaseAge(l.g.opts.Clock.Now()))
@@ -174,7 +174,7 @@
 	case age < orderLimitWithoutQuorum && !forOutage:
 		return orderLimitWithoutQuorum - age, nil
 	}
-	left := t.quorum.reachedFor(now, l.g.countedRouters())
+	left := t.quorum.reachedFor(now, l.g.recentRouters())
 	if left <= 0 {
 		return 0, errors.Errorf("the lease was renewed %v ago, and there is no quorum of followers", age)
 	}
@@ -188,14 +188,14 @@
 		return
 	}
 	now := l.g.opts.Clock.Now()
-	ok, promised := t.quorum.addFollower(m.router, now+m.promised, l.g.countedRouters())
+	ok, promised := t.quorum.addFollower(m.router, now+m.promised, l.g.recentRouters())
 	l.noteOldLeaderDeadlines(ok, promised-now)
 }
 
 // handleRouterCountRead checks the quorum again, because the number of routers may have changed.
 func (l *leader) handleRouterCountRead() {
 	if t := l.term; t != nil {
-		ok, promised := t.quorum.recheck(l.g.countedRouters())
+		ok, promised := t.quorum.recheck(l.g.recentRouters())
 		l.noteOldLeaderDeadlines(ok, promised-l.g.opts.Clock.Now())
 	}
 }
--- a/gateway/quorum_test.go
+++ b/gateway/quorum_test.go
@@ -10,6 +10,7 @@
 	"tarragongw/core/assign"
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
+	"tarragongw/internal/waittest"
 )
 
 const expiredLongAgo = -time.Hour
@@ -156,3 +157,15 @@
 	l.setTargets(&targetStatus{targets: []directory.Target{{ID: "a", Service: "s"}}})
 	assert.Equal(t, len(l.targets.targets), 1)
 }
+
+// Guards against a leader that is a quorum by itself because the store has lost the records of the other routers.
+func TestLostRecordsMakeNoRouterAQuorum(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("p"))
+	g := f.gateways[0]
+	waittest.Until(t, "the router leads", func() bool { return f.leader() == g })
+	q := newQuorum(g.opts.Name, 0)
+	g.setRouters(5)
+	assert.Assert(t, !q.reached(0, g.recentRouters()))
+	g.setRouters(1)
+	assert.Assert(t, !q.reached(0, g.recentRouters()))
+}
--- a/gateway/retrybudget_test.go
+++ b/gateway/retrybudget_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/core/routes"
 	"tarragongw/internal/waittest"
 	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
@@ -172,11 +173,13 @@
 // Guards against a router that opens as many connections to a target as that accepts from all routers, because
 // it has not counted them yet or their records were lost.
 func TestConnectionsAreDividedAmongRoutersThatAreNotCounted(t *testing.T) {
+	uncounted := &Gateway{}
+	uncounted.view.Store(newView(&routes.Config{Services: []routes.Service{{Name: "any", MaxConns: 40}}}, nil))
+	assert.Equal(t, uncounted.connLimit("any"), connsPerRouter(40, assumedRouters))
 	f := newFleet(t, 1, plainConfig, plainTarget("p"))
 	g := f.gateways[0]
 	waittest.Until(t, "the router is counted", func() bool { return g.countedRouters() == 1 })
 	const maxConns = 40 // of plainConfig
-	assert.Equal(t, newRouterShare(g).routers(), assumedRouters)
 	assert.Equal(t, g.connLimit("any"), connsPerRouter(maxConns, 1))
 	g.setRouters(10)
 	g.setRouters(1)
--- a/gateway/routershare.go
+++ b/gateway/routershare.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"tarragongw/core/retry"
@@ -31,8 +29,6 @@
 	share *retry.Share
 	// fraction is the one that the services' budgets have.
 	fraction float64
-	// dividing is the number of routers among which limits are divided; zero if unknown.
-	dividing atomic.Int64
 }
 
 func newRouterShare(g *Gateway) *routerShare {
@@ -68,9 +64,6 @@
 	s.apply()
 }
 
-// routers returns among how many routers limits are divided.
-func (s *routerShare) routers() int { return cmp.Or(int(s.dividing.Load()), assumedRouters) }
-
 // current returns the fraction that budgets have.
 func (s *routerShare) current() float64 {
 	s.mu.Lock()
@@ -88,7 +81,9 @@
 	s.fraction = fraction
 	routers := s.share.Routers(s.g.opts.Clock.Now())
 	s.mu.Unlock()
-	s.dividing.Store(int64(routers))
+	if before := s.g.highestCount.Swap(int64(routers)); before != int64(routers) {
+		s.g.leader.duty.Tell(routerCountRead{})
+	}
 	if !changed {
 		return
 	}
