Count the time limit of leaving targets from the last confirmation, too

Work went to a leaving target for up to 2.23 s where drain is 2 s. Cause: as for changes of the configuration, each loss began its own wait. Reading the configuration alone, while an update of the leader is late, then put the next step off further, since it passed for a confirmation of everything. The ages of the configuration and of the whole state are now two: other routers and a single read confirm the first, healthy watches and a leader's updates both, and the fallback counts from the second.

--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -39,10 +39,11 @@
 	tableLogs     map[string]tableLog
 }
 
-// configConfirmed reports that a version of the configuration, or a later one, was the newest at a time. It
-// follows the message that has the version.
-type configConfirmed struct {
+// stateConfirmed reports that a version of the configuration, or a later one, was the newest at a time, and if
+// targets is set, the targets as well. It follows the messages that have them.
+type stateConfirmed struct {
 	version uint64
+	targets bool
 	// at is by the clock that goes on during suspension.
 	at time.Duration
 }
@@ -73,8 +74,8 @@
 		cs.applyUpdate(m)
 	case *feed.Table:
 		cs.useNewerTable(m)
-	case *configConfirmed:
-		cs.confirmConfig(m)
+	case *stateConfirmed:
+		cs.confirm(m)
 	case *toldState:
 		cs.useState(m)
 	case tick:
@@ -100,10 +101,14 @@
 	}
 }
 
-// confirmConfig records that the configuration in force was the newest at a time.
-func (cs *clusterState) confirmConfig(m *configConfirmed) {
-	if cs.config != nil && cs.config.Version >= m.version {
-		cs.g.configAge.confirm(m.at)
+// confirm records that the state was the newest at a time.
+func (cs *clusterState) confirm(m *stateConfirmed) {
+	if cs.config == nil || cs.config.Version < m.version {
+		return
+	}
+	cs.g.configAge.confirm(m.at)
+	if m.targets {
+		cs.g.stateAge.confirm(m.at)
 	}
 }
 
--- a/gateway/configloss_test.go
+++ b/gateway/configloss_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"tarragongw/core/directory"
 	"tarragongw/internal/waittest"
 )
 
@@ -43,30 +44,34 @@
 	return time.Since(since)
 }
 
+// loseFeedsInSteps cuts the leader off from the store, calls change, and stops all ways between routers just before
+// the leader would tell that it is cut off. It returns the other routers and when change was called.
+func (f *fleet) loseFeedsInSteps(change func()) ([]*Gateway, time.Time) {
+	leader := f.leader()
+	contact := func() time.Time {
+		leader.subscription.mu.Lock()
+		defer leader.subscription.mu.Unlock()
+		return *leader.subscription.targetsWatch.lastContact.Load()
+	}
+	before := contact()
+	waittest.Until(f.t, "the store answers the leader", func() bool { return contact().After(before) })
+	f.links[leader.opts.Name].cut.Store(true)
+	changed := time.Now()
+	change()
+	time.Sleep(time.Until(contact().Add(freshnessLimit - 50*time.Millisecond)))
+	for _, proxy := range f.proxies {
+		proxy.setSilent(true)
+	}
+	return slices.DeleteFunc(slices.Clone(f.gateways), func(g *Gateway) bool { return g == leader }), changed
+}
+
 // Guards against a change that comes into force too late because the leader first loses the store and then routers
 // no longer hear each other: the wait for each next step began anew.
 func TestChangeIsInForceInTimeWhereFeedsAreLostInSteps(t *testing.T) {
 	retryOnStall(t, func() error {
 		f := newLossyFleet(t, 4)
-		leader := f.leader()
-		contact := func() time.Time {
-			leader.subscription.mu.Lock()
-			defer leader.subscription.mu.Unlock()
-			return *leader.subscription.targetsWatch.lastContact.Load()
-		}
-		before := contact()
-		waittest.Until(t, "the store answers the leader", func() bool { return contact().After(before) })
-		f.links[leader.opts.Name].cut.Store(true)
-		changed := time.Now()
-		f.configure(plainConfig)
-		time.Sleep(time.Until(contact().Add(freshnessLimit - 50*time.Millisecond)))
-		for _, proxy := range f.proxies {
-			proxy.setSilent(true)
-		}
-		for _, g := range f.gateways {
-			if g == leader {
-				continue
-			}
+		others, changed := f.loseFeedsInSteps(func() { f.configure(plainConfig) })
+		for _, g := range others {
 			if took := f.awaitVersion(g, changed); took > configApply {
 				return errors.Errorf("in force at %s after %v", g.opts.Name, took)
 			}
@@ -75,6 +80,25 @@
 	})
 }
 
+// Guards against work for a leaving target that goes on too long for the same reason.
+func TestLeavingTargetIsKnownInTimeWhereFeedsAreLostInSteps(t *testing.T) {
+	retryOnStall(t, func() error {
+		f := newLossyFleet(t, 4)
+		others, left := f.loseFeedsInSteps(func() { f.targets["p0"].Drain(f.store) })
+		for _, g := range others {
+			waittest.Until(t, "the target is known to drain", func() bool {
+				g.mu.RLock()
+				defer g.mu.RUnlock()
+				return slices.ContainsFunc(g.targets, func(t directory.Target) bool { return t.ID == "p0" && t.Draining })
+			})
+			if took := time.Since(left); took > configApply {
+				return errors.Errorf("known at %s after %v", g.opts.Name, took)
+			}
+		}
+		return nil
+	})
+}
+
 // versionLog records when the versions of the configuration come into force at gateways.
 type versionLog struct {
 	mu   sync.Mutex
--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -127,7 +127,7 @@
 		cs.handleChange(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{{Key: a.ConfigKey, Value: s.ConfigValue}}, at: time.Now()}})
 	}
 	if s.ConfigVersion > 0 {
-		cs.confirmConfig(&configConfirmed{version: s.ConfigVersion, at: m.receivedAt - s.ConfigAge})
+		cs.confirm(&stateConfirmed{version: s.ConfigVersion, at: m.receivedAt - s.ConfigAge})
 	}
 	leader := &leaderStatus{name: s.Leader, address: s.Address, revision: kv.Revision(s.Term), present: true}
 	if leader.revision > cs.g.subscription.leaderRevision() {
--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -17,7 +17,7 @@
 // serveFollowers serves the feed to the routers that follow this one.
 func (g *Gateway) serveFollowers() {
 	server := &feed.Server{
-		Log: g.log, StoreReachable: g.subscription.isFresh, ConfigAge: g.configAge.age, State: g.ownState, LeaderSource: g.subscription.feedSource,
+		Log: g.log, StoreReachable: g.subscription.isFresh, ConfigAge: g.stateAge.age, State: g.ownState, LeaderSource: g.subscription.feedSource,
 		OnReport: g.handleReport, OnObservations: g.guard.Observe, Clock: g.opts.Clock,
 		OnJoin: func(router feed.Router, term uint64, promised time.Duration) {
 			g.relays.join(router, term)
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -41,14 +41,14 @@
 		sub.g.state.duty.Tell(u)
 	}
 	if u.ConfigAgeKnown {
-		sub.g.state.duty.Tell(&configConfirmed{version: u.ConfigVersion, at: sub.g.opts.Clock.Now() - u.ConfigAge})
+		sub.g.state.duty.Tell(&stateConfirmed{version: u.ConfigVersion, at: sub.g.opts.Clock.Now() - u.ConfigAge, targets: true})
 	}
 }
 
-// isRecent reports whether the update confirms the configuration in time, so that the feed can replace the
+// isRecent reports whether the update confirms the state in time, so that the feed can replace the
 // watches on the store.
 func (h *updateHandler) isRecent(u *feed.Update) bool {
-	return !u.ConfigAgeKnown || u.ConfigAge < h.subscription.g.configAge.overdueAfter()
+	return !u.ConfigAgeKnown || u.ConfigAge < h.subscription.g.stateAge.overdueAfter()
 }
 
 // handleStale handles an update of a leader that can't reach the store. It contains at most key tables.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,12 +42,14 @@
 	membership   *membership
 	subscription *subscription
 	gate         storeGate
-	configAge    *configAge
-	share        *routerShare
-	contacts     *contacts
-	sizes        sizes
-	callerAges   callerAges
-	guard        *crashguard.Guard
+	// configAge is the age of the configuration, which other routers may confirm, and stateAge that of everything
+	// that a feed replaces.
+	configAge, stateAge *stateAge
+	share               *routerShare
+	contacts            *contacts
+	sizes               sizes
+	callerAges          callerAges
+	guard               *crashguard.Guard
 	// paths are this router's ways to the targets, relays the routers through which others may reach
 	// them, kept while this router leads, and relayServer passes on connections for others.
 	paths       *paths
@@ -89,7 +91,7 @@
 	}
 	g := &Gateway{opts: opts, log: opts.Logger, services: map[string]*service{}, firstSync: make(chan struct{})}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
-	g.configAge = newConfigAge(g)
+	g.configAge, g.stateAge = newStateAge(g, "configuration"), newStateAge(g, "state")
 	g.share = newRouterShare(g)
 	g.contacts = newContacts(g)
 	g.workers = duty.NewWorkers(g.lifetime)
@@ -156,7 +158,8 @@
 	g.membership = newMembership(g)
 	g.state = newClusterState(g)
 	g.subscription = newSubscription(g)
-	g.configAge.start()
+	g.configAge.start(g.subscription.recheckConfig)
+	g.stateAge.start(g.subscription.recheckState)
 	g.goRun(g.subscription.run)
 	if g.peerListener != nil {
 		g.goRun(g.serveFollowers)
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -31,7 +31,7 @@
 	return w
 }
 
-// confirmState records that the store has answered a watch: the configuration was the newest at the last answer
+// confirmState records that the store has answered a watch: the state was the newest at the last answer
 // about the targets. The other watches are only answered at changes, but they must not be failing.
 func (sub *subscription) confirmState() {
 	sub.mu.Lock()
@@ -41,13 +41,13 @@
 	if at == nil {
 		return
 	}
-	sub.g.state.duty.Tell(&configConfirmed{at: sub.g.opts.Clock.Now() - time.Since(*at)})
+	sub.g.state.duty.Tell(&stateConfirmed{at: sub.g.opts.Clock.Now() - time.Since(*at), targets: true})
 	if counted {
 		sub.g.share.counted(sub.g.countedRouters())
 	}
 }
 
-// lastConfirmation returns when the watches last showed that the configuration is the newest, or nil if they
+// lastConfirmation returns when the watches last showed that the state is the newest, or nil if they
 // don't; the caller holds the lock.
 func (sub *subscription) lastConfirmation() *time.Time {
 	if sub.targetsWatch == nil || sub.configWatch == nil || !sub.configWatch.healthy.Load() {
@@ -146,11 +146,13 @@
 }
 
 // scheduleFallback records that no feed of a leader that reaches the store is up. Unless one comes up
-// within the delay, this router reads the state from the store. A delay that is pending is only shortened.
+// within the delay, this router reads the state from the store; sooner if its state has to be confirmed sooner. A
+// delay that is pending is only shortened.
 func (sub *subscription) scheduleFallback(delay time.Duration) {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	sub.subscribed = false
+	delay = max(min(delay, sub.g.stateAge.untilOverdue()), 0)
 	due := time.Now().Add(delay)
 	if sub.watchesTables() || sub.fallbackPending && !due.Before(sub.fallbackDue) {
 		return
@@ -166,7 +168,7 @@
 // postponeFallback postpones a pending fallback, because a leader was found; the caller holds the lock.
 func (sub *subscription) postponeFallback() {
 	if sub.fallbackPending && sub.g.opts.PropagationLimit >= fallbackReserve+maxFallbackDelay {
-		earliest := time.Now().Add(max(min(newLeaderGrace, sub.g.configAge.untilOverdue()), 0))
+		earliest := time.Now().Add(max(min(newLeaderGrace, sub.g.stateAge.untilOverdue()), 0))
 		if sub.fallbackDue.Before(earliest) {
 			sub.fallbackDue = earliest
 		}
@@ -272,22 +274,22 @@
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	last := sub.lastConfirmation()
-	return last != nil && time.Since(*last) < freshnessLimit && sub.g.configAge.age() < freshnessLimit
+	return last != nil && time.Since(*last) < freshnessLimit && sub.g.stateAge.age() < freshnessLimit
 }
 
-// recheckConfig has this router's configuration confirmed, which is overdue: by the store, and by other routers, as
-// the store may not answer this one alone.
-func (sub *subscription) recheckConfig() {
-	sub.mu.Lock()
-	subscribed, watching := sub.subscribed, sub.configWatch != nil
-	sub.mu.Unlock()
-	switch {
-	case watching || sub.g.gate.isShut():
-		// The watch is retried once the store answers.
-	case subscribed:
+// recheckConfig has this router's configuration confirmed, which is overdue: by the store while this router follows a
+// leader, and by other routers, as the store may not answer this one alone.
+func (sub *subscription) recheckConfig(int) {
+	if sub.isSubscribed() && !sub.g.gate.isShut() {
 		sub.g.goRun(sub.fetchConfig)
-	default:
-		sub.scheduleFallback(0)
 	}
 	sub.g.contacts.ask()
 }
+
+// recheckState has this router's state confirmed, which is overdue. An update of the leader that is late is
+// waited for once more.
+func (sub *subscription) recheckState(attempt int) {
+	if attempt > 0 || !sub.isSubscribed() {
+		sub.scheduleFallback(0)
+	}
+}
