--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -76,7 +76,7 @@
 		cs.useNewerTable(m)
 	case *stateConfirmed:
 		cs.confirm(m)
-	case *toldState:
+	case *peerState:
 		cs.useState(m)
 	case tick:
 		cs.publishTargets(cs.directory.Tick(time.Now()))
--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -106,22 +106,22 @@
 	}
 	s, err := feed.AskState(c.g.lifetime, c.g.asRouter(), address, inForce)
 	if err != nil {
-		c.g.log.Info("router not asked for the state", "address", address, "err", err)
+		c.g.log.Info("state request failed", "address", address, "err", err)
 		return
 	}
-	c.g.log.Info("state told by a router", "address", address, "config", s.ConfigVersion, "config_age", s.ConfigAge, "in_force", inForce,
+	c.g.log.Info("state received from a router", "address", address, "config", s.ConfigVersion, "config_age", s.ConfigAge, "in_force", inForce,
 		"leader", s.Leader, "term", s.Term)
-	c.g.state.duty.Tell(&toldState{state: s, receivedAt: c.g.opts.Clock.Now()})
+	c.g.state.duty.Tell(&peerState{state: s, receivedAt: c.g.opts.Clock.Now()})
 }
 
-// toldState is what another router knows. receivedAt is by the clock that goes on during suspension.
-type toldState struct {
+// peerState is what another router knows. receivedAt is by the clock that goes on during suspension.
+type peerState struct {
 	state      *feed.State
 	receivedAt time.Duration
 }
 
 // useState takes what another router knows of the configuration and the leader.
-func (cs *clusterState) useState(m *toldState) {
+func (cs *clusterState) useState(m *peerState) {
 	s, a := m.state, &cs.g.opts.Adapter
 	if len(s.ConfigValue) > 0 {
 		cs.handleChange(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{{Key: a.ConfigKey, Value: s.ConfigValue}}, at: time.Now()}})
@@ -136,7 +136,7 @@
 	}
 }
 
-// ownState returns what this router tells others that ask.
+// ownState returns the state that this router sends to others that ask for it.
 func (g *Gateway) ownState() *feed.State {
 	s := &feed.State{ConfigAge: g.configAge.age()}
 	s.ConfigVersion, s.ConfigValue = g.subscription.source.Config()
--- a/gateway/randomlosses_test.go
+++ b/gateway/randomlosses_test.go
@@ -38,8 +38,8 @@
 
 const (
 	storeLost lossKind = iota
-	// unheard gateways can't be reached by other routers.
-	unheard
+	// unreachable gateways can't be reached by other routers.
+	unreachable
 	ended
 	// starting gateways are not ready yet.
 	starting
@@ -144,7 +144,7 @@
 		if !proxy.setSilent(true) {
 			return
 		}
-		s.record(g, unheard, d, func() { proxy.setSilent(false) })
+		s.record(g, unreachable, d, func() { proxy.setSilent(false) })
 	case 4:
 		if len(s.live) > lossRouters/2 {
 			s.crash(g)
@@ -211,7 +211,7 @@
 	for _, other := range s.all {
 		at, inForce := s.versions.since(other, c.version)
 		reached := at.Add(configApply)
-		if other == g || !inForce || s.disturbed(other, at.Add(-inTouchWindow), reached, unheard, ended, starting) ||
+		if other == g || !inForce || s.disturbed(other, at.Add(-inTouchWindow), reached, unreachable, ended, starting) ||
 			s.disturbed(g, at.Add(-inTouchWindow), reached, ended, starting) {
 			continue
 		}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -19,9 +19,9 @@
 	// spread the calls of many routers to a store that has just recovered.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
-	// reassuringWait is the wait of the first watch after one without an answer: whether there are changes
+	// probeWait is the wait of the first watch after one without an answer: whether there are changes
 	// must be known at once.
-	reassuringWait = time.Millisecond
+	probeWait = time.Millisecond
 	// minOutage is the shortest outage of the store in which entries can expire: that takes
 	// three missed heartbeats of a target, about a second each. A single interrupted watch is
 	// not an outage.
@@ -102,7 +102,7 @@
 	w.mu.Unlock()
 	wait := w.wait
 	if !w.healthy.Load() {
-		wait = reassuringWait
+		wait = probeWait
 	}
 	records, at, err := w.store.Watch(asked, w.prefix, w.since, wait)
 	if err != nil && asked.Err() != nil && ctx.Err() == nil {
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -38,7 +38,7 @@
 	// OnRelay serves a connection of a router that asks for one to a target, and closes it. Without it,
 	// such connections are closed.
 	OnRelay func(conn net.Conn, reader *bufio.Reader, hello *feedpb.Hello)
-	// State returns what this router tells others that ask for the state, whether it leads or not. Without it, such
+	// State returns the state that is sent to routers that ask for it, whether this one leads or not. Without it, such
 	// connections are closed.
 	State func() *State
 	// OnBacked is called when a router backs this leader, with the time of Clock until which it
--- a/peer/feed/state.go
+++ b/peer/feed/state.go
@@ -85,6 +85,6 @@
 	if err == nil {
 		err = writeMessage(conn, reply)
 	}
-	s.Log.Info("state told to a router", "to", hello.GetRouter(), "config", reply.GetConfig(), "config_age_ms", reply.GetConfigAgeMs(),
+	s.Log.Info("state sent to a router", "to", hello.GetRouter(), "config", reply.GetConfig(), "config_age_ms", reply.GetConfigAgeMs(),
 		"leader", reply.GetLeader(), "term", reply.GetTerm(), "err", err)
 }
--- a/peer/feed/state_test.go
+++ b/peer/feed/state_test.go
@@ -14,7 +14,7 @@
 )
 
 // Guards against a router without the store that learns nothing of other routers, or less than they know.
-func TestRouterIsToldTheStateOfAnother(t *testing.T) {
+func TestRouterReceivesTheStateOfAnother(t *testing.T) {
 	value := make([]byte, 4*maxCompressedConfig) // too large for a feed
 	_, err := rand.NewChaCha8([32]byte{}).Read(value)
 	assert.NilError(t, err)
