--- a/core/directory/departed.go
+++ b/core/directory/departed.go
@@ -20,6 +20,7 @@
 // targets older than departedRetention.
 func (d *Directory) moveToDeparted(now time.Time, id string) {
 	d.departed[id] = departedTarget{*d.entries[id], now}
+	d.notice(Gone, &d.entries[id].target)
 	delete(d.entries, id)
 	for other, departed := range d.departed {
 		if now.Sub(departed.removedAt) > departedRetention {
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -63,6 +63,7 @@
 	// it last became reachable again.
 	storeUnreachable    bool
 	storeReachableSince time.Time
+	notices             []Notice
 }
 
 // New returns an empty directory.
@@ -79,6 +80,7 @@
 		return false
 	}
 	t.ColdUntil = now.Add(t.ColdFor)
+	d.noticeReport(&t)
 	delete(d.departed, t.ID)
 	d.entries[t.ID] = nextEntry(old, now, t)
 	if !known || !old.removeAt.IsZero() {
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -89,6 +89,7 @@
 		cs.handleConfig(&change{records: []kv.Record{{Key: cs.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
 	}
 	changed := cs.directory.Adopt(time.Now(), u.TargetsComplete, u.Targets, u.RemovedTargets)
+	cs.logLeaving(cs.g.subscription.knownLeader().name)
 	cs.publishTargets(changed)
 	for _, t := range u.Tables {
 		cs.useNewerTable(&t)
@@ -240,6 +241,7 @@
 // publishTargets publishes the targets if they have changed, and schedules a tick for the next change
 // that comes with time.
 func (cs *clusterState) publishTargets(changed bool) {
+	cs.logLeaving(toldByStore)
 	if changed {
 		targets := cs.directory.Targets()
 		cs.g.setTargets(targets)
@@ -257,6 +259,25 @@
 	cs.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() { cs.duty.Tell(tick{}) })
 }
 
+// toldByStore is who told of a target in log lines, if it was no leader.
+const toldByStore = "store"
+
+// logLeaving logs and counts what was learned about leaving targets, and from whom.
+func (cs *clusterState) logLeaving(toldBy string) {
+	for _, n := range cs.directory.Notices() {
+		message := "target leaves"
+		if n.Kind == directory.TakenBack {
+			message = "target's leaving taken back"
+		}
+		t := &n.Target
+		cs.g.log.Info(message, "target", t.ID, "born", t.StartUnixMilli, "service", t.Service, "how", n.Kind, "told_by", toldBy,
+			"seq", t.Seq, "unconfirmed", cs.g.stateAge.age())
+		if tel := cs.g.opts.Telemetry; tel != nil {
+			tel.Scope().Tagged(map[string]string{"service": t.Service, "how": n.Kind.String()}).Counter("leaving_targets_total").Inc(1)
+		}
+	}
+}
+
 // handleLeader records who leads.
 func (cs *clusterState) handleLeader(c *change) {
 	found := false
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -34,7 +34,8 @@
 		key = int(*x.key)
 	}
 	g.log.Info("placed", "id", x.meta.ID, "service", x.service.name, "key", key, "config", x.route.version,
-		"target", d.Target.ID, "in", d.Target.DataCentre, "born", d.Target.StartUnixMilli, "work", d.Work, "report_age", d.ReportAge, "waited", waited, "send", x.sends+1)
+		"target", d.Target.ID, "in", d.Target.DataCentre, "born", d.Target.StartUnixMilli, "work", d.Work, "report_age", d.ReportAge, "waited", waited, "send", x.sends+1,
+		"leaving", d.Target.Draining, "state_age", g.stateAge.age())
 }
 
 // serveReady serves the platform's readiness check: whether this router accepts new connections.
