--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -70,6 +70,9 @@
 	// Listings of slowPrefix are delayed by slowDelay.
 	slowPrefix string
 	slowDelay  time.Duration
+	// tablesHeldUp holds writes of key tables up until they are cancelled, as in a leader that makes no progress but
+	// renews its lease.
+	tablesHeldUp atomic.Bool
 }
 
 func (w *storeLink) errIfCut() error {
@@ -112,6 +115,10 @@
 	if err := w.errIfCut(); err != nil {
 		return 0, nil, err
 	}
+	if w.tablesHeldUp.Load() && len(txn.Puts) > 0 && strings.HasPrefix(txn.Puts[0].Key, tablePrefix) {
+		<-ctx.Done()
+		return 0, nil, ctx.Err()
+	}
 	return w.TxnStore.Commit(ctx, txn)
 }
 
