Send nothing to the leaving holder of a key once the drain bound may be over

Callers' requests for a key reached its holder for as long as the leader had not moved the key, however long ago the holder had announced that it leaves. Routers knew of that and skipped leaving targets in services without keys only: the limit rested on the leader reading the change, writing the table and ordering the release in time.

Each router now notes when it last knew that the target stays, and from the bound after that, less the time on the way, refuses requests for its keys at once (503, no_owner, Retry-After 1 s).

--- a/cmd/tarragongw/serve.go
+++ b/cmd/tarragongw/serve.go
@@ -110,7 +110,7 @@
 		Name: s.Name, DataCentre: s.DataCentre,
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress, PeerAddress: s.PeerAddress,
 		Store:    platform.NewStore(s.StoreAddress),
-		LeaseMin: s.LeaseMin, StoreHistory: s.History, PropagationLimit: min(s.Drain, s.ConfigApply), MaxGrantTTL: s.MaxGrantTTL, Grace: s.Grace, CPUShare: s.CPUShare,
+		LeaseMin: s.LeaseMin, StoreHistory: s.History, PropagationLimit: min(s.Drain, s.ConfigApply), LeavingLimit: s.Drain, MaxGrantTTL: s.MaxGrantTTL, Grace: s.Grace, CPUShare: s.CPUShare,
 		RetryShare: s.RetryShare, RetryMin: s.RetryMin, RetryWindow: s.RetryWindow,
 		Logger: logger, Telemetry: metrics,
 		Adapter: gateway.Adapter{
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -36,6 +36,9 @@
 	ColdUntil time.Time
 	// Seq counts the reports of one instance.
 	Seq uint64
+	// LeavingAfter is the last time at which a draining target was known not to drain, as far as this router
+	// knows; zero if it was never known to. The Directory sets it.
+	LeavingAfter time.Time
 }
 
 // Holder returns the name of this target instance in the key table.
@@ -63,7 +66,9 @@
 	// it last became reachable again.
 	storeUnreachable    bool
 	storeReachableSince time.Time
-	notices             []Notice
+	// confirmedAt is the last time at which the directory was known to be up to date.
+	confirmedAt time.Time
+	notices     []Notice
 }
 
 // New returns an empty directory.
@@ -80,6 +85,7 @@
 		return false
 	}
 	t.ColdUntil = now.Add(t.ColdFor)
+	t.LeavingAfter = d.leavingAfter(old, &t)
 	d.noticeReport(&t)
 	delete(d.departed, t.ID)
 	d.entries[t.ID] = nextEntry(old, now, t)
@@ -91,6 +97,25 @@
 	return before != after
 }
 
+// leavingAfter returns LeavingAfter of a reported target. old is its entry before, or nil.
+func (d *Directory) leavingAfter(old *entry, t *Target) time.Time {
+	switch {
+	case !t.Draining:
+		return time.Time{}
+	case old != nil && old.target.Draining && old.target.StartUnixMilli == t.StartUnixMilli:
+		return old.target.LeavingAfter
+	default:
+		return d.confirmedAt
+	}
+}
+
+// Confirm records that the directory was up to date at a time.
+func (d *Directory) Confirm(at time.Time) {
+	if at.After(d.confirmedAt) {
+		d.confirmedAt = at
+	}
+}
+
 // nextEntry returns the entry after report t. old is the entry before it, or nil.
 func nextEntry(old *entry, now time.Time, t Target) *entry {
 	e := &entry{target: t, firstSeen: now, lastReport: now}
--- a/core/dispatch/dispatch_test.go
+++ b/core/dispatch/dispatch_test.go
@@ -307,3 +307,18 @@
 	}
 	assert.Assert(t, s.ServiceTime("a") > 0.19 && s.ServiceTime("a") < 0.21, "%v", s.ServiceTime("a"))
 }
+
+// Guards against requests for the keys of a target that has left, where the keys have not been moved.
+func TestHolderThatHasLeftGetsNothing(t *testing.T) {
+	leaving := target("old", "here")
+	leaving.Draining, leaving.LeavingAfter = true, at(0)
+	s, key := newKeyedService("old", leaving, target("new", "here"))
+	s.LimitLeaving(2 * time.Second)
+	r := newRequest(1)
+	r.Key, r.Deadline = key, at(9000)
+	assert.Equal(t, s.Offer(at(1900), r).Verdict, Send)
+	d := s.Offer(at(2000), r)
+	assert.Equal(t, d.Verdict, Refuse)
+	assert.Equal(t, d.Fault, fault.NoOwner)
+	assert.Assert(t, d.RetryAfter > 0)
+}
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -22,6 +22,9 @@
 	grantExpiryRetryAfter = 700 * time.Millisecond
 	// noTargetRetryAfter is the advised wait if there is no target that could take the request.
 	noTargetRetryAfter = 500 * time.Millisecond
+	// leavingRetryAfter is the advised wait if a key's holder has left and the key has not been moved: about the
+	// time in which another leader is found.
+	leavingRetryAfter = time.Second
 	// minRetryAfter is the shortest advised wait if targets have no room.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -122,6 +125,9 @@
 	// pendingStats are the statistics of targets since the last DrainStats.
 	pendingStats map[string]*TargetStats
 	limits       limits
+	// leavingLimit is for how long a target gets requests for its keys after it has announced that it leaves; zero
+	// means for as long as it holds them.
+	leavingLimit time.Duration
 }
 
 // New returns a Service for a router in the data centre; byKey says that the keys are divided
@@ -133,6 +139,9 @@
 	}
 }
 
+// LimitLeaving sets for how long a target may get requests for its keys after it has announced that it leaves.
+func (s *Service) LimitLeaving(limit time.Duration) { s.leavingLimit = limit }
+
 // SetTargets sets the complete list of targets. The state of known ones is kept, unless they have
 // restarted: a new instance starts with a new state.
 func (s *Service) SetTargets(targets []directory.Target) {
@@ -387,12 +396,21 @@
 	if t == nil || t.Holder() != segment.Holder {
 		return nil, &block{kind: fault.NoOwner, detail: "target " + segment.Target + " is not there", wait: -1, retryAfter: noTargetRetryAfter}
 	}
+	if s.hasLeft(now, t) {
+		return nil, &block{kind: fault.NoOwner, detail: "target " + t.ID + " leaves, and the key has not been moved", wait: -1, retryAfter: leavingRetryAfter}
+	}
 	if t.inConnectBackoff(now) {
 		return nil, &block{kind: fault.NoOwner, detail: "target " + t.ID + " can't be reached", wait: -1, retryAfter: t.nextConnectAt.Sub(now) + minRetryAfter}
 	}
 	return t, nil
 }
 
+// hasLeft reports whether the target may have announced too long ago that it leaves. The leader moves the keys
+// before that, unless it is late.
+func (s *Service) hasLeft(now time.Time, t *targetState) bool {
+	return t.Draining && s.leavingLimit > 0 && now.Sub(t.LeavingAfter) >= s.leavingLimit
+}
+
 // refuseIfHopeless refuses a request that can't be answered in time any more. Its caller can then
 // retry while there is time left; queued, it would take the place of a request that can be
 // answered in time.
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -110,6 +110,7 @@
 	cs.g.configAge.confirm(m.at)
 	if m.targets {
 		cs.g.stateAge.confirm(m.at)
+		cs.directory.Confirm(time.Now().Add(m.at - cs.g.opts.Clock.Now()))
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -250,7 +250,7 @@
 	for _, spec := range c.Services {
 		s := g.services[spec.Name]
 		if s == nil || s.byKey != spec.ByKey {
-			s = newService(spec, g.opts.DataCentre, g.newBudget(), g.logReach)
+			s = newService(spec, g.opts.DataCentre, g.opts.LeavingLimit, g.newBudget(), g.logReach)
 		}
 		services[spec.Name] = s
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -65,6 +65,9 @@
 	// PropagationLimit is the time within which a change in the store must be in force on all routers;
 	// zero if unknown.
 	PropagationLimit time.Duration
+	// LeavingLimit is the time after its leaving was acknowledged within which a target may still get requests;
+	// zero if unknown.
+	LeavingLimit time.Duration
 	// MaxGrantTTL is the longest TTL of a grant that targets accept.
 	MaxGrantTTL time.Duration
 	// CPUShare is the share of a core that this process gets; zero if unknown.
@@ -83,6 +86,9 @@
 	Telemetry *telemetry.Telemetry
 }
 
+// defaultLeavingLimit is used where Options.LeavingLimit is unknown.
+const defaultLeavingLimit = 2 * time.Second
+
 // defaultMailbox has room for the answers to a few hundred orders that arrive at the same time.
 const defaultMailbox = 256
 
@@ -93,6 +99,9 @@
 	if o.Mailbox <= 0 {
 		o.Mailbox = defaultMailbox
 	}
+	if o.LeavingLimit <= 0 {
+		o.LeavingLimit = defaultLeavingLimit
+	}
 	if o.Clock == nil {
 		o.Clock = clock.Boot{}
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -19,6 +19,9 @@
 // other routers' work at a target decays within 200 ms.
 const pollInterval = 10 * time.Millisecond
 
+// arrivalReserve is the part of Options.LeavingLimit that is left for the way of a request to its target.
+const arrivalReserve = 150 * time.Millisecond
+
 // service is the state of one service: core/dispatch behind a lock, and the requests that wait for
 // placement.
 type service struct {
@@ -41,10 +44,12 @@
 	logReach func(service string, r dispatch.Reach)
 }
 
-func newService(spec routes.Service, dataCentre string, budget *retry.WindowBudget, logReach func(string, dispatch.Reach)) *service {
+func newService(spec routes.Service, dataCentre string, leavingLimit time.Duration, budget *retry.WindowBudget, logReach func(string, dispatch.Reach)) *service {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	dispatcher := dispatch.New(dataCentre, spec.ByKey, random)
+	dispatcher.LimitLeaving(leavingLimit - arrivalReserve)
 	return &service{
-		name: spec.Name, byKey: spec.ByKey, dispatcher: dispatch.New(dataCentre, spec.ByKey, random), budget: budget,
+		name: spec.Name, byKey: spec.ByKey, dispatcher: dispatcher, budget: budget,
 		waiting: map[uint64]chan dispatch.Decision{}, tableChanged: make(chan struct{}), keyLoad: &keySamples{}, logReach: logReach,
 	}
 }
