Count the age of the state from when the store gave an answer, not from when it was read

A process that was held up read an old answer of the store and took it for a new one: for as long as the hold-up had lasted, it believed that it knew all leaving targets, sent to them, and told its followers so. The time limit for leaving targets (and the configuration) counts from there.

A call that returns records confirms the state as of its beginning, a watch without changes as of the end of its wait. Whether a leader counts as hearing from the store still goes by when it read the last answer.

--- a/gateway/configloss_test.go
+++ b/gateway/configloss_test.go
@@ -257,6 +257,7 @@
 	sub.targetsWatch, sub.configWatch = &watch{watcher: &watcher{}}, &watch{watcher: &watcher{}}
 	assert.Assert(t, !sub.isFresh())
 	sub.targetsWatch.lastContact.Store(&now)
+	sub.targetsWatch.confirmedAt.Store(&now)
 	assert.Assert(t, !sub.isFresh())
 	sub.configWatch.healthy.Store(true)
 	assert.Assert(t, sub.isFresh())
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -32,7 +32,7 @@
 }
 
 // confirmState records that the store has answered a watch: the state was the newest at the last answer
-// about the targets. The other watches are only answered at changes, but they must not be failing.
+// about the targets was given. The other watches are only answered at changes, but they must not be failing.
 func (sub *subscription) confirmState() {
 	sub.mu.Lock()
 	counted := len(sub.otherWatches) > 0 && sub.otherWatches[0].healthy.Load()
@@ -53,7 +53,7 @@
 	if sub.targetsWatch == nil || sub.configWatch == nil || !sub.configWatch.healthy.Load() {
 		return nil
 	}
-	return sub.targetsWatch.lastContact.Load()
+	return sub.targetsWatch.confirmedAt.Load()
 }
 
 // constantPause returns a pause that doesn't depend on the changed records.
@@ -273,8 +273,11 @@
 func (sub *subscription) isFresh() bool {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
-	last := sub.lastConfirmation()
-	return last != nil && time.Since(*last) < freshnessLimit && sub.g.stateAge.age() < freshnessLimit
+	if sub.lastConfirmation() == nil {
+		return false
+	}
+	last := sub.targetsWatch.lastContact.Load()
+	return time.Since(*last) < freshnessLimit && sub.g.stateAge.age() < sub.g.stateAge.overdueAfter()
 }
 
 // recheckConfig has this router's configuration confirmed, which is overdue: by the store while this router follows a
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -36,6 +36,8 @@
 	// listed is set if records are all records under the prefix, not only the changed ones.
 	listed  bool
 	records []kv.Record
+	// waited is how long a watch without changes waits for one.
+	waited time.Duration
 	// unreachableFor is how long the store was unreachable before.
 	unreachableFor time.Duration
 	at             time.Time
@@ -73,9 +75,10 @@
 	failingSince time.Time
 	backoff      time.Duration
 
-	// lastContact is when the store last answered; nil before its first answer. It keeps its
-	// monotonic reading, so that a step of the VM's clock doesn't change its age.
-	lastContact atomic.Pointer[time.Time]
+	// lastContact is when this router last read an answer of the store, and confirmedAt the last time at which the
+	// store certainly had nothing newer: an answer may be read long after the store gave it. Both are nil before the
+	// first answer. They keep their monotonic reading, so that a step of the VM's clock doesn't change their age.
+	lastContact, confirmedAt atomic.Pointer[time.Time]
 	// healthy is set while the records are known and the last call was answered.
 	healthy atomic.Bool
 
@@ -93,8 +96,8 @@
 	}
 }
 
-// watch waits for changes.
-func (w *watcher) watch(ctx context.Context) ([]kv.Record, kv.Revision, error) {
+// watch waits for changes, for as long as it returns.
+func (w *watcher) watch(ctx context.Context) (*change, kv.Revision, error) {
 	asked, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.mu.Lock()
@@ -108,7 +111,7 @@
 	if err != nil && asked.Err() != nil && ctx.Err() == nil {
 		return nil, w.since, errRestarted
 	}
-	return records, at, err
+	return &change{records: records, waited: wait}, at, err
 }
 
 // run follows the prefix until ctx ends.
@@ -141,7 +144,7 @@
 		w.since, w.listed = at, true
 		return &change{listed: true, records: records}, nil
 	}
-	records, at, err := w.watch(ctx)
+	message, at, err := w.watch(ctx)
 	if errors.Is(err, kv.ErrCompacted) {
 		w.listed = false
 		w.log.Warn("store history lost", "prefix", w.prefix, "since", w.since)
@@ -154,7 +157,7 @@
 		return nil, err
 	}
 	w.since = at
-	return &change{records: records}, nil
+	return message, nil
 }
 
 func (w *watcher) succeeded(began time.Time, message *change) {
@@ -165,6 +168,8 @@
 	}
 	w.failingSince, w.backoff = time.Time{}, 0
 	w.lastContact.Store(&message.at)
+	confirmedAt := w.answeredNotBefore(began, message)
+	w.confirmedAt.Store(&confirmedAt)
 	w.healthy.Store(true)
 	w.answered()
 	if message.listed || message.unreachableFor > 0 || len(message.records) > 0 {
@@ -172,6 +177,18 @@
 	}
 }
 
+// answeredNotBefore returns the earliest time at which the store can have given the answer to a call that began at a
+// time. A watch without changes is answered at the end of its wait.
+func (w *watcher) answeredNotBefore(began time.Time, message *change) time.Time {
+	if message.listed || len(message.records) > 0 {
+		return began
+	}
+	if end := began.Add(message.waited); !end.After(message.at) {
+		return end
+	}
+	return began
+}
+
 func (w *watcher) failed(ctx context.Context, began time.Time, err error) {
 	if ctx.Err() != nil {
 		return
