Apply the changes of an answer before the state counts as confirmed by it

The watch of the targets reported the state as confirmed before it passed on the changes of the same answer. A process held up between the two believed that it knew the leaving targets of that answer, and its feed said so.

TestChangesAreKnownBeforeTheStateIsConfirmed failed before.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -171,10 +171,10 @@
 	confirmedAt := w.answeredNotBefore(began, message)
 	w.confirmedAt.Store(&confirmedAt)
 	w.healthy.Store(true)
-	w.answered()
 	if message.listed || message.unreachableFor > 0 || len(message.records) > 0 {
 		w.notify(message)
 	}
+	w.answered() // after the changes: the state is the newest only with them
 }
 
 // answeredNotBefore returns the earliest time at which the store can have given the answer to a call that began at a
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,3 +72,18 @@
 		})
 	}
 }
+
+// Guards against a state that counts as confirmed before the changes of the same answer are known.
+func TestChangesAreKnownBeforeTheStateIsConfirmed(t *testing.T) {
+	var mu sync.Mutex
+	var order []string
+	note := func(what string) {
+		mu.Lock()
+		defer mu.Unlock()
+		order = append(order, what)
+	}
+	w := newTestWatcher(&heldUpStore{})
+	w.notify, w.answered = func(any) { note("changes") }, func() { note("confirmed") }
+	w.succeeded(time.Now(), &change{records: []kv.Record{{Key: "p/a"}}})
+	assert.DeepEqual(t, order, []string{"changes", "confirmed"})
+}
