State the age of a state in a feed before the state is encoded

A leader took what it sends to a follower first and the age of its state afterwards. Held up between the two, it told followers that they knew everything up to a time, without the target whose leaving it had learned in between.

TestUpdateHasAllThatItsAgeCounts failed before: the update said that its state is the newest and lacked a target.

--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -120,6 +120,8 @@
 	addr           string
 	termCtx        context.Context
 	endTerm        context.CancelFunc
+	// onAge is called when the leader is asked for the age of its state; nil for nothing.
+	onAge func()
 }
 
 func newTestLeader(t *testing.T) *testLeader {
@@ -139,6 +141,12 @@
 		},
 		OnJoin:         func(router Router, term uint64, promised time.Duration) { leader.joined <- promised },
 		OnBacked:       func(router string, term uint64, until time.Duration) { leader.backed <- until - clock.Boot{}.Now() },
+		ConfigAge: func() time.Duration {
+			if leader.onAge != nil {
+				leader.onAge()
+			}
+			return 0
+		},
 		StoreReachable: leader.fresh.Load, OnReport: func(r Report) { leader.reports <- r }, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler),
 	}
 	go func() { assert.Check(t, server.Serve(t.Context(), l)) }()
@@ -190,6 +198,20 @@
 	waittest.Until(t, "the removed target is sent", func() bool { return len((<-updates).RemovedTargets) == 1 })
 }
 
+// Guards against followers that count a state as confirmed which lacks the last changes, because the leader was held up
+// between the two parts of an update.
+func TestUpdateHasAllThatItsAgeCounts(t *testing.T) {
+	leader := newTestLeader(t)
+	leader.onAge = func() {
+		leader.source.SetTargets([]directory.Target{{ID: "a", Draining: true}})
+		leader.onAge = nil
+	}
+	updates := make(chan *Update, 64)
+	leader.follow(t, 7, updates)
+	u := <-updates
+	assert.Equal(t, len(u.Targets), 1, "the update says that its state is the newest, and lacks a target")
+}
+
 // Guards against followers that send requests to targets that have left: a leader that alone
 // is cut off from the store still sends heartbeats, and followers that see no change in them
 // conclude that nothing has changed.
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -130,16 +130,18 @@
 
 // sendUpdates writes an update at each change, and at least every HeartbeatEvery.
 func (f *follower) sendUpdates(ctx context.Context, source *Source) error {
-	heartbeat := time.NewTicker(HeartbeatEvery)
-	defer heartbeat.Stop()
+	ticker := time.NewTicker(HeartbeatEvery)
+	defer ticker.Stop()
 	var state sentState
 	for {
+		// The age comes before the frame, which may have more than was confirmed then, but not less.
+		heartbeat := f.nextHeartbeat()
 		frame, changed, err := source.frameSince(state, f.hello.GetUnpacks(), !f.server.StoreReachable())
 		if err != nil {
 			return err
 		}
 		state = frame.after
-		data, err := frame.withHeartbeat(f.nextHeartbeat())
+		data, err := frame.withHeartbeat(heartbeat)
 		if err != nil {
 			return err
 		}
@@ -148,14 +150,14 @@
 		}
 		select {
 		case <-changed:
-		case <-heartbeat.C:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// nextHeartbeat returns the heartbeat of the update that is sent now and records the time.
+// nextHeartbeat returns the heartbeat of the update that is sent next and records the time.
 func (f *follower) nextHeartbeat() *feedpb.Update {
 	f.mu.Lock()
 	defer f.mu.Unlock()
