Carry the time of a confirmation with it, instead of an age that is subtracted later

An update of the leader, and another router's answer, were turned into an age on arrival and subtracted from the clock when they were handled. A process held up between the two counted its state as newer than it was by the length of the hold-up.

Updates now have the time itself, taken on arrival; what another router says counts from before the question.

--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -104,6 +104,7 @@
 	if v := c.g.view.Load(); v != nil {
 		inForce = v.config.Version
 	}
+	asked := c.g.opts.Clock.Now()
 	s, err := feed.AskState(c.g.lifetime, c.g.asRouter(), address, inForce)
 	if err != nil {
 		c.g.log.Info("state request failed", "address", address, "err", err)
@@ -111,13 +112,13 @@
 	}
 	c.g.log.Info("state received from a router", "address", address, "config", s.ConfigVersion, "config_age", s.ConfigAge, "in_force", inForce,
 		"leader", s.Leader, "term", s.Term)
-	c.g.state.duty.Tell(&peerState{state: s, receivedAt: c.g.opts.Clock.Now()})
+	c.g.state.duty.Tell(&peerState{state: s, askedAt: asked})
 }
 
-// peerState is what another router knows. receivedAt is by the clock that goes on during suspension.
+// peerState is what another router knew at askedAt or later, by the clock that goes on during suspension.
 type peerState struct {
-	state      *feed.State
-	receivedAt time.Duration
+	state   *feed.State
+	askedAt time.Duration
 }
 
 // useState takes what another router knows of the configuration and the leader.
@@ -127,7 +128,7 @@
 		cs.handleChange(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{{Key: a.ConfigKey, Value: s.ConfigValue}}, at: time.Now()}})
 	}
 	if s.ConfigVersion > 0 {
-		cs.confirm(&stateConfirmed{version: s.ConfigVersion, at: m.receivedAt - s.ConfigAge})
+		cs.confirm(&stateConfirmed{version: s.ConfigVersion, at: m.askedAt - s.ConfigAge})
 	}
 	leader := &leaderStatus{name: s.Leader, address: s.Address, revision: kv.Revision(s.Term), present: true}
 	if leader.revision > cs.g.subscription.leaderRevision() {
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -40,15 +40,16 @@
 	if u.TargetsComplete || len(u.Targets)+len(u.RemovedTargets)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != sub.g.routerCount() {
 		sub.g.state.duty.Tell(u)
 	}
-	if u.ConfigAgeKnown {
-		sub.g.state.duty.Tell(&stateConfirmed{version: u.ConfigVersion, at: sub.g.opts.Clock.Now() - u.ConfigAge, targets: true})
+	if u.Confirmed {
+		sub.g.state.duty.Tell(&stateConfirmed{version: u.ConfigVersion, at: u.ConfirmedAt, targets: true})
 	}
 }
 
 // isRecent reports whether the update confirms the state in time, so that the feed can replace the
 // watches on the store.
 func (h *updateHandler) isRecent(u *feed.Update) bool {
-	return !u.ConfigAgeKnown || u.ConfigAge < h.subscription.g.stateAge.overdueAfter()
+	g := h.subscription.g
+	return !u.Confirmed || g.opts.Clock.Now()-u.ConfirmedAt < g.stateAge.overdueAfter()
 }
 
 // handleStale handles an update of a leader that can't reach the store. It contains at most key tables.
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -92,6 +92,7 @@
 		if err != nil {
 			return err
 		}
+		arrived := f.Clock.Now()
 		f.mu.Lock()
 		f.heartbeat, f.heartbeatAt = p.GetBeat(), time.Now()
 		f.mu.Unlock()
@@ -99,7 +100,9 @@
 		if err != nil {
 			return err
 		}
-		u.ConfigAge, u.ConfigAgeKnown = ages.age(f.Clock.Now(), p)
+		if age, known := ages.age(arrived, p); known {
+			u.ConfirmedAt, u.Confirmed = arrived-age, true
+		}
 		f.OnUpdate(u)
 	}
 }
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -84,10 +84,10 @@
 	Quarantine *quarantine.List
 	// Relays are the routers through which others may reach targets; nil if they have not changed.
 	Relays *Relays
-	// ConfigAge is how long ago, when the update arrived, the leader's configuration was last known to be the
-	// newest. It is valid if ConfigAgeKnown is set.
-	ConfigAge      time.Duration
-	ConfigAgeKnown bool
+	// ConfirmedAt is when the leader's state was last known to be the newest, by the follower's Clock. It is valid if
+	// Confirmed is set.
+	ConfirmedAt time.Duration
+	Confirmed   bool
 	// Contacts are the addresses of some routers that answer AskState; nil if they have not changed.
 	Contacts []string
 }
--- a/peer/feed/state.go
+++ b/peer/feed/state.go
@@ -21,7 +21,7 @@
 	Leader, Address string
 	Term            uint64
 	// ConfigVersion is the version of the configuration in force, and ConfigAge how long ago that was last known
-	// to be the newest, when the state is received.
+	// to be the newest, when the router answered.
 	ConfigVersion uint64
 	ConfigAge     time.Duration
 	// ConfigValue is the configuration as it is stored; nil if it is not newer than that of the router that
@@ -34,7 +34,6 @@
 func AskState(ctx context.Context, self Router, address string, configVersion uint64) (*State, error) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	began := time.Now()
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to a router")
@@ -49,13 +48,13 @@
 	if err := readMessage(conn, bufio.NewReader(conn), reply, stateTimeout); err != nil {
 		return nil, err
 	}
-	return decodeState(reply, time.Since(began))
+	return decodeState(reply)
 }
 
-func decodeState(p *feedpb.StateReply, took time.Duration) (*State, error) {
+func decodeState(p *feedpb.StateReply) (*State, error) {
 	s := &State{
 		Leader: p.GetLeader(), Address: p.GetAddress(), Term: p.GetTerm(), ConfigVersion: p.GetConfig(),
-		ConfigAge: time.Duration(p.GetConfigAgeMs())*time.Millisecond + took,
+		ConfigAge: time.Duration(p.GetConfigAgeMs()) * time.Millisecond,
 	}
 	if len(p.GetConfigValue()) > 0 {
 		value, err := decompressConfig(p.GetConfigValue())
