Order the reports of a target by the store's revision, and never take its leaving back

Requests went to targets that routers had known to leave: whatever report of the same start came last replaced what was known. A listing or a watch of the store, changes and complete lists of a leader that was late or had just been elected, all came in any order; a complete list also revived targets that were gone.

Each report now carries the revision of the entry in which it stands, in the feed too, and an older one changes nothing, be it of a target that is there, that is gone, or that was never known. That a target leaves holds for its start, whatever comes.

Two tests of restored stores ended a drain without a restart, which the platform has no report for; the target now starts again, and loses its keys with that.

--- a/core/directory/departed.go
+++ b/core/directory/departed.go
@@ -56,6 +56,40 @@
 	return ended
 }
 
+// isBefore reports whether a revision is certainly before another.
+func isBefore(revision, other uint64) bool { return revision != 0 && revision < other }
+
+// outdated reports whether a report says less than is known: it is of an earlier instance, or of a revision of the
+// store before the one in which the entry was last seen, or was gone.
+func (d *Directory) outdated(t *Target) bool {
+	if e := d.entries[t.ID]; e != nil {
+		return olderThan(t, e)
+	}
+	if gone, departed := d.departed[t.ID]; departed && olderThan(t, &gone.entry) {
+		return true
+	}
+	return t.Revision != 0 && t.Revision <= d.revision // it would be among the entries
+}
+
+func olderThan(t *Target, e *entry) bool {
+	if t.StartUnixMilli != e.target.StartUnixMilli {
+		return t.StartUnixMilli < e.target.StartUnixMilli
+	}
+	return isBefore(t.Revision, e.target.Revision) || t.Revision != 0 && t.Revision <= e.removedIn
+}
+
+// lastEntry returns the last entry of the instance that a report is about, be it departed or not; nil if there is none.
+func (d *Directory) lastEntry(t *Target) *entry {
+	e := d.entries[t.ID]
+	if gone, departed := d.departed[t.ID]; e == nil && departed {
+		e = &gone.entry
+	}
+	if e == nil || e.target.StartUnixMilli != t.StartUnixMilli {
+		return nil
+	}
+	return e
+}
+
 // succeededBy reports whether the target at the same address came after this one.
 func (t *departedTarget) succeededBy(e *entry) bool {
 	if !e.firstSeen.After(t.lastReport) {
--- a/core/directory/departed_test.go
+++ b/core/directory/departed_test.go
@@ -44,9 +44,9 @@
 				switch {
 				case c.notRemoved:
 				case fromLeader:
-					d.Adopt(at(5000), false, nil, []string{c.old.ID})
+					d.Adopt(at(5000), false, nil, []string{c.old.ID}, 0)
 				default:
-					d.Remove(at(5000), c.old.ID)
+					d.Remove(at(5000), c.old.ID, 0)
 				}
 				var want []keyspace.Holder
 				if c.ended {
@@ -62,13 +62,13 @@
 func TestDepartedTargetIsDroppedOnReturnOrAfterRetention(t *testing.T) {
 	d := New()
 	d.Put(at(0), Target{ID: "old", StartUnixMilli: 1000, Address: "x"})
-	d.Remove(at(100), "old")
+	d.Remove(at(100), "old", 0)
 	d.Put(at(200), Target{ID: "next", StartUnixMilli: 5000, Address: "x"})
 	assert.Equal(t, len(d.Ended()), 1)
 	d.Put(at(300), Target{ID: "old", StartUnixMilli: 1000, Address: "y"})
 	assert.Equal(t, len(d.Ended()), 0)
-	d.Remove(at(400), "old")
+	d.Remove(at(400), "old", 0)
 	d.Put(at(500), Target{ID: "another", StartUnixMilli: 1})
-	d.Remove(at(400+2*int(departedRetention.Milliseconds())), "another")
+	d.Remove(at(400+2*int(departedRetention.Milliseconds())), "another", 0)
 	assert.Equal(t, len(d.departed), 1)
 }
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -36,6 +36,9 @@
 	ColdUntil time.Time
 	// Seq counts the reports of one instance.
 	Seq uint64
+	// Revision orders the reports of a target, whichever way they come: it is the revision of the entry in the store
+	// in which the report stands, or of an earlier one that says the same. Zero means unknown.
+	Revision uint64
 	// LeavingAfter is the last time at which a draining target was known not to drain, as far as this router
 	// knows; zero if it was never known to. The Directory sets it.
 	LeavingAfter time.Time
@@ -53,8 +56,9 @@
 	// it last received a new report of it.
 	firstSeen, lastReport time.Time
 	// removeAt is when the target is removed unless a report of it arrives first; zero while
-	// its entry is in the store.
-	removeAt time.Time
+	// its entry is in the store. removedIn is the revision of the store in which the entry was gone.
+	removeAt  time.Time
+	removedIn uint64
 }
 
 // Directory is this router's view of all targets. It is not safe for concurrent use.
@@ -66,6 +70,8 @@
 	// it last became reachable again.
 	storeUnreachable    bool
 	storeReachableSince time.Time
+	// revision is the revision of the store that was applied last; zero if unknown.
+	revision uint64
 	// confirmedAt is the last time at which the directory was known to be up to date.
 	confirmedAt time.Time
 	notices     []Notice
@@ -78,34 +84,34 @@
 
 // Put records a report of a target. It returns whether anything changed except the report's
 // sequence number and cold time.
+//
+// A report that is older than what is known changes nothing. A target that has announced that it leaves never stays
+// after all: only another instance of it does.
 func (d *Directory) Put(now time.Time, t Target) bool {
 	old, known := d.entries[t.ID]
-	if known && t.StartUnixMilli < old.target.StartUnixMilli {
-		// The report of an earlier instance arrived late.
+	if d.outdated(&t) {
+		d.noticeOutdated(&t)
 		return false
 	}
 	t.ColdUntil = now.Add(t.ColdFor)
-	t.LeavingAfter = d.leavingAfter(old, &t)
 	d.noticeReport(&t)
+	d.keepLeaving(&t)
 	delete(d.departed, t.ID)
 	d.entries[t.ID] = nextEntry(old, now, t)
 	if !known || !old.removeAt.IsZero() {
 		return true
 	}
 	before, after := old.target, t
-	after.Seq, after.ColdFor, after.ColdUntil = before.Seq, before.ColdFor, before.ColdUntil
+	after.Seq, after.Revision, after.ColdFor, after.ColdUntil = before.Seq, before.Revision, before.ColdFor, before.ColdUntil
 	return before != after
 }
 
-// leavingAfter returns LeavingAfter of a reported target. old is its entry before, or nil.
-func (d *Directory) leavingAfter(old *entry, t *Target) time.Time {
-	switch {
-	case !t.Draining:
-		return time.Time{}
-	case old != nil && old.target.Draining && old.target.StartUnixMilli == t.StartUnixMilli:
-		return old.target.LeavingAfter
-	default:
-		return d.confirmedAt
+// keepLeaving completes a report by what is known of the target's leaving.
+func (d *Directory) keepLeaving(t *Target) {
+	if last := d.lastEntry(t); last != nil && last.target.Draining {
+		t.Draining, t.LeavingAfter = true, last.target.LeavingAfter
+	} else if t.Draining {
+		t.LeavingAfter = d.confirmedAt
 	}
 }
 
@@ -129,18 +135,18 @@
 	return e
 }
 
-// Remove records that the target's entry has gone from the store. If the store was unreachable
+// Remove records that the target's entry has gone from the store in a revision, zero if unknown. If the store was unreachable
 // until just now, the entry may have expired only because of that, and the target is kept
 // until it has had the time to write its entry again.
 //
 // Otherwise each outage of the store would remove all targets for seconds, although all of
 // them are running.
-func (d *Directory) Remove(now time.Time, id string) (changed bool) {
+func (d *Directory) Remove(now time.Time, id string, revision uint64) (changed bool) {
 	e, known := d.entries[id]
-	if !known || !e.removeAt.IsZero() {
+	if !known || !e.removeAt.IsZero() || isBefore(revision, e.target.Revision) {
 		return false
 	}
-	e.removeAt = now
+	e.removeAt, e.removedIn = now, revision
 	if d.storeUnreachable {
 		e.removeAt = now.Add(ReturnGrace)
 	} else if until := d.storeReachableSince.Add(ReturnGrace); !d.storeReachableSince.IsZero() && until.After(now) {
@@ -149,9 +155,9 @@
 	return d.removeDue(now)
 }
 
-// Replace records a complete listing of the store. Targets that it doesn't contain are
-// removed.
-func (d *Directory) Replace(now time.Time, listed []Target) (changed bool) {
+// Replace records a complete listing of the store at a revision, zero if unknown. Targets that it doesn't contain
+// are removed.
+func (d *Directory) Replace(now time.Time, listed []Target, revision uint64) (changed bool) {
 	inListing := make(map[string]bool, len(listed))
 	for _, t := range listed {
 		inListing[t.ID] = true
@@ -159,17 +165,18 @@
 	}
 	for id := range d.entries {
 		if !inListing[id] {
-			changed = d.Remove(now, id) || changed
+			changed = d.Remove(now, id, revision) || changed
 		}
 	}
+	d.Applied(revision)
 	return changed
 }
 
-// Restore records a complete listing of a store that was restored from an older copy. Its
+// Restore records a complete listing, at a revision, of a store that was restored from an older copy. Its
 // entry for a known target may be older than the target's last report. An unknown target may
 // have left since the copy was made, and is added only once it writes its entry again. An
 // empty directory accepts the whole listing.
-func (d *Directory) Restore(now time.Time, listed []Target) (changed bool) {
+func (d *Directory) Restore(now time.Time, listed []Target, revision uint64) (changed bool) {
 	var current []Target
 	for _, t := range listed {
 		switch old, known := d.entries[t.ID]; {
@@ -179,12 +186,12 @@
 			current = append(current, t)
 		}
 	}
-	return d.Replace(now, current)
+	return d.Replace(now, current, revision)
 }
 
-// Adopt records the view of another router: all of it if complete is set, else what has
-// changed.
-func (d *Directory) Adopt(now time.Time, complete bool, targets []Target, removed []string) (changed bool) {
+// Adopt records the view that another router has at a revision of the store, zero if unknown: all of it if complete is
+// set, else what has changed.
+func (d *Directory) Adopt(now time.Time, complete bool, targets []Target, removed []string, revision uint64) (changed bool) {
 	if complete {
 		present := make(map[string]bool, len(targets))
 		for _, t := range targets {
@@ -200,14 +207,22 @@
 		changed = d.Put(now, t) || changed
 	}
 	for _, id := range removed {
-		if _, known := d.entries[id]; known {
+		if e := d.entries[id]; e != nil && !isBefore(revision, e.target.Revision) {
+			e.removedIn = revision
 			d.moveToDeparted(now, id)
 			changed = true
 		}
 	}
+	d.Applied(revision)
 	return changed
 }
 
+// Applied records that the directory has all changes up to a revision of the store.
+func (d *Directory) Applied(revision uint64) { d.revision = max(d.revision, revision) }
+
+// Revision returns the revision of the store up to which the directory has all changes; zero if unknown.
+func (d *Directory) Revision() uint64 { return d.revision }
+
 // StoreUnreachable records that the store is unreachable.
 func (d *Directory) StoreUnreachable() { d.storeUnreachable = true }
 
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -29,7 +29,7 @@
 func TestRemovedTargetIsDroppedImmediately(t *testing.T) {
 	d := New()
 	d.Put(at(0), Target{ID: "a"})
-	assert.Assert(t, d.Remove(at(100), "a"))
+	assert.Assert(t, d.Remove(at(100), "a", 0))
 	assert.Equal(t, len(d.Targets()), 0)
 }
 
@@ -43,7 +43,7 @@
 	d.Put(at(0), Target{ID: "b"})
 	d.StoreUnreachable()
 	d.StoreReachable(at(5000))
-	assert.Assert(t, !d.Replace(at(5000), nil))
+	assert.Assert(t, !d.Replace(at(5000), nil, 0))
 	assert.DeepEqual(t, targetIDs(d), []string{"a", "b"})
 	d.Put(at(6500), Target{ID: "a", Seq: 9})
 	assert.Assert(t, d.Tick(d.Next()))
@@ -56,7 +56,7 @@
 	d := New()
 	d.Put(at(0), Target{ID: "a"})
 	d.StoreUnreachable()
-	d.Remove(at(10), "a")
+	d.Remove(at(10), "a", 0)
 	assert.Assert(t, !d.Tick(at(60_000)))
 	d.StoreReachable(at(60_000))
 	assert.Assert(t, !d.Tick(at(60_000)))
@@ -84,8 +84,8 @@
 	d.Put(at(0), Target{ID: "b"})
 	d.StoreUnreachable()
 	d.StoreReachable(at(9000))
-	d.Replace(at(9000), []Target{{ID: "b", Seq: 7}})
+	d.Replace(at(9000), []Target{{ID: "b", Seq: 7}}, 0)
 	assert.DeepEqual(t, targetIDs(d), []string{"a", "b"})
-	assert.Assert(t, d.Adopt(at(9100), true, []Target{{ID: "b", Seq: 8}}, nil))
+	assert.Assert(t, d.Adopt(at(9100), true, []Target{{ID: "b", Seq: 8}}, nil, 0))
 	assert.DeepEqual(t, targetIDs(d), []string{"b"})
 }
--- a/core/directory/notice.go
+++ b/core/directory/notice.go
@@ -9,12 +9,14 @@
 	Draining NoticeKind = iota
 	// Gone targets have no entry any more.
 	Gone
-	// TakenBack targets were known to leave, and a report of the same start says that they don't.
-	TakenBack
+	// Back is said of targets that were gone and whose entry is back.
+	Back
+	// Outdated is said of leaving targets of which an older report says that they stay.
+	Outdated
 )
 
 // String returns the kind as log lines have it.
-func (k NoticeKind) String() string { return [...]string{"draining", "gone", "taken-back"}[k] }
+func (k NoticeKind) String() string { return [...]string{"draining", "gone", "back", "outdated"}[k] }
 
 // Notice is what was learned about the leaving of one target.
 type Notice struct {
@@ -35,22 +37,18 @@
 
 // noticeReport notes what a report that is about to be recorded says of the target's leaving.
 func (d *Directory) noticeReport(t *Target) {
-	leaving, known := d.leaving(t)
+	last := d.lastEntry(t)
 	switch {
-	case t.Draining && !(known && leaving):
+	case t.Draining && (last == nil || !last.target.Draining):
 		d.notice(Draining, t)
-	case !t.Draining && leaving:
-		d.notice(TakenBack, t)
+	case last != nil && d.entries[t.ID] == nil:
+		d.notice(Back, t)
 	}
 }
 
-// leaving reports whether the same start of a target is known to leave, and whether it is known at all.
-func (d *Directory) leaving(t *Target) (leaving, known bool) {
-	if e := d.entries[t.ID]; e != nil && e.target.StartUnixMilli == t.StartUnixMilli {
-		return e.target.Draining, true
+// noticeOutdated notes a report that is not recorded, if it denies that the target leaves.
+func (d *Directory) noticeOutdated(t *Target) {
+	if last := d.lastEntry(t); last != nil && !t.Draining && (last.target.Draining || d.entries[t.ID] == nil) {
+		d.notice(Outdated, t)
 	}
-	if gone, departed := d.departed[t.ID]; departed && gone.target.StartUnixMilli == t.StartUnixMilli {
-		return true, true
-	}
-	return false, false
 }
--- a/core/directory/notice_test.go
+++ b/core/directory/notice_test.go
@@ -25,6 +25,6 @@
 	assert.Equal(t, len(report(0, false)), 0)
 	assert.DeepEqual(t, report(100, true), []NoticeKind{Draining})
 	assert.Equal(t, len(report(200, true)), 0)
-	d.Remove(at(300), target.ID)
+	d.Remove(at(300), target.ID, 0)
 	assert.DeepEqual(t, kindsOf(d.Notices()), []NoticeKind{Gone})
 }
--- a/core/directory/restore_test.go
+++ b/core/directory/restore_test.go
@@ -14,7 +14,7 @@
 	d.Put(at(0), Target{ID: "missing", Seq: 5})
 	d.StoreUnreachable()
 	d.StoreReachable(at(1000))
-	d.Restore(at(1000), []Target{{ID: "known", Seq: 2}, {ID: "left", Seq: 9}})
+	d.Restore(at(1000), []Target{{ID: "known", Seq: 2}, {ID: "left", Seq: 9}}, 0)
 	assert.DeepEqual(t, targetIDs(d), []string{"known", "missing"})
 	assert.Assert(t, d.Targets()[0].Draining, "an older report must not replace a newer one")
 	d.Put(at(1200), Target{ID: "left", Seq: 10})
@@ -28,6 +28,6 @@
 	d := New()
 	d.StoreUnreachable()
 	d.StoreReachable(at(0))
-	assert.Assert(t, d.Restore(at(0), []Target{{ID: "a"}, {ID: "b"}}))
+	assert.Assert(t, d.Restore(at(0), []Target{{ID: "a"}, {ID: "b"}}, 0))
 	assert.DeepEqual(t, targetIDs(d), []string{"a", "b"})
 }
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -88,7 +88,7 @@
 	if len(u.ConfigValue) > 0 {
 		cs.handleConfig(&change{records: []kv.Record{{Key: cs.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
 	}
-	changed := cs.directory.Adopt(time.Now(), u.TargetsComplete, u.Targets, u.RemovedTargets)
+	changed := cs.directory.Adopt(time.Now(), u.TargetsComplete, u.Targets, u.RemovedTargets, u.TargetsRevision)
 	cs.logLeaving(cs.g.subscription.knownLeader().name)
 	cs.publishTargets(changed)
 	for _, t := range u.Tables {
@@ -202,21 +202,22 @@
 	}
 	cs.directory.StoreReachable(c.at)
 	if restored {
-		cs.publishTargets(cs.directory.Restore(c.at, cs.readTargets(c.records)))
+		cs.publishTargets(cs.directory.Restore(c.at, cs.readTargets(c.records), uint64(c.revision)))
 		return
 	}
 	if c.listed {
-		cs.publishTargets(cs.directory.Replace(c.at, cs.readTargets(c.records)))
+		cs.publishTargets(cs.directory.Replace(c.at, cs.readTargets(c.records), uint64(c.revision)))
 		return
 	}
 	changed := false
 	for _, r := range c.records {
 		if r.Deleted {
-			changed = cs.directory.Remove(c.at, a.TargetID(r.Key)) || changed
+			changed = cs.directory.Remove(c.at, a.TargetID(r.Key), uint64(r.Revision)) || changed
 		} else if t, ok := cs.readTarget(r); ok {
 			changed = cs.directory.Put(c.at, t) || changed
 		}
 	}
+	cs.directory.Applied(uint64(c.revision))
 	cs.publishTargets(changed)
 }
 
@@ -236,6 +237,7 @@
 	if err != nil {
 		cs.g.log.Warn("entry of a target ignored", "key", r.Key, "err", err)
 	}
+	t.Revision = uint64(r.Revision)
 	return t, err == nil
 }
 
@@ -246,7 +248,7 @@
 	if changed {
 		targets := cs.directory.Targets()
 		cs.g.setTargets(targets)
-		cs.g.subscription.source.SetTargets(targets)
+		cs.g.subscription.source.SetTargets(targets, cs.directory.Revision())
 		cs.g.leader.duty.Tell(&targetStatus{targets, cs.directory.Ended()})
 		cs.g.log.Info("targets changed", "known", len(targets))
 	}
@@ -267,12 +269,15 @@
 func (cs *clusterState) logLeaving(toldBy string) {
 	for _, n := range cs.directory.Notices() {
 		message := "target leaves"
-		if n.Kind == directory.TakenBack {
-			message = "target's leaving taken back"
+		switch n.Kind {
+		case directory.Back:
+			message = "target is back"
+		case directory.Outdated:
+			message = "older report of a leaving target not used"
 		}
 		t := &n.Target
 		cs.g.log.Info(message, "target", t.ID, "born", t.StartUnixMilli, "service", t.Service, "how", n.Kind, "told_by", toldBy,
-			"seq", t.Seq, "unconfirmed", cs.g.stateAge.age())
+			"seq", t.Seq, "revision", t.Revision, "unconfirmed", cs.g.stateAge.age())
 		if tel := cs.g.opts.Telemetry; tel != nil {
 			tel.Scope().Tagged(map[string]string{"service": t.Service, "how": n.Kind.String()}).Counter("leaving_targets_total").Inc(1)
 		}
--- a/gateway/randomrestores_test.go
+++ b/gateway/randomrestores_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// drainAndReturn drains the target that holds key 100, and ends the drain while its keys may be moving.
+// drainAndReturn drains the target that holds key 100, and starts it again while its keys may be moving.
 func (f *fleet) drainAndReturn(random *rand.Rand) {
 	holder := f.holder(100)
 	if holder == "" || strings.Contains(holder, "+") {
@@ -78,6 +78,6 @@
 	}
 	f.targets[holder].Drain(f.store)
 	time.Sleep(time.Duration(random.IntN(600)) * time.Millisecond)
-	f.targets[holder].CancelDrain(f.store)
+	f.targets[holder].Return(f.store)
 	waittest.Until(f.t, "a router leads", func() bool { return f.leader() != nil })
 }
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// moveKey moves the key by draining its holder, and ends the drain afterwards. It returns the old and the
+// moveKey moves the key by draining its holder, which starts again afterwards. It returns the old and the
 // new holder.
 func (f *fleet) moveKey(k uint16) (old, now string) {
 	f.t.Helper()
@@ -63,7 +63,7 @@
 		now = f.holder(k)
 		return now != "" && now != old && !strings.Contains(now, "+")
 	})
-	f.targets[old].CancelDrain(f.store)
+	f.targets[old].Return(f.store)
 	return old, now
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -36,6 +36,8 @@
 	// listed is set if records are all records under the prefix, not only the changed ones.
 	listed  bool
 	records []kv.Record
+	// revision is the store's, as of the answer; zero for a record that was read alone.
+	revision kv.Revision
 	// waited is how long a watch without changes waits for one.
 	waited time.Duration
 	// unreachableFor is how long the store was unreachable before.
@@ -111,7 +113,7 @@
 	if err != nil && asked.Err() != nil && ctx.Err() == nil {
 		return nil, w.since, errRestarted
 	}
-	return &change{records: records, waited: wait}, at, err
+	return &change{records: records, revision: at, waited: wait}, at, err
 }
 
 // run follows the prefix until ctx ends.
@@ -142,7 +144,7 @@
 			return nil, err
 		}
 		w.since, w.listed = at, true
-		return &change{listed: true, records: records}, nil
+		return &change{listed: true, records: records, revision: at}, nil
 	}
 	message, at, err := w.watch(ctx)
 	if errors.Is(err, kv.ErrCompacted) {
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -64,7 +64,10 @@
 	Targets         []directory.Target
 	// RemovedTargets are the IDs of targets that don't exist any more.
 	RemovedTargets []string
-	Tables         []Table
+	// TargetsRevision is the store's revision up to which the leader had all changes of targets when these last
+	// changed; zero if unknown.
+	TargetsRevision uint64
+	Tables          []Table
 	// ConfigVersion is the version of the configuration that the leader has in force.
 	ConfigVersion uint64
 	// ConfigValue is that configuration as it is stored; nil if it has not changed or is too
@@ -116,7 +119,7 @@
 	coldFor := max(t.ColdUntil.Sub(now), 0)
 	return &feedpb.Target{
 		Id: t.ID, Born: t.StartUnixMilli, Address: t.Address, Service: t.Service, DataCentre: t.DataCentre,
-		Slots: int32(t.Slots), Draining: t.Draining, ColdMs: coldFor.Milliseconds(),
+		Slots: int32(t.Slots), Draining: t.Draining, ColdMs: coldFor.Milliseconds(), Revision: t.Revision,
 	}
 }
 
@@ -124,6 +127,7 @@
 	return directory.Target{
 		ID: t.GetId(), StartUnixMilli: t.GetBorn(), Address: t.GetAddress(), Service: t.GetService(), DataCentre: t.GetDataCentre(),
 		Slots: int(t.GetSlots()), Draining: t.GetDraining(), ColdFor: time.Duration(t.GetColdMs()) * time.Millisecond,
+		Revision: t.GetRevision(),
 	}
 }
 
@@ -256,7 +260,7 @@
 // decodeUpdate decodes an update. tables has the last table of each service received on the
 // connection; decodeUpdate replaces those that the update has.
 func decodeUpdate(p *feedpb.Update, tables map[string]*keyspace.Table) (*Update, error) {
-	u := &Update{TargetsComplete: p.GetWhole(), RemovedTargets: p.GetGone(), ConfigVersion: p.GetConfig(), Stale: p.GetStale(), Routers: int(p.GetRouters())}
+	u := &Update{TargetsComplete: p.GetWhole(), RemovedTargets: p.GetGone(), ConfigVersion: p.GetConfig(), Stale: p.GetStale(), Routers: int(p.GetRouters()), TargetsRevision: p.GetTargetsRevision()}
 	if len(p.GetConfigValue()) > 0 {
 		value, err := decompressConfig(p.GetConfigValue())
 		if err != nil {
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -139,8 +139,8 @@
 			}
 			return leader.termCtx, leader.source
 		},
-		OnJoin:         func(router Router, term uint64, promised time.Duration) { leader.joined <- promised },
-		OnBacked:       func(router string, term uint64, until time.Duration) { leader.backed <- until - clock.Boot{}.Now() },
+		OnJoin:   func(router Router, term uint64, promised time.Duration) { leader.joined <- promised },
+		OnBacked: func(router string, term uint64, until time.Duration) { leader.backed <- until - clock.Boot{}.Now() },
 		ConfigAge: func() time.Duration {
 			if leader.onAge != nil {
 				leader.onAge()
@@ -178,13 +178,14 @@
 
 func TestFollowerReceivesUpdatesAndReports(t *testing.T) {
 	leader := newTestLeader(t)
-	target := directory.Target{ID: "a", StartUnixMilli: 3, Address: "h:1", Service: "s", DataCentre: "hall", Slots: 6}
-	leader.source.SetTargets([]directory.Target{target})
+	target := directory.Target{ID: "a", StartUnixMilli: 3, Address: "h:1", Service: "s", DataCentre: "hall", Slots: 6, Revision: 12}
+	leader.source.SetTargets([]directory.Target{target}, 14)
 	leader.source.SetConfig(9, nil)
 	updates := make(chan *Update, 64)
 	leader.follow(t, 7, updates)
 	u := <-updates
 	assert.Assert(t, u.TargetsComplete)
+	assert.Equal(t, u.TargetsRevision, uint64(14))
 	assert.Equal(t, u.ConfigVersion, uint64(9))
 	assert.DeepEqual(t, u.Targets, []directory.Target{target})
 	assert.DeepEqual(t, <-leader.reports, Report{Service: "s", Keys: []keyspace.Key{1, 1, 65535}})
@@ -194,7 +195,7 @@
 		times := (<-updates).ServiceTimes
 		return len(times) == 1 && times[0].Service == "s" && len(times[0].Targets) == 1 && times[0].Targets[0] == sampleStats[0]
 	})
-	leader.source.SetTargets(nil)
+	leader.source.SetTargets(nil, 0)
 	waittest.Until(t, "the removed target is sent", func() bool { return len((<-updates).RemovedTargets) == 1 })
 }
 
@@ -203,7 +204,7 @@
 func TestUpdateHasAllThatItsAgeCounts(t *testing.T) {
 	leader := newTestLeader(t)
 	leader.onAge = func() {
-		leader.source.SetTargets([]directory.Target{{ID: "a", Draining: true}})
+		leader.source.SetTargets([]directory.Target{{ID: "a", Draining: true}}, 0)
 		leader.onAge = nil
 	}
 	updates := make(chan *Update, 64)
@@ -224,7 +225,7 @@
 	leader.fresh.Store(false)
 	waittest.Until(t, "updates are marked as stale", func() bool { return (<-updates).Stale })
 	leader.source.SetConfig(2, nil)
-	leader.source.SetTargets([]directory.Target{{ID: "a"}})
+	leader.source.SetTargets([]directory.Target{{ID: "a"}}, 0)
 	leader.source.SetTable(Table{Revision: 1, Table: keyspace.New("s")})
 	tables := 0
 	for range 4 {
@@ -256,10 +257,10 @@
 // that has reached the store but has not read the targets yet.
 func TestUpdateIsNotCompleteBeforeTargetsAreRead(t *testing.T) {
 	source := NewSource()
-	source.SetTargets(nil)
+	source.SetTargets(nil, 0)
 	u, state := receive(t, source, sentState{}, false)
 	assert.Assert(t, u.Stale && !u.Whole)
-	source.SetTargets([]directory.Target{{ID: "a"}})
+	source.SetTargets([]directory.Target{{ID: "a"}}, 0)
 	source.SetTargetsComplete()
 	u, _ = receive(t, source, state, false)
 	assert.Assert(t, u.Whole && len(u.Targets) == 1)
@@ -329,7 +330,7 @@
 		}
 		table.SplitOut(keyspace.Key(i*width), keyspace.Key((i+1)*width-1)).Holder = keyspace.Holder{Target: id, StartUnixMilli: 3}
 	}
-	source.SetTargets(targets)
+	source.SetTargets(targets, 0)
 	source.SetTable(Table{Revision: 2, Table: table})
 	source.SetTargetsComplete()
 	return source
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -17,6 +17,8 @@
 	// version grows with each change of the state.
 	version uint64
 	targets map[string]versionedTarget
+	// targetsRevision is the store's revision up to which targets has all changes.
+	targetsRevision uint64
 	// gone has the version at which each target that doesn't exist any more was removed.
 	gone map[string]uint64
 	// tables are the last tables of each service, oldest first; a follower that has one of
@@ -102,16 +104,16 @@
 	s.changed = make(chan struct{})
 }
 
-// SetTargets publishes the complete list of targets.
-func (s *Source) SetTargets(targets []directory.Target) {
+// SetTargets publishes the complete list of targets, as of a revision of the store; zero if unknown.
+func (s *Source) SetTargets(targets []directory.Target, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nextVersionAndWake()
+	s.targetsRevision = revision
 	present := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		present[t.ID] = true
-		t.Seq = 0
-		if old, known := s.targets[t.ID]; !known || old.target != t {
+		if old, known := s.targets[t.ID]; !known || !saysTheSame(old.target, t) {
 			s.targets[t.ID] = versionedTarget{t, s.version}
 		}
 		delete(s.gone, t.ID)
@@ -125,6 +127,12 @@
 	}
 }
 
+// saysTheSame reports whether two reports of a target differ at most in what followers need not know.
+func saysTheSame(a, b directory.Target) bool {
+	a.Seq, a.Revision, a.LeavingAfter = b.Seq, b.Revision, b.LeavingAfter
+	return a == b
+}
+
 // SetTargetsComplete records that all targets have been read from the store. Until then updates are
 // stale: a follower would take those read so far for the complete list, and the others for
 // gone.
@@ -313,6 +321,7 @@
 func (s *Source) addChanges(u *feedpb.Update, version uint64) {
 	now := time.Now()
 	u.Whole, u.Config, u.Routers = version == 0, s.config, uint32(s.routers)
+	u.TargetsRevision = s.targetsRevision
 	if s.configChanged > version {
 		u.ConfigValue = s.feedConfig()
 	}
