Write under leases without allocations

Requests of a gateway are about to be written under a limit, each of which cost four allocations for closures. A writer for each connection keeps them.

--- a/leasewrite/leasewrite.go
+++ b/leasewrite/leasewrite.go
@@ -73,29 +73,56 @@
 // space until the socket's write deadline. It returns the number of bytes that the kernel
 // accepted, and ErrExpired or ErrInterrupted if it stopped because of the lease.
 func Write(sock syscall.RawConn, b []byte, expiry func(written int) time.Duration) (int, error) {
+	return NewWriter(sock).Write(b, expiry)
+}
+
+// Writer writes to one socket as Write does, and allocates nothing for a write. It is not safe for concurrent use.
+type Writer struct {
+	sock syscall.RawConn
+	// send is sendRest.
+	send func(fd uintptr) bool
+	// What follows is of the write in progress.
+	b       []byte
+	expiry  func(written int) time.Duration
+	written int
+	err     error
+}
+
+// NewWriter returns a Writer for a non-blocking stream socket.
+func NewWriter(sock syscall.RawConn) *Writer {
+	w := &Writer{sock: sock}
+	w.send = w.sendRest
+	return w
+}
+
+// Write is the function Write for the socket.
+func (w *Writer) Write(b []byte, expiry func(written int) time.Duration) (int, error) {
 	publishToRaceDetector()
-	written := 0
-	var sendErr error
-	err := sock.Write(func(fd uintptr) bool {
-		for written < len(b) {
-			n, err := sendBefore(fd, b[written:], expiry(written))
-			switch err {
-			case nil:
-				written += n
-			case syscall.EINTR:
-			case syscall.EAGAIN:
-				return false
-			default:
-				sendErr = err
-				return true
-			}
-		}
-		return true
-	})
+	w.b, w.expiry, w.written, w.err = b, expiry, 0, nil
+	err := w.sock.Write(w.send)
+	w.b, w.expiry = nil, nil
 	if err == nil {
-		err = sendErr
+		err = w.err
+	}
+	return w.written, err
+}
+
+// sendRest sends the rest of the write in progress; it returns false if it has to wait for space.
+func (w *Writer) sendRest(fd uintptr) bool {
+	for w.written < len(w.b) {
+		n, err := sendBefore(fd, w.b[w.written:], w.expiry(w.written))
+		switch err {
+		case nil:
+			w.written += n
+		case syscall.EINTR:
+		case syscall.EAGAIN:
+			return false
+		default:
+			w.err = err
+			return true
+		}
 	}
-	return written, err
+	return true
 }
 
 // WriteUnprotected writes b to a connection whose socket is not known, while clock.Boot is before
--- a/target/conn.go
+++ b/target/conn.go
@@ -37,6 +37,9 @@
 	sock          syscall.RawConn
 	inspectSocket func(fd uintptr)
 	socketClean   bool
+	// leaseWriter writes to sock, and leaseExpiry is expiryAfter; both are nil without sock.
+	leaseWriter *leasewrite.Writer
+	leaseExpiry func(written int) time.Duration
 
 	cert      peerCert
 	opened    time.Time
@@ -84,6 +87,7 @@
 	if sc, ok := raw.(syscall.Conn); ok {
 		if sock, err := sc.SyscallConn(); err == nil {
 			c.sock = sock
+			c.leaseWriter, c.leaseExpiry = leasewrite.NewWriter(sock), c.expiryAfter
 			c.inspectSocket = func(fd uintptr) { c.socketClean = openAndEmpty(fd) }
 		}
 	}
@@ -169,9 +173,12 @@
 	if c.sock == nil {
 		return leasewrite.WriteUnprotected(c.raw, b, c.opts.LeaseExpiry(c.started), c.writeUntil)
 	}
-	return leasewrite.Write(c.sock, b, func(written int) time.Duration {
-		return c.opts.LeaseExpiry(c.started || written > 0)
-	})
+	return c.leaseWriter.Write(b, c.leaseExpiry)
+}
+
+// expiryAfter returns when the lease of the exchange expires, given how much of a write was written.
+func (c *conn) expiryAfter(written int) time.Duration {
+	return c.opts.LeaseExpiry(c.started || written > 0)
 }
 
 // setOptions sets the options of the next exchange.
