Send requests only as long as the target is known to stay, however long a process was held up

Callers' requests reached targets that had left, from a router whose process had been held up: it went on with what it had known before, for requests already placed, for those that waited for a connection, and for new ones until the next update. In services without keys too: real processes stopped by SIGSTOP for 0.3 to 1.5 s sent to targets 2.07 and 2.08 s after these had left. A leader that was late was waited for until 1.9 s, when its followers began to watch everything in the store.

Each request is written under a limit, like the writes of leases: the drain bound after this router last knew that the target stays, less 150 ms for the way. The limit is checked before a request is placed, before it is written, and at the system call that writes its first byte. Where the state is too old the targets are read once, and requests wait up to 0.3 s for that; if nobody answers they go on, since nobody can say more. A state that is overdue at a follower (0.25 s before the limit) is now confirmed by one read of the targets at once.

--- a/core/directory/departed.go
+++ b/core/directory/departed.go
@@ -29,6 +29,20 @@
 	}
 }
 
+// Left returns the instances that have announced that they leave or are gone, and when they were last known to stay.
+func (d *Directory) Left() map[keyspace.Holder]time.Time {
+	left := map[keyspace.Holder]time.Time{}
+	for _, gone := range d.departed {
+		left[gone.target.Holder()] = gone.knownToStay()
+	}
+	for _, e := range d.entries {
+		if e.target.Draining {
+			left[e.target.Holder()] = e.target.LeavingAfter
+		}
+	}
+	return left
+}
+
 // Ended returns the target instances that are known to have ended: departed instances whose
 // address now belongs to another target that was first seen after their last report. An
 // address is given to another target only after the one that had it has ended.
@@ -56,6 +70,14 @@
 	return ended
 }
 
+// knownToStay returns when a target that is leaving or gone was last known to stay.
+func (e *entry) knownToStay() time.Time {
+	if e.target.Draining {
+		return e.target.LeavingAfter
+	}
+	return e.presentAt
+}
+
 // isBefore reports whether a revision is certainly before another.
 func isBefore(revision, other uint64) bool { return revision != 0 && revision < other }
 
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -57,8 +57,10 @@
 	firstSeen, lastReport time.Time
 	// removeAt is when the target is removed unless a report of it arrives first; zero while
 	// its entry is in the store. removedIn is the revision of the store in which the entry was gone.
+	// presentAt is the last time at which the entry was known to be there.
 	removeAt  time.Time
 	removedIn uint64
+	presentAt time.Time
 }
 
 // Directory is this router's view of all targets. It is not safe for concurrent use.
@@ -146,7 +148,7 @@
 	if !known || !e.removeAt.IsZero() || isBefore(revision, e.target.Revision) {
 		return false
 	}
-	e.removeAt, e.removedIn = now, revision
+	e.removeAt, e.removedIn, e.presentAt = now, revision, d.confirmedAt
 	if d.storeUnreachable {
 		e.removeAt = now.Add(ReturnGrace)
 	} else if until := d.storeReachableSince.Add(ReturnGrace); !d.storeReachableSince.IsZero() && until.After(now) {
@@ -208,7 +210,9 @@
 	}
 	for _, id := range removed {
 		if e := d.entries[id]; e != nil && !isBefore(revision, e.target.Revision) {
-			e.removedIn = revision
+			if e.removeAt.IsZero() {
+				e.removedIn, e.presentAt = revision, d.confirmedAt
+			}
 			d.moveToDeparted(now, id)
 			changed = true
 		}
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -39,9 +39,11 @@
 	tableLogs     map[string]tableLog
 }
 
-// stateConfirmed reports that a version of the configuration, or a later one, was the newest at a time, and if
-// targets is set, the targets as well. It follows the messages that have them.
+// stateConfirmed reports that the configuration or the targets were the newest at a time. It follows the messages that
+// have them.
 type stateConfirmed struct {
+	// config is set if the configuration of version was the newest, or a later one.
+	config  bool
 	version uint64
 	targets bool
 	// at is by the clock that goes on during suspension.
@@ -107,9 +109,12 @@
 	if cs.config == nil || cs.config.Version < m.version {
 		return
 	}
-	cs.g.configAge.confirm(m.at)
+	if m.config {
+		cs.g.configAge.confirm(m.at)
+	}
 	if m.targets {
 		cs.g.stateAge.confirm(m.at)
+		cs.g.sends.confirm(m.at)
 		cs.directory.Confirm(time.Now().Add(m.at - cs.g.opts.Clock.Now()))
 	}
 }
@@ -247,6 +252,7 @@
 	cs.logLeaving(toldByStore)
 	if changed {
 		targets := cs.directory.Targets()
+		cs.g.sends.setLeft(cs.directory.Left())
 		cs.g.setTargets(targets)
 		cs.g.subscription.source.SetTargets(targets, cs.directory.Revision())
 		cs.g.leader.duty.Tell(&targetStatus{targets, cs.directory.Ended()})
--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -128,7 +128,7 @@
 		cs.handleChange(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{{Key: a.ConfigKey, Value: s.ConfigValue}}, at: time.Now()}})
 	}
 	if s.ConfigVersion > 0 {
-		cs.confirm(&stateConfirmed{version: s.ConfigVersion, at: m.askedAt - s.ConfigAge})
+		cs.confirm(&stateConfirmed{config: true, version: s.ConfigVersion, at: m.askedAt - s.ConfigAge})
 	}
 	leader := &leaderStatus{name: s.Leader, address: s.Address, revision: kv.Revision(s.Term), present: true}
 	if leader.revision > cs.g.subscription.leaderRevision() {
--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -31,7 +31,9 @@
 		x.g.paths.ended(d.Target.ID, false, nil)
 		return nil, fault.Wrap(fault.TargetUnreachable, err, "")
 	}
-	opts := target.AttemptOptions{BeforeRequest: func() *fault.Fault { return x.setHeaders(d) }, Fresh: path == reach.Fresh}
+	opts := target.AttemptOptions{
+		BeforeRequest: func() *fault.Fault { return x.beforeRequest(d) }, LeaseExpiry: pool.sendLimit, Fresh: path == reach.Fresh,
+	}
 	if x.route.Repeat == routes.Idempotent {
 		opts.Aborter = &x.aborters[x.sends-1]
 		x.g.paths.abortIfLost(d.Target.ID, opts.Aborter)
@@ -44,7 +46,7 @@
 // isAnswer reports whether a fault stands for an answer of the target that says that the request did
 // not run.
 func isAnswer(f *fault.Fault) bool {
-	return f.Ran == fault.NotRun && (f.Kind == fault.TargetRefused || f.Kind == fault.StaleRoute)
+	return f.Ran == fault.NotRun && (f.Kind == fault.TargetRefused || f.Kind == fault.StaleRoute) && !isLapse(f)
 }
 
 // deliverRelayed sends the request through another router.
@@ -54,7 +56,8 @@
 		return nil, fault.Wrap(fault.TargetUnreachable, err, "")
 	}
 	opts := target.AttemptOptions{
-		BeforeRequest: func() *fault.Fault { return x.setHeaders(d) },
+		BeforeRequest: func() *fault.Fault { return x.beforeRequest(d) },
+		LeaseExpiry:   pool.sendLimit,
 		GotConn: func(raw net.Conn) {
 			if conn, ok := raw.(*relay.Conn); ok {
 				x.g.log.Info("relayed", "id", x.meta.ID, "target", d.Target.ID, "connection", conn.ID)
@@ -62,7 +65,7 @@
 		},
 	}
 	resp, f := pool.AttemptWithOptions(x.r.Context(), x.r, opts)
-	if f != nil && !isAnswer(f) {
+	if f != nil && !isAnswer(f) && !isLapse(f) {
 		pool.CloseIdle() // the router on the way may be lost, and its other connections with it
 	}
 	x.g.countRelayed(x.service.name, f)
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -41,7 +41,7 @@
 		sub.g.state.duty.Tell(u)
 	}
 	if u.Confirmed {
-		sub.g.state.duty.Tell(&stateConfirmed{version: u.ConfigVersion, at: u.ConfirmedAt, targets: true})
+		sub.g.state.duty.Tell(&stateConfirmed{config: true, version: u.ConfigVersion, at: u.ConfirmedAt, targets: true})
 	}
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -55,6 +55,8 @@
 	guarded crashguard.Request
 	// aborters are those of the sends that may be repeated, one each.
 	aborters [maxSends]target.Aborter
+	// lapses counts the attempts that were not sent because the right to send had lapsed.
+	lapses int
 	// mayHaveRun is the fault of the last send after which the request may have run; nil if none.
 	mayHaveRun *fault.Fault
 }
@@ -138,6 +140,7 @@
 	if f := x.g.guard.Check(&x.guarded); f != nil {
 		return f
 	}
+	x.g.sends.await(x.r.Context())
 	x.table, _ = x.service.currentTable()
 	began := time.Now()
 	d, f := x.place()
@@ -168,12 +171,14 @@
 	result := dispatch.Failed
 	defer func() { x.service.done(d.Target.ID, result, time.Since(began), d.ServiceMultiple) }()
 	x.sends++
+	again := x.targets[d.Target.ID]
 	x.targets[d.Target.ID] = true
 	x.avoid = d.Target.ID
 	resp, f := x.deliver(d)
 	if f != nil {
 		result = resultOf(f)
 		x.recordFailure(began, d, f)
+		x.countLapse(f, d, again)
 		return f
 	}
 	if failed := resp.StatusCode >= http.StatusInternalServerError; failed && x.mayReplaceAnswer() {
@@ -195,6 +200,21 @@
 	return f
 }
 
+// countLapse takes back what was counted for an attempt if the right to send lapsed before it began. again is set if
+// the request was sent to the target before.
+func (x *exchange) countLapse(f *fault.Fault, d *dispatch.Decision, again bool) {
+	if !isLapse(f) {
+		return
+	}
+	x.lapses++
+	if errors.Is(f, errMayHaveLeft) {
+		x.sends--
+		if !again {
+			delete(x.targets, d.Target.ID)
+		}
+	}
+}
+
 // mayReplaceAnswer reports whether an answer with a server error may be replaced by another target's
 // answer. If so, it takes a retry from the budget, and the request is certainly sent again. For a
 // service with keys there is no other target.
@@ -207,6 +227,14 @@
 	return x.sends < maxSends && x.guarded.MayResend() && (len(x.targets) < x.route.MaxTargets || x.service.byKey) && x.r.Context().Err() == nil
 }
 
+// beforeRequest is called right before the request is written. It returns a fault if the request may not be sent now.
+func (x *exchange) beforeRequest(d *dispatch.Decision) *fault.Fault {
+	if f := x.g.sends.check(&d.Target); f != nil {
+		return f
+	}
+	return x.setHeaders(d)
+}
+
 // setHeaders sets the headers that name the target and the time left. It is called right before the
 // request is written, because waiting for a connection takes some of that time.
 func (x *exchange) setHeaders(d *dispatch.Decision) *fault.Fault {
@@ -269,6 +297,9 @@
 // mayRepeat decides whether the request is sent once more after f, and takes a retry from the budget
 // if that costs one.
 func (x *exchange) mayRepeat(f *fault.Fault) bool {
+	if isLapse(f) {
+		return x.lapses <= maxLapses && x.r.Context().Err() == nil // no target has received the request
+	}
 	if x.sends == 0 || f.Kind == fault.DeadlineUnmeetable {
 		return false // it was not placed, after all the waiting that is worthwhile
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	// configAge is the age of the configuration, which other routers may confirm, and stateAge that of everything
 	// that a feed replaces.
 	configAge, stateAge *stateAge
+	sends               *sendLimits
 	share               *routerShare
 	contacts            *contacts
 	sizes               sizes
@@ -91,12 +92,14 @@
 	}
 	g := &Gateway{opts: opts, log: opts.Logger, services: map[string]*service{}, firstSync: make(chan struct{})}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
-	g.configAge, g.stateAge = newStateAge(g, "configuration"), newStateAge(g, "state")
+	g.configAge, g.stateAge = newStateAge(g, "configuration", confirmReserve), newStateAge(g, "state", readReserve)
+	g.sends = newSendLimits(g)
 	g.share = newRouterShare(g)
 	g.contacts = newContacts(g)
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
+	g.pools.sendLimit = g.sends.ofWrite
 	g.paths = newPaths(g)
 	g.pools.dialDirect, g.pools.dialRelayed = g.paths.directDialer, g.paths.relayedDialer
 	g.relays = newRelayDirectory(g)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/clock"
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
 	"tarragongw/internal/syncbuffer"
@@ -52,6 +53,10 @@
 	proxied bool
 	// dataCentre is Options.DataCentre of gateways that are started; "hall" if empty.
 	dataCentre string
+	// clock is Options.Clock of gateways that are started; nil for the default.
+	clock clock.Clock
+	// onDial is called before gateways open connections to targets; nil for nothing.
+	onDial func()
 	// knownWithin is Options.PropagationLimit of gateways that are started.
 	knownWithin time.Duration
 	// slowPrefix is a prefix whose listings take slowListing for gateways that are started.
@@ -250,6 +255,12 @@
 		f.paths[name] = platformtest.NewPath()
 		dial = f.paths[name].Dial
 	}
+	if f.onDial != nil {
+		dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			f.onDial()
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	}
 	orders := platform.NewOrderClient(dial)
 	f.links[name] = &storeLink{TxnStore: platform.NewStore(f.store.Address()), slowPrefix: f.slowPrefix, slowDelay: slowListing}
 	metricsAddress := ""
@@ -259,7 +270,7 @@
 	g, err := New(Options{
 		MetricsAddress: metricsAddress, Telemetry: f.metrics,
 		Name: name, DataCentre: cmp.Or(f.dataCentre, "hall"), CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		Store: f.links[name], DialTarget: dial, LeaseMin: time.Second, PropagationLimit: f.knownWithin, MaxGrantTTL: 10 * time.Second, Grace: 3 * time.Second,
+		Clock: f.clock, Store: f.links[name], DialTarget: dial, LeaseMin: time.Second, PropagationLimit: f.knownWithin, MaxGrantTTL: 10 * time.Second, Grace: 3 * time.Second,
 		RetryShare: 0.2, RetryMin: 60, RetryWindow: 10 * time.Second,
 		Logger: slog.New(slog.NewTextHandler(&f.log, nil)).With("router", name),
 		Adapter: Adapter{
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -1,13 +1,17 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"tarragongw/clock"
 	"tarragongw/internal/waittest"
 )
 
@@ -65,3 +69,153 @@
 		return nil
 	})
 }
+
+// heldUpClock is the clock of a process that can be held up: hold makes it go on as if a while had passed.
+type heldUpClock struct {
+	clock.Boot
+	held     atomic.Int64
+	readings atomic.Int64
+	then     func()
+}
+
+// Now implements clock.Clock.
+func (c *heldUpClock) Now() time.Duration {
+	if c.readings.Add(-1) == 0 {
+		c.then()
+	}
+	return c.Boot.Now() + time.Duration(c.held.Load())
+}
+
+// atReading calls a function before the reading of the clock that follows n others.
+func (c *heldUpClock) atReading(n int, f func()) {
+	c.then = f
+	c.readings.Store(int64(n + 1))
+}
+
+func (c *heldUpClock) hold(d time.Duration) { c.held.Add(int64(d)) }
+
+// heldUpFleet has a follower whose process is held up while the only target leaves and another one joins.
+type heldUpFleet struct {
+	*fleet
+	clock    *heldUpClock
+	follower *Gateway
+	// left is when the target left; nil before.
+	left    atomic.Pointer[time.Time]
+	leaving sync.Once
+	// connecting is called before a connection to a target is opened; nil for nothing.
+	connecting func()
+}
+
+func newHeldUpFleet(t *testing.T) *heldUpFleet {
+	f := &heldUpFleet{fleet: newFleet(t, 0, plainConfig, plainTarget("p0")), clock: &heldUpClock{}}
+	f.targets["p1"] = plainTarget("p1")
+	f.knownWithin, f.proxied, f.fleet.clock = drainLimit, true, f.clock
+	f.onDial = func() {
+		if f.connecting != nil {
+			f.connecting()
+		}
+	}
+	for i := range 2 {
+		f.start(routerName(i))
+	}
+	f.awaitSubscribed()
+	for _, g := range f.gateways {
+		f.awaitTarget("p0")
+		if g != f.leader() {
+			f.follower = g
+		}
+	}
+	return f
+}
+
+// holdUp makes the target leave, and holds the processes up for longer than the limit before they learn that.
+func (f *heldUpFleet) holdUp() {
+	f.leaving.Do(func() {
+		for _, proxy := range f.proxies {
+			proxy.setSilent(true)
+		}
+		f.targets["p1"].Register(f.store)
+		f.targets["p0"].Drain(f.store)
+		now := time.Now()
+		f.left.Store(&now)
+		f.clock.hold(drainLimit + time.Second)
+	})
+}
+
+// arrivedSince returns how many requests have reached the target that left since then.
+func (f *heldUpFleet) arrivedSince() (n int) {
+	left := f.left.Load()
+	if left == nil {
+		return 0 // the request has ended before
+	}
+	for _, a := range f.targets["p0"].Arrivals() {
+		if a.At.After(*left) {
+			n++
+		}
+	}
+	return n
+}
+
+// heldUpSteps is at how many readings of the clock after a request began TestRequestsHeldUpAtAnyStep holds processes up.
+const heldUpSteps = 12
+
+// Guards against requests that reach a target that has left, because this process was held up after it last learned
+// anything: before a request is placed, while it waits for a connection, or between any two readings of the clock.
+func TestRequestsHeldUpAtAnyStepReachNoTargetThatHasLeft(t *testing.T) {
+	read := func(f *heldUpFleet) int {
+		return f.send(f.follower, call{method: http.MethodGet, path: "/read/1", key: -1}).status
+	}
+	// prepare is called before the request.
+	steps := map[string]func(f *heldUpFleet){
+		"before it is placed": func(f *heldUpFleet) { read(f); f.holdUp() },
+		"at its connection":   func(f *heldUpFleet) { f.connecting = f.holdUp },
+	}
+	for n := range heldUpSteps {
+		steps[fmt.Sprintf("at reading %d of the clock", n+1)] = func(f *heldUpFleet) {
+			read(f)
+			f.clock.atReading(n, f.holdUp)
+		}
+	}
+	for name, prepare := range steps {
+		t.Run(name, func(t *testing.T) {
+			retryOnStall(t, func() error {
+				f := newHeldUpFleet(t)
+				prepare(f)
+				began := time.Now()
+				status := read(f)
+				f.leaving.Do(func() {}) // from now on nothing is held up
+				if took := time.Since(began); took > time.Second {
+					return errors.Errorf("answered after %v", took)
+				}
+				if n := f.arrivedSince(); n > 0 {
+					return errors.Errorf("%d requests reached the target after it had left; status %d", n, status)
+				}
+				assert.Assert(t, status == http.StatusOK || status == http.StatusServiceUnavailable, "status %d", status)
+				return nil
+			})
+		})
+	}
+}
+
+// Guards against routers that refuse requests or hold them for long where nobody can confirm their state: while the
+// store answers neither them nor the leader.
+func TestRequestsGoOnWhileNobodyConfirmsTheState(t *testing.T) {
+	retryOnStall(t, func() error {
+		f := newHeldUpFleet(t)
+		for _, proxy := range f.proxies {
+			proxy.setSilent(true)
+		}
+		for _, link := range f.links {
+			link.cut.Store(true)
+		}
+		f.clock.hold(drainLimit)
+		for i := range 5 {
+			began := time.Now()
+			a := f.send(f.follower, call{method: http.MethodGet, path: "/read/1", key: -1})
+			if took := time.Since(began); a.status != http.StatusOK || took > 2*maxStateWait {
+				return errors.Errorf("request %d: status %d after %v", i, a.status, took)
+			}
+		}
+		return nil
+	})
+}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -33,9 +34,10 @@
 	if x.key != nil {
 		key = int(*x.key)
 	}
-	g.log.Info("placed", "id", x.meta.ID, "service", x.service.name, "key", key, "config", x.route.version,
-		"target", d.Target.ID, "in", d.Target.DataCentre, "born", d.Target.StartUnixMilli, "work", d.Work, "report_age", d.ReportAge, "waited", waited, "send", x.sends+1,
-		"leaving", d.Target.Draining, "state_age", g.stateAge.age())
+	g.log.LogAttrs(x.r.Context(), slog.LevelInfo, "placed", slog.String("id", x.meta.ID), slog.String("service", x.service.name), slog.Int("key", key),
+		slog.Uint64("config", x.route.version), slog.String("target", d.Target.ID), slog.String("in", d.Target.DataCentre),
+		slog.Int64("born", d.Target.StartUnixMilli), slog.Float64("work", d.Work), slog.Duration("report_age", d.ReportAge), slog.Duration("waited", waited),
+		slog.Int("send", x.sends+1), slog.Bool("leaving", d.Target.Draining), slog.Duration("state_age", g.sends.stateAge()))
 }
 
 // serveReady serves the platform's readiness check: whether this router accepts new connections.
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -45,7 +45,15 @@
 	connOpening func(service string, cause target.OpenCause)
 
 	mu  sync.Mutex
-	all map[poolID]*target.Pool
+	all map[poolID]*targetPool
+	// sendLimit returns until when a request may be sent to a target, see target.AttemptOptions.LeaseExpiry.
+	sendLimit func(t *directory.Target, started bool) time.Duration
+}
+
+// targetPool is the pool of one instance of a target, with until when requests may be sent to it.
+type targetPool struct {
+	*target.Pool
+	sendLimit func(started bool) time.Duration
 }
 
 // dialFunc opens a connection.
@@ -61,7 +69,7 @@
 func newPools(
 	dialect target.Dialect, observeAnswer func(*directory.Target, http.Header), connOpening func(string, target.OpenCause),
 ) *pools {
-	return &pools{dialect: dialect, observeAnswer: observeAnswer, connOpening: connOpening, all: map[poolID]*target.Pool{}}
+	return &pools{dialect: dialect, observeAnswer: observeAnswer, connOpening: connOpening, all: map[poolID]*targetPool{}}
 }
 
 // poolKey returns the identity of one instance of a target at one address.
@@ -70,7 +78,7 @@
 }
 
 // get returns the target's pool; maxConns bounds the connections of this router to it.
-func (p *pools) get(t *directory.Target, maxConns int, relayed bool) (*target.Pool, error) {
+func (p *pools) get(t *directory.Target, maxConns int, relayed bool) (*targetPool, error) {
 	id := poolID{poolKey(t), relayed}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,14 +99,15 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connections to target %s", t.ID)
 	}
-	p.all[id] = pool
-	return pool, nil
+	created := &targetPool{pool, func(started bool) time.Duration { return p.sendLimit(&id.target, started) }}
+	p.all[id] = created
+	return created, nil
 }
 
 // closeIdle closes the idle connections of the pools for which the function returns true.
 func (p *pools) closeIdle(matches func(id *poolID) bool) {
 	p.mu.Lock()
-	var matched []*target.Pool
+	var matched []*targetPool
 	for id, pool := range p.all {
 		if matches(&id) {
 			matched = append(matched, pool)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -19,9 +19,6 @@
 // other routers' work at a target decays within 200 ms.
 const pollInterval = 10 * time.Millisecond
 
-// arrivalReserve is the part of Options.LeavingLimit that is left for the way of a request to its target.
-const arrivalReserve = 150 * time.Millisecond
-
 // service is the state of one service: core/dispatch behind a lock, and the requests that wait for
 // placement.
 type service struct {
--- a/gateway/stateage.go
+++ b/gateway/stateage.go
@@ -12,6 +12,8 @@
 	// confirmReserve is the part of Options.PropagationLimit that is left for learning of a change from
 	// the store or from other routers.
 	confirmReserve = 400 * time.Millisecond
+	// readReserve is that part where the store alone is asked.
+	readReserve = 250 * time.Millisecond
 	// minRecheckInterval and maxRecheckInterval bound the pause between two attempts to have state confirmed.
 	minRecheckInterval = 300 * time.Millisecond
 	maxRecheckInterval = 1200 * time.Millisecond
@@ -23,6 +25,8 @@
 type stateAge struct {
 	g    *Gateway
 	name string
+	// reserve is the part of the limit that is left for learning of a change once the state is overdue.
+	reserve time.Duration
 	// onOverdue is called while the state has not been confirmed for overdueAfter, with the number of calls before
 	// since it was.
 	onOverdue func(attempt int)
@@ -41,8 +45,8 @@
 	pause    time.Duration
 }
 
-func newStateAge(g *Gateway, name string) *stateAge {
-	a := &stateAge{g: g, name: name, confirmedAt: g.opts.Clock.Now(), pause: minRecheckInterval, jitter: rand.N(fallbackJitter)}
+func newStateAge(g *Gateway, name string, reserve time.Duration) *stateAge {
+	a := &stateAge{g: g, name: name, reserve: reserve, confirmedAt: g.opts.Clock.Now(), pause: minRecheckInterval, jitter: rand.N(fallbackJitter)}
 	if tel := g.opts.Telemetry; tel != nil {
 		tel.GaugeFunc(name+"_age_seconds", nil, func() float64 { return a.age().Seconds() })
 	}
@@ -67,7 +71,7 @@
 
 // overdueAfter is how old the state may be before this router has to look for a newer one.
 func (a *stateAge) overdueAfter() time.Duration {
-	return max(a.limit()-confirmReserve, a.limit()/2) - a.jitter
+	return max(a.limit()-a.reserve, a.limit()/2) - a.jitter
 }
 
 // age returns for how long this router's state may have been out of date.
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -41,7 +41,7 @@
 	if at == nil {
 		return
 	}
-	sub.g.state.duty.Tell(&stateConfirmed{at: sub.g.opts.Clock.Now() - time.Since(*at), targets: true})
+	sub.g.state.duty.Tell(&stateConfirmed{config: true, at: sub.g.opts.Clock.Now() - time.Since(*at), targets: true})
 	if counted {
 		sub.g.share.counted(sub.g.countedRouters())
 	}
@@ -289,10 +289,15 @@
 	sub.g.contacts.ask()
 }
 
-// recheckState has this router's state confirmed, which is overdue. An update of the leader that is late is
-// waited for once more.
+// recheckState has this router's state confirmed, which is overdue: while it follows a leader, by reading the targets once,
+// and if that leader stays late, by watching everything in the store.
 func (sub *subscription) recheckState(attempt int) {
 	if attempt > 0 || !sub.isSubscribed() {
 		sub.scheduleFallback(0)
+		return
+	}
+	if !sub.g.gate.isShut() {
+		// A failure is logged, and followed by the next attempt.
+		sub.g.goRun(func() { _ = sub.fetchTargets() })
 	}
 }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -275,7 +275,7 @@
 		return
 	}
 	sub.g.state.duty.Tell(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{r}, at: time.Now()}})
-	sub.g.state.duty.Tell(&stateConfirmed{at: began})
+	sub.g.state.duty.Tell(&stateConfirmed{config: true, at: began})
 }
 
 // recordPromise records that this router has promised a leader to follow no other until a time.
--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -29,7 +29,9 @@
 	g := &Gateway{log: slog.New(slog.DiscardHandler), opts: Options{Store: client}}
 	g.opts.Adapter.ConfigKey = platform.ConfigKey
 	g.opts.Clock = clock.Boot{}
-	g.configAge, g.stateAge, g.share = newStateAge(g, "configuration"), newStateAge(g, "state"), newRouterShare(g)
+	g.configAge, g.stateAge, g.share = newStateAge(g, "configuration", confirmReserve), newStateAge(g, "state", readReserve), newRouterShare(g)
+	g.opts.LeavingLimit = defaultLeavingLimit
+	g.sends = newSendLimits(g)
 	g.lifetime, g.cancel = context.WithCancel(t.Context())
 	t.Cleanup(g.running.Wait)
 	t.Cleanup(g.cancel)
