Don't take a hold-up of the process for an outage of the store

A watch that was held up with its process for 1.5 s timed out and counted as such an outage: the router went on sending to targets that are only removed when they leave.

A call that took longer than calls may take counts from its end. TestHoldUpIsNoOutageOfTheStore failed before.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -26,6 +26,9 @@
 	// three missed heartbeats of a target, about a second each. A single interrupted watch is
 	// not an outage.
 	minOutage = 1500 * time.Millisecond
+	// maxCallTime is the longest time that a call of the store takes beyond its wait. A call that took longer was held
+	// up with this process, which says nothing of the store.
+	maxCallTime = 1200 * time.Millisecond
 )
 
 // errRestarted ends a watch that was restarted.
@@ -196,6 +199,9 @@
 		return
 	}
 	w.healthy.Store(false)
+	if now := time.Now(); now.Sub(began) > w.wait+maxCallTime {
+		began = now
+	}
 	if w.failingSince.IsZero() {
 		w.failingSince = began
 		w.log.Warn("store lost", "prefix", w.prefix, "err", err)
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -87,3 +87,23 @@
 	w.succeeded(time.Now(), &change{records: []kv.Record{{Key: "p/a"}}})
 	assert.DeepEqual(t, order, []string{"changes", "confirmed"})
 }
+
+// Guards against targets that are kept although they are gone, because the process was held up and takes that for an
+// outage of the store.
+func TestHoldUpIsNoOutageOfTheStore(t *testing.T) {
+	outages := 0
+	w := newTestWatcher(&heldUpStore{})
+	w.notify = func(message any) {
+		if _, ok := message.(*storeUnreachable); ok {
+			outages++
+		}
+	}
+	longest := w.wait + maxCallTime
+	w.failed(t.Context(), time.Now().Add(-minOutage-longest), kv.ErrUnavailable)
+	assert.Equal(t, outages, 0)
+	w.failingSince = time.Time{}
+	w.failed(t.Context(), time.Now().Add(100*time.Millisecond-longest), kv.ErrUnavailable)
+	time.Sleep(minOutage + 100*time.Millisecond - longest)
+	w.failed(t.Context(), time.Now(), kv.ErrUnavailable)
+	assert.Assert(t, outages > 0, "calls fail for %v", time.Since(w.failingSince))
+}
