Bound the age of an update by the beginning of its connection

A follower estimated how long an update had been on its way by comparing it with the fastest of its connection. Where all had been held up, as in a process that is stopped right after it has connected, the delay of the fastest counted as none: updates of 0.8 s ago passed for news, and with them the targets that had left since.

No update was sent before the connection began, which bounds the offset of the clocks from the other side. Where the first update of a connection was much slower than the next ones, the follower connects again, as all ages would be too high.

--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -103,6 +103,9 @@
 		if age, known := ages.age(arrived, p); known {
 			u.ConfirmedAt, u.Confirmed = arrived-age, true
 		}
+		if err := ages.errIfUncertain(); err != nil {
+			return err
+		}
 		f.OnUpdate(u)
 	}
 }
