Serve requests by a configuration that is recent, however long a process was held up

The same cause as with leaving targets: a process that was held up served the requests after it by the configuration of before, with routes that had been dropped, or refused new routes with 404, until the next update of its leader.

Requests are matched with the model only once the configuration was confirmed within its limit; otherwise it is read, which requests wait for up to 0.3 s, as for the targets. TestRequestAfterAHoldUpIsServedByTheNewestConfiguration failed before (404).

--- a/caller/config.go
+++ b/caller/config.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/tls"
 	"log"
 	"log/slog"
@@ -60,6 +61,8 @@
 	// the request did not run. A fault with one of these statuses and without that proof is
 	// answered with 502 instead.
 	StatusImpliesNotRun bool
+	// BeforeRouting is called before a request is matched with the model, and may wait for a newer one; nil for nothing.
+	BeforeRouting func(ctx context.Context)
 	// CloseAfterAnswer reports whether the caller's connection is to be closed after the current
 	// answer, which then announces it. Nil keeps all connections open.
 	CloseAfterAnswer func() bool
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -83,6 +83,9 @@
 	if h.stopping.Load() {
 		return fault.New(fault.Stopping, "")
 	}
+	if h.cfg.BeforeRouting != nil {
+		h.cfg.BeforeRouting(x.r.Context())
+	}
 	if wantsTunnel(x.r) {
 		return fault.New(fault.Unsupported, "")
 	}
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -111,6 +111,7 @@
 	}
 	if m.config {
 		cs.g.configAge.confirm(m.at)
+		cs.g.configFresh.confirm(m.at)
 	}
 	if m.targets {
 		cs.g.stateAge.confirm(m.at)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,7 @@
 	// configAge is the age of the configuration, which other routers may confirm, and stateAge that of everything
 	// that a feed replaces.
 	configAge, stateAge *stateAge
+	configFresh         *freshness
 	sends               *sendLimits
 	share               *routerShare
 	contacts            *contacts
@@ -94,6 +95,7 @@
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.configAge, g.stateAge = newStateAge(g, "configuration", confirmReserve), newStateAge(g, "state", readReserve)
 	g.sends = newSendLimits(g)
+	g.configFresh = newFreshness(g, "configuration", g.configAge.limit(), func() error { return g.subscription.fetchConfig() })
 	g.share = newRouterShare(g)
 	g.contacts = newContacts(g)
 	g.workers = duty.NewWorkers(g.lifetime)
@@ -119,7 +121,7 @@
 	c := caller.Config{
 		RequestIDHeader:  http.CanonicalHeaderKey(g.opts.Adapter.Headers.RequestID),
 		OmitAddedHeaders: true, FractionalRetryAfter: true, StatusImpliesNotRun: true, CloseAfterAnswer: g.stopping.Load, Logger: g.log,
-		MaxPipelined: lookAhead, DeadlineMargin: answerMargin,
+		BeforeRouting: g.configFresh.await, MaxPipelined: lookAhead, DeadlineMargin: answerMargin,
 	}
 	if limits != nil {
 		c.ReadHeaderTimeout, c.IdleTimeout, c.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -219,3 +220,23 @@
 		return nil
 	})
 }
+
+// Guards against requests that are served by an old configuration, because this process was held up after it last
+// learned anything.
+func TestRequestAfterAHoldUpIsServedByTheNewestConfiguration(t *testing.T) {
+	retryOnStall(t, func() error {
+		f := newHeldUpFleet(t)
+		for _, proxy := range f.proxies {
+			proxy.setSilent(true)
+		}
+		f.configure(strings.ReplaceAll(plainConfig, "/read/", "/look/"))
+		f.clock.hold(drainLimit + time.Second)
+		if a := f.send(f.follower, call{method: http.MethodGet, path: "/look/1", key: -1}); a.status != http.StatusOK {
+			return errors.Errorf("a new route: status %d", a.status)
+		}
+		if a := f.send(f.follower, call{method: http.MethodGet, path: "/read/1", key: -1}); a.status != http.StatusNotFound {
+			return errors.Errorf("a route that was dropped: status %d", a.status)
+		}
+		return nil
+	})
+}
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -37,7 +37,7 @@
 	g.log.LogAttrs(x.r.Context(), slog.LevelInfo, "placed", slog.String("id", x.meta.ID), slog.String("service", x.service.name), slog.Int("key", key),
 		slog.Uint64("config", x.route.version), slog.String("target", d.Target.ID), slog.String("in", d.Target.DataCentre),
 		slog.Int64("born", d.Target.StartUnixMilli), slog.Float64("work", d.Work), slog.Duration("report_age", d.ReportAge), slog.Duration("waited", waited),
-		slog.Int("send", x.sends+1), slog.Bool("leaving", d.Target.Draining), slog.Duration("state_age", g.sends.stateAge()))
+		slog.Int("send", x.sends+1), slog.Bool("leaving", d.Target.Draining), slog.Duration("state_age", g.sends.age()))
 }
 
 // serveReady serves the platform's readiness check: whether this router accepts new connections.
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -284,7 +284,7 @@
 // leader, and by other routers, as the store may not answer this one alone.
 func (sub *subscription) recheckConfig(int) {
 	if sub.isSubscribed() && !sub.g.gate.isShut() {
-		sub.g.goRun(sub.fetchConfig)
+		sub.g.goRun(sub.refreshConfig)
 	}
 	sub.g.contacts.ask()
 }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -259,12 +259,12 @@
 	sub.mu.Unlock()
 	if late {
 		sub.g.log.Info("leader has a newer configuration", "version", version, "in_force", inForce)
-		sub.g.goRun(sub.fetchConfig)
+		sub.g.goRun(sub.refreshConfig)
 	}
 }
 
-// fetchConfig reads the configuration from the store.
-func (sub *subscription) fetchConfig() {
+// fetchConfig reads the configuration from the store, and has it confirmed.
+func (sub *subscription) fetchConfig() error {
 	a, began := &sub.g.opts.Adapter, sub.g.opts.Clock.Now()
 	r, err := sub.g.storeFor(purposeConfig).Get(sub.g.lifetime, a.ConfigKey)
 	if err != nil {
@@ -272,10 +272,28 @@
 		if !errors.Is(err, kv.ErrNotFound) {
 			sub.g.membership.renewNow() // it shuts the gate if the store doesn't answer
 		}
-		return
+		return err
 	}
 	sub.g.state.duty.Tell(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{r}, at: time.Now()}})
 	sub.g.state.duty.Tell(&stateConfirmed{config: true, at: began})
+	return nil
+}
+
+// refreshConfig reads the configuration from the store, where nothing depends on that; a failure is logged.
+func (sub *subscription) refreshConfig() { _ = sub.fetchConfig() }
+
+// fetchTargets reads the targets from the store, and has the state confirmed by them.
+func (sub *subscription) fetchTargets() error {
+	a, began := &sub.g.opts.Adapter, sub.g.opts.Clock.Now()
+	records, revision, err := sub.g.storeFor(purposeTargets).List(sub.g.lifetime, a.TargetPrefix)
+	if err != nil {
+		sub.g.log.Warn("targets not read", "err", err)
+		sub.g.membership.renewNow() // it shuts the gate if the store doesn't answer
+		return err
+	}
+	sub.g.state.duty.Tell(&prefixMessage{a.TargetPrefix, &change{listed: true, records: records, revision: revision, at: time.Now()}})
+	sub.g.state.duty.Tell(&stateConfirmed{at: began, targets: true})
+	return nil
 }
 
 // recordPromise records that this router has promised a leader to follow no other until a time.
