Pass no request on to a target that has left

A router that sends through another one, because its own path to the target is cut, checks its limit when it writes. The bytes may lie at the router on the way while that process is held up, and reached the target whenever it went on.

That router checks the limit by its own knowledge before the first byte of each request. The request then ends as one whose connection was lost, which its sender repeats where it may. TestRouterOnTheWayPassesNoRequestToATargetThatHasLeft guards it; the fault itself was found by reading.

--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -198,7 +198,10 @@
 	if err != nil && g.paths.isLost(t.ID) {
 		return nil, errors.Wrap(relay.ErrTargetUnreached, err.Error()) // a refusal may be the cut's
 	}
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, sends: g.sends, target: t}, nil
 }
 
 func (g *Gateway) findTarget(r *relay.Request) (directory.Target, bool) {
