--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -14,7 +14,9 @@
 
 	"tarragongw/clock"
 	"tarragongw/core/routes"
+	"tarragongw/duty"
 	"tarragongw/internal/waittest"
+	"tarragongw/peer/feed"
 	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
 )
@@ -294,3 +296,43 @@
 	}
 	assert.Equal(t, store.Calls()["kv-key"], 1)
 }
+
+// capturedDuty returns a duty that passes the messages that it gets on to a channel.
+func capturedDuty(g *Gateway) (*duty.Duty, <-chan any) {
+	received := make(chan any, 8)
+	g.workers, g.system = duty.NewWorkers(g.lifetime), duty.NewSystem(g.log)
+	return duty.Start(g.system, g.workers, cap(received), false, func(message any) { received <- message }), received
+}
+
+// Guards against an update that counts as news because this router was held up before it handled it.
+func TestUpdateIsAsOldAsItsConfirmationWheneverItIsHandled(t *testing.T) {
+	g, _ := idleGateway(t)
+	held := &clock.Manual{}
+	g.opts.Clock = held
+	g.state = &clusterState{g: g}
+	var received <-chan any
+	g.state.duty, received = capturedDuty(g)
+	g.subscription = newSubscription(g)
+	g.subscription.subscribed = true
+	g.view.Store(&view{config: &routes.Config{}})
+	held.Advance(9 * time.Second)
+	(&updateHandler{subscription: g.subscription, current: true}).handle(&feed.Update{Confirmed: true, ConfirmedAt: time.Second})
+	assert.Equal(t, *(<-received).(*stateConfirmed), stateConfirmed{config: true, targets: true, at: time.Second})
+}
+
+// Guards against a follower that waits for a late leader until the time for changes is over, and against one that begins
+// to watch everything in the store for it.
+func TestFollowerOfALateLeaderReadsTheTargetsOnce(t *testing.T) {
+	g, store := idleGateway(t)
+	g.opts.Adapter.TargetPrefix = platform.TargetPrefix
+	g.state = &clusterState{g: g}
+	var received <-chan any
+	g.state.duty, received = capturedDuty(g)
+	g.subscription = newSubscription(g)
+	g.subscription.subscribed = true
+	g.subscription.recheckState(0)
+	assert.Assert(t, (<-received).(*prefixMessage).message.(*change).listed)
+	confirmed := (<-received).(*stateConfirmed)
+	assert.Assert(t, confirmed.targets && !confirmed.config)
+	assert.DeepEqual(t, store.Calls(), map[string]int{"kv-range " + platform.TargetPrefix: 1})
+}
