--- a/core/directory/order_test.go
+++ b/core/directory/order_test.go
@@ -164,3 +164,16 @@
 		}
 	}
 }
+
+// Guards against a target that is known to leave and gets requests again, because it reports that it stays after all.
+func TestOnlyAnotherStartOfALeavingTargetStays(t *testing.T) {
+	d := New()
+	d.Put(at(0), Target{ID: "a", StartUnixMilli: 1, Draining: true, Revision: 5})
+	d.Put(at(100), Target{ID: "a", StartUnixMilli: 1, Revision: 6})
+	assert.Assert(t, d.Targets()[0].Draining)
+	d.Remove(at(200), "a", 7)
+	d.Put(at(300), Target{ID: "a", StartUnixMilli: 1, Revision: 8})
+	assert.Assert(t, d.Targets()[0].Draining, "after it was gone")
+	d.Put(at(400), Target{ID: "a", StartUnixMilli: 2, Revision: 9})
+	assert.Assert(t, !d.Targets()[0].Draining)
+}
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -13,6 +13,8 @@
 	"gotest.tools/v3/assert"
 
 	"tarragongw/clock"
+	"tarragongw/core/directory"
+	"tarragongw/core/keyspace"
 	"tarragongw/internal/waittest"
 )
 
@@ -240,3 +242,34 @@
 		return nil
 	})
 }
+
+// Guards against requests that are written after their right to be sent has lapsed, and against a connection that is given up
+// for one that lapsed before it was written.
+func TestRequestWhoseRightHasLapsedIsNotWritten(t *testing.T) {
+	dials := atomic.Int32{}
+	f := newFleet(t, 0, plainConfig, plainTarget("p0"))
+	f.onDial = func() { dials.Add(1) }
+	g := f.start(routerName(0))
+	waittest.Until(t, "the gateway is ready", g.synced.Load)
+	lapsed := atomic.Bool{}
+	limit := g.pools.sendLimit
+	g.pools.sendLimit = func(t *directory.Target, started bool) time.Duration {
+		if lapsed.Load() && !started {
+			return 0
+		}
+		return limit(t, started)
+	}
+	read := func() int { return f.send(g, call{method: http.MethodGet, path: "/read/1", key: -1}).status }
+	assert.Equal(t, read(), http.StatusOK)
+	lapsed.Store(true)
+	assert.Equal(t, read(), http.StatusServiceUnavailable)
+	lapsed.Store(false)
+	assert.Equal(t, read(), http.StatusOK)
+	before := dials.Load()
+	g.sends.setLeft(map[keyspace.Holder]time.Time{{Target: "p0", StartUnixMilli: 1}: time.Now().Add(-drainLimit)})
+	assert.Equal(t, read(), http.StatusServiceUnavailable)
+	g.sends.setLeft(nil)
+	assert.Equal(t, read(), http.StatusOK)
+	assert.Equal(t, dials.Load(), before)
+	assert.Equal(t, len(f.targets["p0"].Arrivals()), 3)
+}
