--- a/cmd/tarragongw/leaving_run_test.go
+++ b/cmd/tarragongw/leaving_run_test.go
@@ -217,11 +217,14 @@
 	return late
 }
 
+// busyScript keeps a processor busy for as long as the process that started it lives.
+const busyScript = "while kill -0 $PPID 2>/dev/null; do i=0; while [ $i -lt 20000 ]; do i=$((i+1)); done; done"
+
 // startBusy starts processes that do nothing but keep processors busy.
 func startBusy(t *testing.T, n int) {
 	t.Helper()
 	for range n {
-		cmd := exec.Command("sh", "-c", "while :; do :; done")
+		cmd := exec.Command("sh", "-c", busyScript)
 		assert.NilError(t, cmd.Start())
 		t.Cleanup(func() {
 			_ = cmd.Process.Kill()
