Count only requests that were sent after a hold-up in its test

One of fifteen plays of TestRequestsHeldUpAtAnyStepReachNoTargetThatHasLeft failed. Its log shows a request that was placed and answered within 1.3 ms by a state of 20 ms of age, before the hold-up of 3 s was in effect: the target had left some microseconds ago, which is allowed. The test counted from the leaving, while what it guards is what is sent after the hold-up. It now counts from 0.1 s after that, within which requests arrive that were on their way.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -102,7 +102,7 @@
 	*fleet
 	clock    *heldUpClock
 	follower *Gateway
-	// left is when the target left; nil before.
+	// left is when the hold-up had ended, which lasted longer than the target may get requests; nil before.
 	left    atomic.Pointer[time.Time]
 	leaving sync.Once
 	// connecting is called before a connection to a target is opened; nil for nothing.
@@ -131,6 +131,9 @@
 	return f
 }
 
+// arrivalTime is within which requests arrive that were sent before a hold-up.
+const arrivalTime = 100 * time.Millisecond
+
 // holdUp makes the target leave, and holds the processes up for longer than the limit before they learn that.
 func (f *heldUpFleet) holdUp() {
 	f.leaving.Do(func() {
@@ -139,13 +142,14 @@
 		}
 		f.targets["p1"].Register(f.store)
 		f.targets["p0"].Drain(f.store)
+		f.clock.hold(drainLimit + time.Second)
+		time.Sleep(arrivalTime)
 		now := time.Now()
 		f.left.Store(&now)
-		f.clock.hold(drainLimit + time.Second)
 	})
 }
 
-// arrivedSince returns how many requests have reached the target that left since then.
+// arrivedSince returns how many requests have reached the target that left since the hold-up had ended.
 func (f *heldUpFleet) arrivedSince() (n int) {
 	left := f.left.Load()
 	if left == nil {
