Remove targets that the leader never told of with its next update

Each update states the revision up to which the leader knows all changes. A target that the leader has not told of on this feed, and that is not newer than that, is gone.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -221,6 +221,16 @@
 	return changed
 }
 
+// Others returns the IDs of the targets that are not among the given ones.
+func (d *Directory) Others(ids map[string]bool) (others []string) {
+	for id := range d.entries {
+		if !ids[id] {
+			others = append(others, id)
+		}
+	}
+	return others
+}
+
 // Applied records that the directory has all changes up to a revision of the store.
 func (d *Directory) Applied(revision uint64) { d.revision = max(d.revision, revision) }
 
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -28,7 +29,9 @@
 	duty *duty.Duty
 
 	directory *directory.Directory
-	config    *routes.Config
+	// leaderTargets are the IDs of all targets that the leader has told of on its present feed.
+	leaderTargets map[string]bool
+	config        *routes.Config
 	// tables are the key tables by service, with the revisions of their records.
 	tables map[string]feed.Table
 	// routers are the live routers by name.
@@ -61,7 +64,7 @@
 
 func newClusterState(g *Gateway) *clusterState {
 	cs := &clusterState{
-		g: g, directory: directory.New(), tables: map[string]feed.Table{}, routers: map[string]feed.Router{}, knownPrefixes: map[string]bool{},
+		g: g, directory: directory.New(), leaderTargets: map[string]bool{}, tables: map[string]feed.Table{}, routers: map[string]feed.Router{}, knownPrefixes: map[string]bool{},
 		tableLogs: map[string]tableLog{},
 	}
 	cs.duty = g.startDuty(cs.handle)
@@ -90,7 +93,7 @@
 	if len(u.ConfigValue) > 0 {
 		cs.handleConfig(&change{records: []kv.Record{{Key: cs.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
 	}
-	changed := cs.directory.Adopt(time.Now(), u.TargetsComplete, u.Targets, u.RemovedTargets, u.TargetsRevision)
+	changed := cs.directory.Adopt(time.Now(), u.TargetsComplete, u.Targets, cs.removedTargets(u), u.TargetsRevision)
 	cs.logLeaving(cs.g.subscription.knownLeader().name)
 	cs.publishTargets(changed)
 	for _, t := range u.Tables {
@@ -104,6 +107,24 @@
 	}
 }
 
+// removedTargets returns the targets that an update says are gone: those that it names, and those that its leader would
+// know if they were there. A target that came and went between two readings of the leader was never told of.
+func (cs *clusterState) removedTargets(u *feed.Update) []string {
+	if u.TargetsComplete {
+		cs.leaderTargets = make(map[string]bool, len(u.Targets))
+	}
+	for i := range u.Targets {
+		cs.leaderTargets[u.Targets[i].ID] = true
+	}
+	for _, id := range u.RemovedTargets {
+		delete(cs.leaderTargets, id)
+	}
+	if u.TargetsRevision == 0 {
+		return u.RemovedTargets
+	}
+	return append(slices.Clone(u.RemovedTargets), cs.directory.Others(cs.leaderTargets)...)
+}
+
 // confirm records that the state was the newest at a time.
 func (cs *clusterState) confirm(m *stateConfirmed) {
 	if cs.config == nil || cs.config.Version < m.version {
