Wait for the configuration in the tests of processes that are held up

One of thirty plays of TestRequestsGoOnWhileNobodyConfirmsTheState failed: its log shows a follower that was fed the targets by a leader which had read no configuration yet, and was cut off before that came. It answered 503 not_ready, as it must. The fleet of these tests now waits until each router is ready.

--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -124,6 +124,7 @@
 	f.awaitSubscribed()
 	for _, g := range f.gateways {
 		f.awaitTarget("p0")
+		waittest.Until(t, "the gateway is ready", g.synced.Load)
 		if g != f.leader() {
 			f.follower = g
 		}
