Name the send limits and notices by what they are

Read as a newcomer: until when a request may be sent stood under of, after and end, the targets that leave under left, the kinds of notices under names that fields of a target have as well, and a connection in a file of another name. Names, comments and one long line only.

--- a/core/directory/departed.go
+++ b/core/directory/departed.go
@@ -20,7 +20,7 @@
 // targets older than departedRetention.
 func (d *Directory) moveToDeparted(now time.Time, id string) {
 	d.departed[id] = departedTarget{*d.entries[id], now}
-	d.notice(Gone, &d.entries[id].target)
+	d.notice(NoticeGone, &d.entries[id].target)
 	delete(d.entries, id)
 	for other, departed := range d.departed {
 		if now.Sub(departed.removedAt) > departedRetention {
@@ -29,18 +29,18 @@
 	}
 }
 
-// Left returns the instances that have announced that they leave or are gone, and when they were last known to stay.
-func (d *Directory) Left() map[keyspace.Holder]time.Time {
-	left := map[keyspace.Holder]time.Time{}
+// LeavingOrGone returns the instances that have announced that they leave or are gone, and when they were last known to stay.
+func (d *Directory) LeavingOrGone() map[keyspace.Holder]time.Time {
+	all := map[keyspace.Holder]time.Time{}
 	for _, gone := range d.departed {
-		left[gone.target.Holder()] = gone.knownToStay()
+		all[gone.target.Holder()] = gone.knownToStay()
 	}
 	for _, e := range d.entries {
 		if e.target.Draining {
-			left[e.target.Holder()] = e.target.LeavingAfter
+			all[e.target.Holder()] = e.target.LeavingAfter
 		}
 	}
-	return left
+	return all
 }
 
 // Ended returns the target instances that are known to have ended: departed instances whose
@@ -90,9 +90,10 @@
 	if gone, departed := d.departed[t.ID]; departed && olderThan(t, &gone.entry) {
 		return true
 	}
-	return t.Revision != 0 && t.Revision <= d.revision // it would be among the entries
+	return t.Revision != 0 && t.Revision <= d.revision // otherwise it would be among the entries
 }
 
+// olderThan reports whether a report is older than an entry, or than the removal of it.
 func olderThan(t *Target, e *entry) bool {
 	if t.StartUnixMilli != e.target.StartUnixMilli {
 		return t.StartUnixMilli < e.target.StartUnixMilli
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -221,8 +221,8 @@
 	return changed
 }
 
-// Others returns the IDs of the targets that are not among the given ones.
-func (d *Directory) Others(ids map[string]bool) (others []string) {
+// IDsExcept returns the IDs of the targets that are not among the given ones.
+func (d *Directory) IDsExcept(ids map[string]bool) (others []string) {
 	for id := range d.entries {
 		if !ids[id] {
 			others = append(others, id)
--- a/core/directory/notice.go
+++ b/core/directory/notice.go
@@ -5,14 +5,14 @@
 
 // The kinds of notices.
 const (
-	// Draining targets have announced that they leave.
-	Draining NoticeKind = iota
-	// Gone targets have no entry any more.
-	Gone
-	// Back is said of targets that were gone and whose entry is back.
-	Back
-	// Outdated is said of leaving targets of which an older report says that they stay.
-	Outdated
+	// NoticeDraining: the target has announced that it leaves.
+	NoticeDraining NoticeKind = iota
+	// NoticeGone: the target has no entry any more.
+	NoticeGone
+	// NoticeBack: the target was gone, and has an entry again.
+	NoticeBack
+	// NoticeOutdated: an older report says that a leaving target stays.
+	NoticeOutdated
 )
 
 // String returns the kind as log lines have it.
@@ -40,15 +40,15 @@
 	last := d.lastEntry(t)
 	switch {
 	case t.Draining && (last == nil || !last.target.Draining):
-		d.notice(Draining, t)
+		d.notice(NoticeDraining, t)
 	case last != nil && d.entries[t.ID] == nil:
-		d.notice(Back, t)
+		d.notice(NoticeBack, t)
 	}
 }
 
 // noticeOutdated notes a report that is not recorded, if it denies that the target leaves.
 func (d *Directory) noticeOutdated(t *Target) {
 	if last := d.lastEntry(t); last != nil && !t.Draining && (last.target.Draining || d.entries[t.ID] == nil) {
-		d.notice(Outdated, t)
+		d.notice(NoticeOutdated, t)
 	}
 }
--- a/core/directory/notice_test.go
+++ b/core/directory/notice_test.go
@@ -23,8 +23,8 @@
 		return kindsOf(d.Notices())
 	}
 	assert.Equal(t, len(report(0, false)), 0)
-	assert.DeepEqual(t, report(100, true), []NoticeKind{Draining})
+	assert.DeepEqual(t, report(100, true), []NoticeKind{NoticeDraining})
 	assert.Equal(t, len(report(200, true)), 0)
 	d.Remove(at(300), target.ID, 0)
-	assert.DeepEqual(t, kindsOf(d.Notices()), []NoticeKind{Gone})
+	assert.DeepEqual(t, kindsOf(d.Notices()), []NoticeKind{NoticeGone})
 }
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -64,8 +64,8 @@
 
 func newClusterState(g *Gateway) *clusterState {
 	cs := &clusterState{
-		g: g, directory: directory.New(), leaderTargets: map[string]bool{}, tables: map[string]feed.Table{}, routers: map[string]feed.Router{}, knownPrefixes: map[string]bool{},
-		tableLogs: map[string]tableLog{},
+		g: g, directory: directory.New(), leaderTargets: map[string]bool{}, tables: map[string]feed.Table{},
+		routers: map[string]feed.Router{}, knownPrefixes: map[string]bool{}, tableLogs: map[string]tableLog{},
 	}
 	cs.duty = g.startDuty(cs.handle)
 	return cs
@@ -122,7 +122,7 @@
 	if u.TargetsRevision == 0 {
 		return u.RemovedTargets
 	}
-	return append(slices.Clone(u.RemovedTargets), cs.directory.Others(cs.leaderTargets)...)
+	return append(slices.Clone(u.RemovedTargets), cs.directory.IDsExcept(cs.leaderTargets)...)
 }
 
 // confirm records that the state was the newest at a time.
@@ -274,7 +274,7 @@
 	cs.logLeaving(toldByStore)
 	if changed {
 		targets := cs.directory.Targets()
-		cs.g.sends.setLeft(cs.directory.Left())
+		cs.g.sends.setLeaving(cs.directory.LeavingOrGone())
 		cs.g.setTargets(targets)
 		cs.g.subscription.source.SetTargets(targets, cs.directory.Revision())
 		cs.g.leader.duty.Tell(&targetStatus{targets, cs.directory.Ended()})
@@ -298,9 +298,9 @@
 	for _, n := range cs.directory.Notices() {
 		message := "target leaves"
 		switch n.Kind {
-		case directory.Back:
+		case directory.NoticeBack:
 			message = "target is back"
-		case directory.Outdated:
+		case directory.NoticeOutdated:
 			message = "older report of a leaving target not used"
 		}
 		t := &n.Target
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -20,7 +20,8 @@
 const noLimit = time.Duration(math.MaxInt64)
 
 // freshness keeps requests from being served by a part of this router's state that is older than a limit, however late the
-// leader is, and however long this process was held up. All times are by the clock that goes on during suspension.
+// leader is, and however long this process was held up. stateAge has the state confirmed in the background before that; this
+// is for where it was not. All times are by the clock that goes on during suspension.
 type freshness struct {
 	g *Gateway
 	// name is that of the state in logs.
@@ -45,15 +46,17 @@
 	return f
 }
 
-// after returns until when requests may be sent by what was known at a time.
-func (f *freshness) after(known time.Duration) time.Duration { return known + f.limit - arrivalReserve }
+// usableUntil returns until when requests may be served by what was known at a time.
+func (f *freshness) usableUntil(known time.Duration) time.Duration {
+	return known + f.limit - arrivalReserve
+}
 
-// end returns until when requests may be sent by the state.
-func (f *freshness) end() time.Duration {
+// expiry returns until when requests may be served by the state.
+func (f *freshness) expiry() time.Duration {
 	if f.suspended.Load() {
 		return noLimit
 	}
-	return f.after(time.Duration(f.confirmedAt.Load()))
+	return f.usableUntil(time.Duration(f.confirmedAt.Load()))
 }
 
 // age returns for how long the state may have been out of date.
@@ -67,7 +70,7 @@
 		return
 	}
 	f.confirmedAt.Store(int64(at))
-	if f.g.opts.Clock.Now() >= f.after(at) {
+	if f.g.opts.Clock.Now() >= f.usableUntil(at) {
 		return
 	}
 	if f.suspended.Swap(false) {
@@ -89,7 +92,7 @@
 // await returns once the state is young enough for requests to be served by it. If it is too old, as after a hold-up of
 // this process, it is read from the store; where that fails, requests are served all the same, as nobody can say more.
 func (f *freshness) await(ctx context.Context) {
-	if f.g.opts.Clock.Now() < f.end() {
+	if f.g.opts.Clock.Now() < f.expiry() {
 		return
 	}
 	select {
@@ -107,7 +110,7 @@
 		return f.confirmed
 	}
 	waiting := make(chan struct{})
-	if f.g.opts.Clock.Now() < f.end() {
+	if f.g.opts.Clock.Now() < f.expiry() {
 		close(waiting)
 		return waiting
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,7 +101,7 @@
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
 	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
-	g.pools.sendLimit = g.sends.ofWrite
+	g.pools.sendLimit = g.sends.writeUntil
 	g.paths = newPaths(g)
 	g.pools.dialDirect, g.pools.dialRelayed = g.paths.directDialer, g.paths.relayedDialer
 	g.relays = newRelayDirectory(g)
--- a/gateway/relayedconn_test.go
+++ b/gateway/limitedconn_test.go
@@ -41,7 +41,7 @@
 	}
 	assert.NilError(t, send("first"))
 	assert.Equal(t, <-received, "first")
-	g.sends.setLeft(map[keyspace.Holder]time.Time{target.Holder(): time.Now()})
+	g.sends.setLeaving(map[keyspace.Holder]time.Time{target.Holder(): time.Now()})
 	held.Advance(drainLimit)
 	g.sends.confirm(held.Now())
 	assert.NilError(t, send("its rest"), "a request that has begun is cut off")
--- a/gateway/sendlimits.go
+++ b/gateway/sendlimits.go
@@ -23,37 +23,37 @@
 // acknowledged.
 type sendLimits struct {
 	*freshness
-	// left has the targets that are known to leave or to be gone, and when they were last known to stay.
-	left atomic.Pointer[map[keyspace.Holder]time.Duration]
+	// leaving has the targets that are known to leave or to be gone, and when they were last known to stay.
+	leaving atomic.Pointer[map[keyspace.Holder]time.Duration]
 }
 
 func newSendLimits(g *Gateway) *sendLimits {
 	read := func() error { return g.subscription.fetchTargets() }
 	l := &sendLimits{freshness: newFreshness(g, "targets", g.opts.LeavingLimit, read)}
-	l.left.Store(&map[keyspace.Holder]time.Duration{})
+	l.leaving.Store(&map[keyspace.Holder]time.Duration{})
 	return l
 }
 
-// of returns until when requests may be sent to a target.
-func (l *sendLimits) of(t *directory.Target) time.Duration {
-	if knownToStay, left := (*l.left.Load())[t.Holder()]; left {
-		return l.after(knownToStay)
+// sendUntil returns until when requests may be sent to a target.
+func (l *sendLimits) sendUntil(t *directory.Target) time.Duration {
+	if knownToStay, leaving := (*l.leaving.Load())[t.Holder()]; leaving {
+		return l.usableUntil(knownToStay)
 	}
-	return l.end()
+	return l.expiry()
 }
 
-// ofWrite returns, by clock.Boot, until when bytes of a request may be written to a target. A request that has begun may
+// writeUntil returns, by clock.Boot, until when bytes of a request may be written to a target. A request that has begun may
 // be sent to its end.
-func (l *sendLimits) ofWrite(t *directory.Target, started bool) time.Duration {
+func (l *sendLimits) writeUntil(t *directory.Target, started bool) time.Duration {
 	if started {
 		return noLimit
 	}
-	return clock.BootTime(l.g.opts.Clock, l.of(t))
+	return clock.BootTime(l.g.opts.Clock, l.sendUntil(t))
 }
 
 // check returns a fault if no request may be sent to the target any more.
 func (l *sendLimits) check(t *directory.Target) *fault.Fault {
-	if now := l.g.opts.Clock.Now(); now >= l.of(t) {
+	if now := l.g.opts.Clock.Now(); now >= l.sendUntil(t) {
 		return fault.Wrap(fault.StaleRoute, errMayHaveLeft, "")
 	}
 	return nil
@@ -64,12 +64,12 @@
 	return f.Kind == fault.StaleRoute && f.Ran == fault.NotRun && f.Cause != nil
 }
 
-// setLeft replaces the targets that are known to leave or to be gone.
-func (l *sendLimits) setLeft(left map[keyspace.Holder]time.Time) {
-	limits := make(map[keyspace.Holder]time.Duration, len(left))
+// setLeaving replaces the targets that are known to leave or to be gone.
+func (l *sendLimits) setLeaving(leaving map[keyspace.Holder]time.Time) {
+	limits := make(map[keyspace.Holder]time.Duration, len(leaving))
 	now := l.g.opts.Clock.Now()
-	for holder, knownToStay := range left {
+	for holder, knownToStay := range leaving {
 		limits[holder] = now - time.Since(knownToStay)
 	}
-	l.left.Store(&limits)
+	l.leaving.Store(&limits)
 }
--- a/gateway/stateage.go
+++ b/gateway/stateage.go
@@ -12,7 +12,7 @@
 	// confirmReserve is the part of Options.PropagationLimit that is left for learning of a change from
 	// the store or from other routers.
 	confirmReserve = 400 * time.Millisecond
-	// readReserve is that part where the store alone is asked.
+	// readReserve is that part for state that the store alone confirms.
 	readReserve = 250 * time.Millisecond
 	// minRecheckInterval and maxRecheckInterval bound the pause between two attempts to have state confirmed.
 	minRecheckInterval = 300 * time.Millisecond
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -101,7 +101,7 @@
 	}
 }
 
-// watch waits for changes, for as long as it returns.
+// watch waits for changes, for as long as waited of the result says.
 func (w *watcher) watch(ctx context.Context) (*change, kv.Revision, error) {
 	asked, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/peer/feed/age.go
+++ b/peer/feed/age.go
@@ -23,8 +23,8 @@
 type ageEstimator struct {
 	// began is when this router began to connect.
 	began time.Duration
-	// minOffset is the least difference between an arrival and when the update was sent that is possible, by the first
-	// update, and fastest the least that was seen of the updates so far.
+	// minOffset is the least possible difference between the arrival of an update and when it was sent, each by the clock of
+	// its router: the first update was not sent before began. fastest is the least difference that was seen.
 	minOffset, fastest time.Duration
 	updates            int
 }
@@ -46,7 +46,7 @@
 	return max(sent-confirmed, 0) + offset - e.minOffset, true
 }
 
-// errIfUncertain returns an error if the updates could be known to be more recent on another connection.
+// errIfUncertain returns errSlowStart if the updates would count as much more recent on another connection.
 func (e *ageEstimator) errIfUncertain() error {
 	if e.updates >= startUpdates && e.fastest-e.minOffset > maxStartDelay {
 		return errSlowStart
