Read load reports with more figures than are known, and count those that can't be read

Cause: platform.DecodeLoad took exactly three figures, so each report of a target that states a fourth was dropped without a trace, and routers placed requests by their own work alone.

Change: three figures are required, the fourth (how long work takes on the target's machine now, in per cent of the usual time) is handed to core/dispatch, further ones are ignored.

--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -62,6 +62,9 @@
 // requests and its slots.
 type Report struct {
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the target's machine at the moment, in per cent of the
+	// usual time; zero if the target doesn't say.
+	WorkPercent int
 }
 
 // targetState is what this router knows and estimates about one target.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,6 +52,7 @@
 	sizes               sizes
 	callerAges          callerAges
 	guard               *crashguard.Guard
+	unreadableReports   *unreadableReports
 	// paths are this router's ways to the targets, relays the routers through which others may reach
 	// them, kept while this router leads, and relayServer passes on connections for others.
 	paths       *paths
@@ -107,6 +108,7 @@
 	g.relays = newRelayDirectory(g)
 	g.relayServer = g.newRelayServer()
 	g.guard = newGuard(g)
+	g.unreadableReports = &unreadableReports{g: g}
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
 	if err := g.listen(); err != nil {
 		g.cancel()
@@ -309,11 +311,14 @@
 
 // observeAnswer records the load report in an answer's header.
 func (g *Gateway) observeAnswer(t *directory.Target, h http.Header) {
-	report, ok := g.opts.Adapter.DecodeLoad(h)
-	if !ok {
+	report, err := g.opts.Adapter.DecodeLoad(h)
+	if err != nil {
+		g.unreadableReports.observe(t, err)
+	}
+	if report == nil {
 		return
 	}
 	if s := g.service(t.Service); s != nil {
-		s.recordReport(t.ID, report)
+		s.recordReport(t.ID, *report)
 	}
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -40,7 +40,8 @@
 	DecodeConfig func(value []byte) (*routes.Config, error)
 	DecodeTarget func(key string, value []byte) (directory.Target, error)
 	TargetID     func(key string) string
-	DecodeLoad   func(h http.Header) (dispatch.Report, bool)
+	// DecodeLoad returns nil if the header has no load report.
+	DecodeLoad func(h http.Header) (*dispatch.Report, error)
 	// SendOrder sends an order to its target. The error says why an order was not accepted. No part
 	// of the order is sent after until, a time of clock.Boot.
 	SendOrder func(ctx context.Context, o *assign.Order, until time.Duration) (assign.Outcome, string, error)
