Know evacuations and cold targets also after a hold-up of the process

Where data centres are evacuated, the watch of the configuration waits 0.7 s and confirms itself. The answer is now ordered by the revision of the evacuation's end, and the feed carries that; every router assumes by itself that targets may be cold until it knows the answer. - A cold holder of more keys than a mean target got 11 in a second, where it bears 10.4: the estimate is by its own part of the keys.

--- a/cmd/tarragongw/leaving_run_test.go
+++ b/cmd/tarragongw/leaving_run_test.go
@@ -79,15 +79,15 @@
 	how     string
 }
 
-func newLeavingRun(ctx context.Context, t *testing.T, seed uint64, routers int) *leavingRun {
+func newLeavingRun(ctx context.Context, t *testing.T, seed uint64, routers int, config, bounds string) *leavingRun {
 	t.Helper()
 	r := &leavingRun{
-		system: &system{t: t, bin: t.TempDir(), store: platformtest.NewStore()},
+		system: &system{t: t, bin: t.TempDir(), store: platformtest.NewStore(), bounds: bounds},
 		random: rand.New(rand.NewPCG(seed, 0)), ctx: ctx, present: map[string]*livingTarget{}, served: map[string]int{},
 	}
 	t.Cleanup(r.store.Close)
 	buildCommands(t, r.bin)
-	r.store.Put(platform.ConfigKey, []byte(leavingConfig))
+	r.store.Put(platform.ConfigKey, []byte(config))
 	for range 4 {
 		r.join("keyed")
 		r.join("any")
@@ -104,7 +104,7 @@
 	defer r.mu.Unlock()
 	id := fmt.Sprintf("%s-%d", service, r.nextTarget)
 	r.nextTarget++
-	target := platformtest.NewTarget(id, service, "hall", service == "keyed")
+	target := platformtest.NewTarget(id, service, dataCentreOf(r.nextTarget), service == "keyed")
 	target.Slots = 16
 	target.SetServiceTime(3 * time.Millisecond)
 	r.t.Cleanup(target.Close)
@@ -125,6 +125,9 @@
 	})
 }
 
+// dataCentreOf returns the data centre of the target with a number: two targets of each service in turn.
+func dataCentreOf(n int) string { return []string{"hall", "annex"}[n/2%2] }
+
 // leave makes a target of the service leave: it drains, or its entry is removed. It serves on for leavingServes.
 func (r *leavingRun) leave(service string) {
 	r.mu.Lock()
@@ -243,12 +246,10 @@
 	}
 }
 
-func runLeaving(t *testing.T, seed uint64, length time.Duration) {
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	r := newLeavingRun(ctx, t, seed, 4)
+// callAndStop sends requests through all routers, and stops these again and again, until the run ends.
+func (r *leavingRun) callAndStop(seed uint64) {
 	for _, p := range r.routers {
-		eventually(t, p.name+" serves", func() bool { return r.getStatus(p, 1) == http.StatusOK })
+		eventually(r.t, p.name+" serves", func() bool { return r.getStatus(p, 1) == http.StatusOK })
 	}
 	for _, p := range r.routers {
 		for n := range 2 {
@@ -261,24 +262,37 @@
 	r.jobs.Go(func() {
 		r.stopAgainAndAgain(anyRouter, maxRouterPause, func() *process { return r.routers[anyRouter.IntN(len(r.routers))] })
 	})
-	for began := time.Now(); time.Since(began) < length; r.sleep(time.Duration(300+r.random.IntN(900)) * time.Millisecond) {
-		service := []string{"keyed", "any"}[r.random.IntN(2)]
-		r.join(service)
-		r.leave(service)
-	}
-	r.sleep(leavingServes)
+}
+
+// end ends the run once what has begun is over, and keeps the routers' logs if any request was late.
+func (r *leavingRun) end(cancel context.CancelFunc, seed uint64, late func() []string) {
 	cancel()
 	for _, p := range r.routers {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	}
 	r.jobs.Wait()
-	t.Logf("seed %d: %d targets left; answers: %v", seed, len(r.departures), r.served)
-	late := r.late()
-	if len(late) > 0 && *leavingLogs != "" {
+	r.t.Logf("seed %d: answers: %v", seed, r.served)
+	all := late()
+	if len(all) > 0 && *leavingLogs != "" {
 		for _, p := range r.routers {
 			name := filepath.Join(*leavingLogs, fmt.Sprintf("seed-%d-%s.log", seed, p.name))
-			assert.NilError(t, os.WriteFile(name, []byte(p.output.String()), 0o600))
+			assert.NilError(r.t, os.WriteFile(name, []byte(p.output.String()), 0o600))
 		}
 	}
-	assert.Equal(t, len(late), 0, "%s", strings.Join(late, "\n"))
+	assert.Equal(r.t, len(all), 0, "%s", strings.Join(all, "\n"))
+}
+
+func runLeaving(t *testing.T, seed uint64, length time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := newLeavingRun(ctx, t, seed, 4, leavingConfig, "")
+	r.callAndStop(seed)
+	for began := time.Now(); time.Since(began) < length; r.sleep(time.Duration(300+r.random.IntN(900)) * time.Millisecond) {
+		service := []string{"keyed", "any"}[r.random.IntN(2)]
+		r.join(service)
+		r.leave(service)
+	}
+	r.sleep(leavingServes)
+	t.Logf("%d targets left", len(r.departures))
+	r.end(cancel, seed, r.late)
 }
--- a/cmd/tarragongw/serve_pause_test.go
+++ b/cmd/tarragongw/serve_pause_test.go
@@ -39,6 +39,8 @@
 	store   *platformtest.Store
 	targets []*platformtest.Target
 	routers []*process
+	// bounds are further lines of the routers' settings under terms.bounds.
+	bounds string
 }
 
 // newSystem starts the store, the targets and the routers.
@@ -88,7 +90,7 @@
 budget_window = "10s"
 budget_min_retries = 64
 hold_max = "10000ms"
-`, name, first+2, first+3, address(0), address(1), s.store.Address())
+%s`, name, first+2, first+3, address(0), address(1), s.store.Address(), s.bounds)
 	assert.NilError(s.t, os.WriteFile(p.settingsPath, []byte(settings), 0o600))
 	cmd := exec.Command(filepath.Join(s.bin, "tarragongw"), "serve")
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath)
--- a/core/directory/cold.go
+++ b/core/directory/cold.go
@@ -20,23 +20,42 @@
 	}
 }
 
-// SetCold records for how long an instance of a target is still cold by its own answer; zero if it is not.
+// SetCold records for how long an instance of a target that AssumeCold has named is still cold by its own answer; zero if it
+// is not. Reports up to the revision of AssumeCold say nothing against that.
 func (d *Directory) SetCold(now time.Time, h keyspace.Holder, coldFor time.Duration) {
 	e := d.entries[h.Target]
 	if e == nil || e.target.Holder() != h {
 		return
 	}
-	e.assumedColdUntil = time.Time{}
+	e.setColdAnswer(now, coldFor, e.assumedColdIn)
+}
+
+// takeColdAnswer takes the answer that came with a report, if it is a newer one than is known, and returns whether it did.
+func (e *entry) takeColdAnswer(now time.Time, t *Target) bool {
+	if t.StartUnixMilli != e.target.StartUnixMilli || t.ColdAskedIn <= e.coldAskedIn || t.ColdAskedIn < e.assumedColdIn {
+		return false
+	}
+	e.setColdAnswer(now, t.ColdFor, t.ColdAskedIn)
+	return true
+}
+
+// setColdAnswer records the target's answer as of a revision.
+func (e *entry) setColdAnswer(now time.Time, coldFor time.Duration, revision uint64) {
+	e.assumedColdUntil, e.assumedColdIn, e.coldAskedIn = time.Time{}, revision, revision
 	if coldFor > 0 {
-		e.target.ColdUntil = now.Add(coldFor)
+		e.assumedColdUntil = now.Add(coldFor)
 	}
 }
 
 // keepAssumedCold keeps what was assumed before a report, unless the report was written after that. old is the entry before
 // the report, or nil.
 func (e *entry) keepAssumedCold(old *entry) {
-	if old != nil && old.target.StartUnixMilli == e.target.StartUnixMilli && (e.target.Revision == 0 || e.target.Revision <= old.assumedColdIn) {
-		e.assumedColdUntil, e.assumedColdIn = old.assumedColdUntil, old.assumedColdIn
+	if old == nil || old.target.StartUnixMilli != e.target.StartUnixMilli {
+		return
+	}
+	e.assumedColdIn, e.coldAskedIn = old.assumedColdIn, old.coldAskedIn
+	if e.target.Revision == 0 || e.target.Revision <= old.assumedColdIn {
+		e.assumedColdUntil = old.assumedColdUntil
 	}
 }
 
--- a/core/directory/cold_test.go
+++ b/core/directory/cold_test.go
@@ -58,12 +58,35 @@
 	assert.Equal(t, coldOnly(t, d), at(1200))
 	d.SetCold(at(300), keyspace.Holder{Target: "a", StartUnixMilli: 7}, 0)
 	assert.Equal(t, coldOnly(t, d), at(1200), "another instance")
+	d.Put(at(400), Target{ID: "a", DataCentre: "hall", Seq: 2, Revision: 9})
+	assert.Equal(t, coldOnly(t, d), at(1200), "a report that was written before the target became cold, and read late")
 }
 
-// Guards against followers that ramp a target up slowly which its leader took to be cold by mistake.
-func TestFollowerForgetsAColdTimeThatWasAMistake(t *testing.T) {
-	d := New()
-	d.Adopt(at(0), true, []Target{{ID: "a", Revision: 4, ColdFor: 3 * time.Second}}, nil, 10)
-	assert.Assert(t, d.Put(at(300), Target{ID: "a", Revision: 11}))
-	assert.Assert(t, coldOnly(t, d).IsZero())
+// Guards against followers that don't take a target's answer from the leader, because they have a later report of the target,
+// and against ones that take an older answer.
+func TestFollowerTakesTheAnswerWhateverReportItHas(t *testing.T) {
+	leader, follower := New(), New()
+	for _, d := range []*Directory{leader, follower} {
+		d.Put(at(0), Target{ID: "a", DataCentre: "hall", Revision: 4})
+		d.AssumeCold(at(100), "hall", 10, func(string) time.Duration { return 3 * time.Second })
+	}
+	assert.Assert(t, leader.KnownTargets()[0].ColdUntil.IsZero(), "an assumption is not passed on")
+	follower.Put(at(150), Target{ID: "a", DataCentre: "hall", Revision: 9})
+	tell := func(ms int) bool {
+		all := leader.KnownTargets()
+		all[0].ColdFor = max(all[0].ColdUntil.Sub(at(ms)), 0)
+		return follower.Adopt(at(ms), true, all, nil, 10)
+	}
+	tell(180)
+	assert.Equal(t, coldOnly(t, follower), at(3100))
+	leader.SetCold(at(200), keyspace.Holder{Target: "a"}, time.Second)
+	assert.Assert(t, tell(300))
+	assert.Equal(t, coldOnly(t, follower), at(1200))
+	follower.AssumeCold(at(2000), "hall", 20, func(string) time.Duration { return 3 * time.Second })
+	tell(2100)
+	assert.Equal(t, coldOnly(t, follower), at(5000), "an answer from before")
+	leader.AssumeCold(at(2000), "hall", 20, func(string) time.Duration { return 3 * time.Second })
+	leader.SetCold(at(2200), keyspace.Holder{Target: "a"}, 0)
+	assert.Assert(t, tell(2300))
+	assert.Assert(t, !coldOnly(t, follower).After(at(2300)))
 }
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -34,6 +34,9 @@
 	// started. ColdUntil is when that ends; the Directory sets it.
 	ColdFor   time.Duration
 	ColdUntil time.Time
+	// ColdAskedIn is the revision of the store as of which ColdFor is the target's answer to that question; zero if it was
+	// not asked.
+	ColdAskedIn uint64
 	// Seq counts the reports of one instance.
 	Seq uint64
 	// Revision orders the reports of a target, whichever way they come: it is the revision of the entry in the store
@@ -72,6 +75,8 @@
 	// otherwise; zero for no assumption.
 	assumedColdUntil time.Time
 	assumedColdIn    uint64
+	// coldAskedIn is Target.ColdAskedIn of the last answer.
+	coldAskedIn uint64
 }
 
 // Directory is this router's view of all targets. It is not safe for concurrent use.
@@ -102,9 +107,10 @@
 // after all: only another instance of it does.
 func (d *Directory) Put(now time.Time, t Target) bool {
 	old, known := d.entries[t.ID]
+	answered := known && old.takeColdAnswer(now, &t)
 	if d.outdated(&t) {
 		d.noticeOutdated(&t)
-		return false
+		return answered
 	}
 	t.ColdUntil = reportedCold(old, now, &t)
 	d.noticeReport(&t)
@@ -114,7 +120,7 @@
 	if !known || !old.removeAt.IsZero() {
 		return true
 	}
-	if coldChanged(now, old, d.entries[t.ID]) {
+	if answered || coldChanged(now, old, d.entries[t.ID]) {
 		return true
 	}
 	before, after := old.target, t
@@ -297,10 +303,23 @@
 
 // Targets returns the targets that were not removed, ordered by service and ID.
 func (d *Directory) Targets() []Target {
+	return d.targets(func(*entry) bool { return true })
+}
+
+// KnownTargets returns the same, but targets that only count as cold by assumption are returned by their reports: who adopts
+// them assumes that by itself.
+func (d *Directory) KnownTargets() []Target {
+	return d.targets(func(e *entry) bool { return e.coldAskedIn == e.assumedColdIn })
+}
+
+func (d *Directory) targets(assumed func(e *entry) bool) []Target {
 	targets := make([]Target, 0, len(d.entries))
 	for _, e := range d.entries {
 		t := e.target
-		t.ColdUntil = e.coldUntil()
+		if assumed(e) {
+			t.ColdUntil = e.coldUntil()
+		}
+		t.ColdAskedIn = e.coldAskedIn
 		targets = append(targets, t)
 	}
 	sort.Slice(targets, func(i, j int) bool {
--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"tarragongw/core/fault"
+	"tarragongw/core/keyspace"
 )
 
 const (
@@ -165,17 +166,28 @@
 }
 
 // admittedCold reports whether a request for a key of the target is sent, as far as that is cold. What all routers are asked
-// for is estimated from what this one is: by the keys of a mean target, or by this target's if those were asked for more
-// before this request.
+// for is estimated from what this one is: by the target's part of the keys, or by what these were asked for before this
+// request if that is more.
 func (s *Service) admittedCold(now time.Time, t *targetState) bool {
 	rate, limited := s.coldRate(now, t)
 	if !limited {
 		return true
 	}
-	asked := max(s.cold.asked.value(now)/float64(max(len(s.targetList), 1)), t.asked.value(now)-1/askMemory.Seconds())
+	asked := max(s.cold.asked.value(now)*s.keyShare(t), t.asked.value(now)-1/askMemory.Seconds())
 	return s.random.Float64()*asked < rate*s.cold.part
 }
 
+// keyShare returns the part of all keys that the target holds.
+func (s *Service) keyShare(t *targetState) float64 {
+	keys := 0
+	for i := range s.table.Segments {
+		if segment := &s.table.Segments[i]; segment.Target == t.ID {
+			keys += segment.Len()
+		}
+	}
+	return float64(keys) / float64(int(keyspace.LastKey)+1)
+}
+
 // coldHolder returns the block that refuses a request whose key is held by a cold target.
 func (s *Service) coldHolder(now time.Time, t *targetState) *block {
 	warm := time.Duration((1 + s.random.Float64()) * float64(max(laterOf(t.ColdUntil, t.returnsUntil).Sub(now), rampDoubling)))
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -99,7 +99,7 @@
 		cs.handleConfig(&change{records: []kv.Record{{Key: cs.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
 	}
 	if u.Evacuations != nil {
-		cs.adoptEvacuations(u.Evacuations, evacuationNews{toldBy: cs.g.subscription.knownLeader().name, tellsCold: true})
+		cs.adoptEvacuations(u.Evacuations, cs.g.subscription.knownLeader().name)
 	}
 	changed := cs.directory.Adopt(time.Now(), u.TargetsComplete, u.Targets, cs.removedTargets(u), u.TargetsRevision)
 	cs.logLeaving(cs.g.subscription.knownLeader().name)
@@ -286,9 +286,8 @@
 func (cs *clusterState) publishTargets(changed bool) {
 	cs.logLeaving(toldByStore)
 	if changed {
-		targets := cs.directory.Targets()
-		cs.g.subscription.source.SetTargets(targets, cs.directory.Revision())
-		targets = cs.markEvacuated(targets)
+		cs.g.subscription.source.SetTargets(cs.directory.KnownTargets(), cs.directory.Revision())
+		targets := cs.markEvacuated(cs.directory.Targets())
 		cs.g.sends.setLeaving(cs.directory.LeavingOrGone())
 		cs.g.sends.setEvacuated(targets)
 		cs.g.setTargets(targets)
--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -131,7 +131,7 @@
 		cs.confirm(&stateConfirmed{config: true, version: s.ConfigVersion, at: m.askedAt - s.ConfigAge})
 	}
 	if s.Evacuations != nil {
-		cs.adoptEvacuations(s.Evacuations, evacuationNews{toldBy: toldByRouter})
+		cs.adoptEvacuations(s.Evacuations, toldByRouter)
 		if slices.Equal(s.Evacuations.Records, cs.evacuations.Snapshot().Records) {
 			cs.confirm(&stateConfirmed{evacuations: true, at: m.askedAt - s.EvacuationsAge})
 		}
--- a/gateway/evacuations.go
+++ b/gateway/evacuations.go
@@ -52,24 +52,17 @@
 	default:
 		cs.evacuations.Replace(now, listed, uint64(c.revision))
 	}
-	cs.publishEvacuations(&before, evacuationNews{toldBy: toldByStore})
-}
-
-// evacuationNews says where news of evacuations come from.
-type evacuationNews struct {
-	toldBy string
-	// tellsCold says that the source tells as well which targets are or may be cold.
-	tellsCold bool
+	cs.publishEvacuations(&before, toldByStore)
 }
 
 // adoptEvacuations records what another router knows.
-func (cs *clusterState) adoptEvacuations(known *evacuation.Snapshot, from evacuationNews) {
+func (cs *clusterState) adoptEvacuations(known *evacuation.Snapshot, toldBy string) {
 	if !cs.g.evacuates() {
 		return
 	}
 	before := cs.evacuations.Snapshot()
 	cs.evacuations.Adopt(time.Now(), *known)
-	cs.publishEvacuations(&before, from)
+	cs.publishEvacuations(&before, toldBy)
 }
 
 // confirmEvacuations records that the evacuated data centres were known at a time.
@@ -83,26 +76,25 @@
 
 // publishEvacuations passes the evacuations on to the request path, the leader duty and the followers if they differ from
 // those before.
-func (cs *clusterState) publishEvacuations(before *evacuation.Snapshot, from evacuationNews) {
+func (cs *clusterState) publishEvacuations(before *evacuation.Snapshot, toldBy string) {
 	current := cs.evacuations.Snapshot()
 	same := slices.Equal(before.Records, current.Records)
-	if !same {
-		cs.useEvacuations(before, from)
-	}
-	// After the targets: followers must not learn of an end before they know which targets may be cold.
 	if before.Revision == 0 || !same || before.RestoredAt != current.RestoredAt {
 		cs.g.subscription.source.SetEvacuations(current)
 	}
+	if !same {
+		cs.useEvacuations(before, toldBy)
+	}
 }
 
 // useEvacuations puts evacuations that differ from those before in force at this router.
-func (cs *clusterState) useEvacuations(before *evacuation.Snapshot, from evacuationNews) {
+func (cs *clusterState) useEvacuations(before *evacuation.Snapshot, toldBy string) {
 	for _, r := range before.Records {
-		if _, inForce := cs.evacuations.InForce(r.DataCentre); !inForce && !from.tellsCold {
+		if _, inForce := cs.evacuations.InForce(r.DataCentre); !inForce {
 			cs.assumeCold(r.DataCentre)
 		}
 	}
-	cs.logEvacuations(before, from.toldBy)
+	cs.logEvacuations(before, toldBy)
 	cs.g.evacuated.Store(cs.evacuations.All())
 	if cs.knownPrefixes[cs.g.opts.Adapter.TargetPrefix] {
 		cs.publishTargets(true)
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -53,7 +53,20 @@
 	if sub.targetsWatch == nil || sub.configWatch == nil || !sub.configWatch.healthy.Load() {
 		return nil
 	}
-	return sub.targetsWatch.confirmedAt.Load()
+	confirmed := sub.targetsWatch.confirmedAt.Load()
+	if own := sub.configWatch.confirmedAt.Load(); sub.g.evacuates() && confirmed != nil && own.Before(*confirmed) {
+		return own
+	}
+	return confirmed
+}
+
+// configWatchWait returns how long a watch for the configuration waits. Where data centres are evacuated, its own answers
+// have to show that it missed nothing: that another watch was answered doesn't, after a hold-up of this process.
+func (sub *subscription) configWatchWait() time.Duration {
+	if sub.g.evacuates() {
+		return evacuationsWatchWait
+	}
+	return sub.rareChangeWait()
 }
 
 // constantPause returns a pause that doesn't depend on the changed records.
@@ -128,7 +141,7 @@
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	if sub.configWatch == nil {
-		sub.configWatch = sub.startWatch(sub.g.opts.Adapter.ConfigPrefix, constantPause(configWatchPause), sub.rareChangeWait())
+		sub.configWatch = sub.startWatch(sub.g.opts.Adapter.ConfigPrefix, constantPause(configWatchPause), sub.configWatchWait())
 	}
 	if sub.targetsWatch == nil {
 		sub.targetsWatch = sub.startWatch(sub.g.opts.Adapter.TargetPrefix, constantPause(targetsWatchPause), targetsWatchWait)
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -41,6 +41,8 @@
 	// targetsWatchWait is the longest wait of a watch for targets. It is shorter, because the leader
 	// has to notice when the store no longer answers.
 	targetsWatchWait = 400 * time.Millisecond
+	// evacuationsWatchWait is the longest wait of a watch for the configuration where data centres are evacuated.
+	evacuationsWatchWait = 700 * time.Millisecond
 	// freshnessLimit is how long ago the last answer to a targets watch may be while the leader still
 	// counts as up to date: a pause, a wait, and the duration of a slow call.
 	freshnessLimit = targetsWatchPause + targetsWatchWait + 150*time.Millisecond
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -122,7 +122,7 @@
 	coldFor := max(t.ColdUntil.Sub(now), 0)
 	return &feedpb.Target{
 		Id: t.ID, Born: t.StartUnixMilli, Address: t.Address, Service: t.Service, DataCentre: t.DataCentre,
-		Slots: int32(t.Slots), Draining: t.Draining, ColdMs: coldFor.Milliseconds(), Revision: t.Revision,
+		Slots: int32(t.Slots), Draining: t.Draining, ColdMs: coldFor.Milliseconds(), Revision: t.Revision, ColdAskedIn: t.ColdAskedIn,
 	}
 }
 
@@ -130,7 +130,7 @@
 	return directory.Target{
 		ID: t.GetId(), StartUnixMilli: t.GetBorn(), Address: t.GetAddress(), Service: t.GetService(), DataCentre: t.GetDataCentre(),
 		Slots: int(t.GetSlots()), Draining: t.GetDraining(), ColdFor: time.Duration(t.GetColdMs()) * time.Millisecond,
-		Revision: t.GetRevision(),
+		Revision: t.GetRevision(), ColdAskedIn: t.GetColdAskedIn(),
 	}
 }
 
