--- a/cmd/tarragongw/serve.go
+++ b/cmd/tarragongw/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"os"
@@ -40,14 +41,20 @@
 		Name:  "serve",
 		Usage: "run one router on the platform until SIGTERM; the environment variable " + platform.SettingsVariable + " names its settings file",
 		Flags: []cli.Flag{
-			&cli.BoolFlag{Name: "check", Usage: "check the settings file, report its errors and exit"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings file, report its errors or what holds by it, and exit"},
 			&cli.StringFlag{Name: "log-level", Usage: "debug, info, warn or error", Value: "info"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			settings, err := platform.LoadSettings()
-			if err != nil || c.Bool("check") {
+			if err != nil {
 				return err
 			}
+			if c.Bool("check") {
+				for _, line := range settings.Describe() {
+					fmt.Fprintln(c.Root().Writer, line)
+				}
+				return nil
+			}
 			return serve(settings, c.String("log-level"))
 		},
 	}
