Take a target for cold only after several failed tries to reach it

Cause: one connection that could not be opened had a router count its target as cold for 1.5 s and the ramp after it, at each of 84 routers, also where targets only reset connections beyond their cap.

Change: that holds once the pause between tries has reached its longest, about 1.4 s after the first.

Ways: after each failure (stands), after several (taken).

--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -19,13 +19,15 @@
 	// rampDoubling is the time in which the rate doubles after a target was cold, and rampSteps how often it does at most.
 	rampDoubling = 400 * time.Millisecond
 	rampSteps    = 6
-	// returnedFor is for how long a target counts as cold once it can be reached again: until a report of its own says
-	// whether it is.
+	// returnedFor is for how long a target counts as cold once it can be reached again after several tries: until a report of
+	// its own says whether it is.
 	returnedFor = 1500 * time.Millisecond
 	// askMemory is the time constant of the rates at which this router is asked for keys.
 	askMemory = 4 * time.Second
 	// maxColdRetryAfter bounds the advised wait of requests for keys of a cold target.
 	maxColdRetryAfter = 4 * time.Second
+	// maxPermitWait is longer than any target is cold.
+	maxPermitWait = time.Hour
 )
 
 // ColdTolerance says by how much the requests of one second at a cold target may exceed what its service states.
@@ -142,9 +144,6 @@
 	return after.Add(time.Duration(min(s.random.ExpFloat64()/rate, maxPermitWait.Seconds()) * float64(time.Second)))
 }
 
-// maxPermitWait is longer than any target is cold.
-const maxPermitWait = time.Hour
-
 // usePermit records that a request is sent to the target.
 func (s *Service) usePermit(now time.Time, t *targetState) {
 	if rate, limited := s.coldRate(now, t); limited && rate*s.cold.part > 0 {
--- a/core/dispatch/cold_test.go
+++ b/core/dispatch/cold_test.go
@@ -242,3 +242,22 @@
 	s.SetTargets([]directory.Target{gone, stays})
 	assert.Equal(t, s.Offer(start, newRequest(10)).Target.ID, "a")
 }
+
+// Guards against a target that is down for a while, comes back cold, and is overrun before a report says so; and against one
+// that counts as cold after a single broken connection.
+func TestTargetThatReturnsAfterSeveralTriesCountsAsCold(t *testing.T) {
+	for failures, cold := range map[int]bool{1: false, 4: true} {
+		s := newService(target("a", "here"))
+		s.LimitCold(coldTolerance.Rate(coldPerSecond))
+		s.SetShare(1.0 / coldRouters)
+		now := start
+		for range failures {
+			a := s.targetByID["a"]
+			now = laterOf(now, a.nextConnectAt)
+			a.inFlight++
+			s.Done(now, "a", Unreachable, 0, 1)
+		}
+		_, limited := s.coldRate(s.targetByID["a"].nextConnectAt, s.targetByID["a"])
+		assert.Equal(t, limited, cold, "%d failures", failures)
+	}
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -314,7 +314,9 @@
 	}
 	t.connectBackoff = min(max(2*t.connectBackoff, minConnectBackoff), maxConnectBackoff)
 	t.nextConnectAt = now.Add(t.connectBackoff)
-	t.returnsUntil = t.nextConnectAt.Add(returnedFor)
+	if t.connectBackoff == maxConnectBackoff {
+		t.returnsUntil = t.nextConnectAt.Add(returnedFor)
+	}
 }
 
 // cutQueueLimit lowers the queue limit after a request was refused, failed or timed out.
