--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -50,7 +50,7 @@
 	config  bool
 	version uint64
 	targets bool
-	// evacuations is set if the evacuated data centres were known.
+	// evacuations is set if the evacuated data centres were the newest.
 	evacuations bool
 	// at is by the clock that goes on during suspension.
 	at time.Duration
--- a/gateway/sendlimits.go
+++ b/gateway/sendlimits.go
@@ -37,7 +37,7 @@
 	read := func() error { return g.subscription.fetchTargets() }
 	l := &sendLimits{freshness: newFreshness(g, "targets", g.opts.LeavingLimit, read)}
 	if g.evacuates() {
-		// The state of the configuration is confirmed in the background by the same call, see stateAge.
+		// One call reads the configuration and the evacuations, so that stateAge has both confirmed in the background.
 		l.evacuations = newFreshness(g, "evacuations", g.opts.EvacuationLimit, func() error { return g.subscription.fetchConfig() })
 	}
 	if tel := g.opts.Telemetry; tel != nil && l.evacuations != nil {
