--- a/core/assign/leasetime.go
+++ b/core/assign/leasetime.go
@@ -38,7 +38,7 @@
 // SetWorkTime sets how long nearly all runs take. Grants last for that and a renewal, within Config's bounds.
 func (a *Assigner) SetWorkTime(d time.Duration) {
 	wanted := d + a.cfg.RenewInterval + workReserve
-	wanted = (wanted + grantTTLStep - 1).Truncate(grantTTLStep)
+	wanted = (wanted + grantTTLStep - 1) / grantTTLStep * grantTTLStep
 	a.grantTimes.wanted = min(max(wanted, a.cfg.GrantTTL), a.cfg.OutageGrantTTL)
 	if a.grantTimes.wanted > a.grantTimes.declared {
 		a.grantTimes.declared = a.grantTimes.wanted
