Reset the connection of an abandoned request, so that none of it is delivered later

Cause: its path was lost while it was sent. The router gave up and closed the connection as usual, and the kernel goes on sending what was written until the path is back. No check at the time of sending can hold that.

Change: an abort of an exchange, and of one that failed, discards what was not sent (SO_LINGER 0). A connection that is not reused after a whole answer is closed as before. Not changed: the connection of a router on the way, which closes as before (open).

--- a/target/attempt.go
+++ b/target/attempt.go
@@ -339,7 +339,7 @@
 	}
 	reuse := x.stopWatch() && x.keepConn && !x.closing.Load() && x.upload.waitSent()
 	if !reuse || x.conn.br.Buffered() > 0 {
-		x.conn.abort()
+		x.conn.raw.Close()
 		x.upload.stop()
 		x.freeConn(kind)
 		return
--- a/target/conn.go
+++ b/target/conn.go
@@ -73,7 +73,7 @@
 	opts       AttemptOptions
 	started    bool
 	writeFault *fault.Fault
-	// abort closes the raw connection.
+	// abort closes the raw connection and discards what was not sent.
 	abort func()
 
 	br *bufio.Reader
@@ -83,7 +83,10 @@
 func newConn(raw net.Conn, progressTimeout time.Duration, now time.Time) *conn {
 	c := &conn{raw: raw, progressTimeout: progressTimeout, opened: now, headerLeft: -1}
 	c.stream = c
-	c.abort = func() { raw.Close() }
+	c.abort = func() {
+		discardUnsent(raw)
+		raw.Close()
+	}
 	if sc, ok := raw.(syscall.Conn); ok {
 		if sock, err := sc.SyscallConn(); err == nil {
 			c.sock = sock
@@ -240,12 +243,20 @@
 // Otherwise the count could be read as zero while the writer goroutine hands the header to
 // the kernel, and a request that ran would be reported as not run.
 func (c *conn) closeAndWait() {
-	c.raw.Close()
+	c.abort()
 	c.writeMu.Lock()
 	c.writesClosed = true
 	c.writeMu.Unlock()
 }
 
+// discardUnsent makes the next close reset the connection. Otherwise the kernel would go on sending an abandoned request, and
+// deliver it seconds later, once a lost path is back: by then the target may have left.
+func discardUnsent(raw net.Conn) {
+	if tcp, ok := raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // it may be closed already
+	}
+}
+
 // wrote reports whether the count of sent bytes exceeds before. A response can arrive before
 // the writer goroutine has counted what it sent, so wrote waits for a write in progress.
 func (c *conn) wrote(before int64) bool {
