--- a/lab/account/account.go
+++ b/lab/account/account.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -117,7 +118,7 @@
 	slices.SortStableFunc(prices, func(a, b []any) int {
 		_, _, x, _ := decodeRow(a)
 		_, _, y, _ := decodeRow(b)
-		return -compare(x, y)
+		return cmp.Compare(y, x)
 	})
 	fmt.Fprint(w, "\n| price | quantity | lost |\n|---|---|---|\n")
 	for _, row := range prices {
@@ -134,7 +135,7 @@
 		asked += groups[i].Asked
 	}
 	sorted := slices.Clone(groups)
-	slices.SortStableFunc(sorted, func(a, b group) int { return -compare(a.lost().sum(), b.lost().sum()) })
+	slices.SortStableFunc(sorted, func(a, b group) int { return cmp.Compare(b.lost().sum(), a.lost().sum()) })
 	fmt.Fprintf(w, "\n| %s | asked | worth | lost, %% of all | late | refused | failed |\n|---|---|---|---|---|---|---|\n", title)
 	for i := range sorted[:min(most, len(sorted))] {
 		g := &sorted[i]
@@ -143,16 +144,6 @@
 	}
 }
 
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // decodeRow decodes a row of a name and two numbers.
 func decodeRow(row []any) (name string, first, second float64, ok bool) {
 	if len(row) < 3 {
