Name what a newcomer had to guess in the limit of cold targets and the feed's updates

Read once more from outside: two comments under another name than their function, and names that didn't say what is done. Names and comments only; the tests of core/dispatch, core/assign's grants and evacuations and gateway's evacuations and feeds pass.

--- a/core/assign/leasetime.go
+++ b/core/assign/leasetime.go
@@ -51,10 +51,10 @@
 // current is the TTL that grants have now.
 func (t *grantTimes) current() time.Duration { return min(t.wanted, t.stored) }
 
-// written records that the last write is stored.
-func (t *grantTimes) written() { t.stored = max(t.stored, t.sent) }
+// recordStored records that the last write is stored.
+func (t *grantTimes) recordStored() { t.stored = max(t.stored, t.sent) }
 
-// Table returns the TTL as the table has it: zero for the default.
+// inTable returns the longest TTL as the table has it: zero for the default.
 func (t *grantTimes) inTable(cfg *Config) time.Duration {
 	if t.declared <= cfg.GrantTTL {
 		return 0
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -73,7 +73,7 @@
 	a.writeInFlight = false
 	if ok {
 		a.writtenGeneration = max(a.writtenGeneration, generation)
-		a.grantTimes.written()
+		a.grantTimes.recordStored()
 		return
 	}
 	a.sentGeneration = a.writtenGeneration
--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -164,10 +164,10 @@
 	}
 }
 
-// admittedCold reports whether a request for a key of the target is sent, as far as that is cold. What all routers are asked
+// admitsCold reports whether a request for a key of the target is sent, as far as that is cold. What all routers are asked
 // for is estimated from what this one is: by the target's part of the keys, or by what these were asked for before this
 // request if that is more.
-func (s *Service) admittedCold(now time.Time, t *targetState) bool {
+func (s *Service) admitsCold(now time.Time, t *targetState) bool {
 	rate, limited := s.coldRate(now, t)
 	if !limited {
 		return true
@@ -187,15 +187,15 @@
 	return float64(keys) / float64(int(keyspace.LastKey)+1)
 }
 
-// coldHolder returns the block that refuses a request whose key is held by a cold target.
-func (s *Service) coldHolder(now time.Time, t *targetState) *block {
+// refuseColdHolder returns the block that refuses a request whose key is held by a cold target.
+func (s *Service) refuseColdHolder(now time.Time, t *targetState) *block {
 	warm := time.Duration((1 + s.random.Float64()) * float64(max(laterOf(t.ColdUntil, t.returnsUntil).Sub(now), rampDoubling)))
 	return &block{kind: fault.QueueFull, detail: "target " + t.ID + " is cold", wait: -1, retryAfter: min(warm, maxColdRetryAfter)}
 }
 
-// allCold returns the block for a request that only cold targets could take, with the time between two permits of this
+// awaitPermit returns the block for a request that only cold targets could take, with the time between two permits of this
 // router; nil if there is no such target.
-func (s *Service) allCold(now time.Time) *block {
+func (s *Service) awaitPermit(now time.Time) *block {
 	permits := 0.0
 	for _, t := range s.targetList {
 		if rate, limited := s.coldRate(now, t); limited && t.TakesNewWork() && !t.inConnectBackoff(now) {
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -395,7 +395,7 @@
 	if t := s.best(now, r); t != nil {
 		return t, nil
 	}
-	if cold := s.allCold(now); cold != nil {
+	if cold := s.awaitPermit(now); cold != nil {
 		return nil, cold
 	}
 	return nil, &block{kind: fault.NoOwner, detail: "no target takes work", wait: -1, retryAfter: noTargetRetryAfter}
@@ -423,8 +423,8 @@
 	if t.inConnectBackoff(now) {
 		return nil, &block{kind: fault.NoOwner, detail: "target " + t.ID + " can't be reached", wait: -1, retryAfter: t.nextConnectAt.Sub(now) + minRetryAfter}
 	}
-	if !s.admittedCold(now, t) {
-		return nil, s.coldHolder(now, t)
+	if !s.admitsCold(now, t) {
+		return nil, s.refuseColdHolder(now, t)
 	}
 	return t, nil
 }
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -8,10 +8,10 @@
 	leader       leaderStatus
 	// current is set if the leader reached the store when it sent its last update.
 	current bool
-	// evacuations is set once the leader has told which data centres are evacuated.
-	evacuations bool
-	// asked is set once the store was asked in place of the leader, which may be of an earlier version.
-	asked bool
+	// tellsEvacuations is set once the leader has told which data centres are evacuated.
+	tellsEvacuations bool
+	// askedStore is set once the store was asked in place of the leader, which may be of an earlier version.
+	askedStore bool
 }
 
 func (h *updateHandler) handle(u *feed.Update) {
@@ -42,16 +42,16 @@
 	sub.g.setServiceTimes(u.ServiceTimes)
 	sub.g.setLimits(u.Limits)
 	if u.Evacuations != nil {
-		h.evacuations = true
-	} else if !h.evacuations && !h.asked && sub.g.evacuates() {
-		h.asked = true
+		h.tellsEvacuations = true
+	} else if !h.tellsEvacuations && !h.askedStore && sub.g.evacuates() {
+		h.askedStore = true
 		sub.g.goRun(sub.refreshConfig)
 	}
 	if u.TargetsComplete || u.Evacuations != nil || len(u.Targets)+len(u.RemovedTargets)+len(u.Tables)+len(u.ConfigValue) > 0 || u.Routers > 0 && u.Routers != sub.g.routerCount() {
 		sub.g.state.duty.Tell(u)
 	}
 	if u.Confirmed {
-		sub.g.state.duty.Tell(&stateConfirmed{config: true, version: u.ConfigVersion, at: u.ConfirmedAt, targets: true, evacuations: h.evacuations})
+		sub.g.state.duty.Tell(&stateConfirmed{config: true, version: u.ConfigVersion, at: u.ConfirmedAt, targets: true, evacuations: h.tellsEvacuations})
 	}
 }
 
