Read the rate of the VM's link from the settings

Change: local_node.limits.link_mbps becomes Options.LinkBytesPerSecond, in bytes a second. Nothing uses it yet.

--- a/cmd/tarragongw/serve.go
+++ b/cmd/tarragongw/serve.go
@@ -118,7 +118,7 @@
 		Name: s.Name, DataCentre: s.DataCentre,
 		CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress, PeerAddress: s.PeerAddress,
 		Store:    platform.NewStore(s.StoreAddress),
-		LeaseMin: s.LeaseMin, StoreHistory: s.History, PropagationLimit: min(s.Drain, s.ConfigApply), LeavingLimit: s.Drain, EvacuationLimit: s.EvacuationLimit, MaxGrantTTL: s.MaxGrantTTL, Grace: s.Grace, CPUShare: s.CPUShare,
+		LeaseMin: s.LeaseMin, StoreHistory: s.History, PropagationLimit: min(s.Drain, s.ConfigApply), LeavingLimit: s.Drain, EvacuationLimit: s.EvacuationLimit, MaxGrantTTL: s.MaxGrantTTL, Grace: s.Grace, CPUShare: s.CPUShare, LinkBytesPerSecond: s.LinkBytesPerSecond,
 		RetryShare: s.RetryShare, RetryMin: s.RetryMin, RetryWindow: s.RetryWindow,
 		Cold:   dispatch.ColdTolerance{Factor: s.ColdFactor, Slack: s.ColdSlack},
 		Logger: logger, Telemetry: metrics,
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -83,6 +83,8 @@
 	MaxGrantTTL time.Duration
 	// CPUShare is the share of a core that this process gets; zero if unknown.
 	CPUShare float64
+	// LinkBytesPerSecond is the rate of this VM's network link; zero if unknown.
+	LinkBytesPerSecond float64
 	// Grace is the time from the request to stop until the platform kills the process.
 	Grace time.Duration
 	// RetryShare and RetryMin limit the attempts beyond the first that all routers together may make
