Hand the lead over to a router that can carry it

Cause: any router of half a core or less campaigned like the strongest, and the rate of its link counted for nothing. The comparison of reach did not help: it dials through the same full link.

Change: followers tell the leader their share of a core and link. The leader names the strongest of them as standbys, which campaign first when it is lost, and hands over to one that is clearly stronger than its own machine, or, when most of its orders are late, once to one that is not weaker (core/lead). A router that failed to lead declines for a while. Where all routers are alike nothing changes.

Tests: core/lead replays the renewals of 232 holders over a link that carries one in ten; the fleet's tests see the lead pass from a weak to a strong router without a refused request, and a standby take over.

--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -23,7 +23,7 @@
 			g.relays.join(router, term)
 			g.leader.duty.Tell(&followerJoined{router.Name, kv.Revision(term), promised})
 		},
-		OnLeave: g.relays.leave, OnReach: g.relays.setReach, OnRelay: g.relayServer.Serve,
+		OnCandidacy: g.relays.setCandidacy, OnLeave: g.relays.leave, OnReach: g.relays.setReach, OnRelay: g.relayServer.Serve,
 		OnBacked: g.subscription.recordFollowerPromise,
 	}
 	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -25,6 +25,9 @@
 	if u.Contacts != nil {
 		h.subscription.g.contacts.set(u.Contacts)
 	}
+	if u.Standbys != nil {
+		h.subscription.g.succession.name(u.Standbys.Routers)
+	}
 	if u.Stale {
 		h.handleStale(u)
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,7 @@
 	sends               *sendLimits
 	share               *routerShare
 	contacts            *contacts
+	succession          succession
 	sizes               sizes
 	callerAges          callerAges
 	guard               *crashguard.Guard
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -21,6 +21,7 @@
 	"tarragongw/core/directory"
 	"tarragongw/core/dispatch"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/lead"
 	"tarragongw/internal/syncbuffer"
 	"tarragongw/internal/waittest"
 	"tarragongw/kv"
@@ -63,6 +64,8 @@
 	// evacuatedWithin is Options.EvacuationLimit, and cold Options.Cold of gateways that are started.
 	evacuatedWithin time.Duration
 	cold            dispatch.ColdTolerance
+	// machine is the VM of gateways that are started, unknown by default.
+	machine lead.Machine
 	// slowPrefix is a prefix whose listings take slowListing for gateways that are started.
 	slowPrefix string
 	// metrics is Options.Telemetry of gateways that are started, which then serve it; nil for none.
@@ -275,6 +278,7 @@
 		MetricsAddress: metricsAddress, Telemetry: f.metrics,
 		Name: name, DataCentre: cmp.Or(f.dataCentre, "hall"), CallerAddress: "127.0.0.1:0", ReadyAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		Clock: f.clock, Store: f.links[name], DialTarget: dial, LeaseMin: time.Second, PropagationLimit: f.knownWithin, EvacuationLimit: f.evacuatedWithin, Cold: f.cold, MaxGrantTTL: 10 * time.Second, Grace: 3 * time.Second,
+		CPUShare: f.machine.CPUShare, LinkBytesPerSecond: f.machine.LinkBytesPerSecond,
 		RetryShare: 0.2, RetryMin: 60, RetryWindow: 10 * time.Second,
 		Logger: slog.New(slog.NewTextHandler(&f.log, nil)).With("router", name),
 		Adapter: Adapter{
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -11,6 +11,7 @@
 	"tarragongw/core/assign"
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/lead"
 	"tarragongw/core/routes"
 	"tarragongw/duty"
 	"tarragongw/kv"
@@ -173,6 +174,8 @@
 	quorum *quorum
 	// oldLeaderDeadlines is when the last grants of older leaders may arrive; nil if unknown.
 	oldLeaderDeadlines *grantDeadlines
+	// handover decides whether another router should lead.
+	handover *lead.Handover
 }
 
 // revision is the revision of the leader record; it identifies the term.
@@ -240,6 +243,12 @@
 	// earliest time of the next comparison.
 	comparing        bool
 	compareNotBefore time.Time
+	// handoverCheckDue is when the leader next decides whether another router should lead, and handingOver
+	// is set while it hands over. standbys are those that it last named, and overloaded is set while it
+	// knows no better router.
+	handoverCheckDue        time.Time
+	handingOver, overloaded bool
+	standbys                []string
 	// serviceTimesDue is when the targets' service times are published next.
 	serviceTimesDue time.Time
 }
@@ -414,9 +423,6 @@
 // isLowCPU reports whether a VM with this share of a core should lead only if no other can.
 func isLowCPU(share float64) bool { return share > 0 && share < lowCPUShare }
 
-// lowCPU reports whether this router's VM should lead only if no other can.
-func (g *Gateway) lowCPU() bool { return isLowCPU(g.opts.CPUShare) }
-
 func (l *leader) startCandidateTerm() (*term, error) {
 	ctx := l.g.lifetime
 	sent := l.g.opts.Clock.Now()
@@ -436,6 +442,9 @@
 	if m.err != nil {
 		l.g.log.Info("campaign failed", "err", m.err)
 		l.campaignNotBefore = time.Now().Add(campaignRetryDelay)
+		if !errors.Is(m.err, errOtherLeader) && l.g.leadPosition().IsStandby() {
+			l.g.succession.decline()
+		}
 		return
 	}
 	if l.stopping || l.observed.revision > m.term.revision() {
@@ -443,6 +452,7 @@
 		return
 	}
 	l.term = m.term
+	l.term.handover, l.handingOver, l.overloaded, l.standbys = lead.NewHandover(time.Now(), l.g.machine()), false, false, nil
 	promised := l.g.subscription.promisedToOther(leaderStatus{revision: m.term.revision()})
 	l.term.quorum = newQuorum(l.g.opts.Name, l.g.opts.Clock.Now()+promised)
 	l.observed = leaderStatus{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision(), present: true}
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -64,6 +64,7 @@
 		}
 	}
 	l.compareReach(t, now)
+	l.considerHandover(t, now)
 	return due
 }
 
@@ -250,6 +251,9 @@
 	if m.term != l.term {
 		return
 	}
+	if o.Kind == assign.Grant {
+		m.term.handover.RecordOrder(time.Now(), o.Holder.Target, m.outcome == assign.Accepted)
+	}
 	if assignment := m.term.services[m.service]; assignment != nil && assignment.assigner != nil {
 		assignment.assigner.OrderDone(time.Now(), o.ID, m.outcome, m.handover)
 		if o.First && m.outcome == assign.Accepted && assignment.stored != nil {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 
 	"tarragongw/core/dispatch"
 	"tarragongw/core/fault"
+	"tarragongw/core/lead"
 	"tarragongw/operator"
 	"tarragongw/target"
 )
@@ -41,6 +42,13 @@
 	g.opts.Telemetry.Scope().Tagged(tags).Counter("target_connections_opened_total").Inc(1)
 }
 
+// countHandover counts that this router hands the lead over.
+func (l *leader) countHandover(why lead.Reason) {
+	if tel := l.g.opts.Telemetry; tel != nil {
+		tel.Scope().Tagged(map[string]string{"why": string(why)}).Counter("lead_handovers_total").Inc(1)
+	}
+}
+
 // observeCoverage logs and counts the targets that don't answer orders and the keys without a holder, if
 // they have changed.
 func (l *leader) observeCoverage(service string, assignment *serviceAssignment) {
--- a/gateway/quorum.go
+++ b/gateway/quorum.go
@@ -51,6 +51,13 @@
 	q.promises[router] = max(q.promises[router], until)
 }
 
+// hasPromise reports whether a router's promise holds, so that it can't reach the store.
+func (q *quorum) hasPromise(now time.Duration, router string) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.promises[router] > now
+}
+
 // reached reports whether a quorum has made promises to this leader, given the number of routers.
 func (q *quorum) reached(now time.Duration, routers int) bool { return q.reachedFor(now, routers) > 0 }
 
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/core/directory"
+	"tarragongw/core/lead"
 	"tarragongw/peer/feed"
 	"tarragongw/peer/relay"
 )
@@ -43,6 +44,11 @@
 	router feed.Router
 	reach  feed.Reach
 	conns  int
+	// candidate is set if the follower has told what it could do as the leader: its machine, and until when
+	// it does not want to lead.
+	candidate     bool
+	machine       lead.Machine
+	declinesUntil time.Time
 }
 
 func newRelayDirectory(g *Gateway) *relayDirectory {
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -234,12 +234,12 @@
 // All followers notice at the same moment that a leader has stopped or lost the store, and if each
 // of them watched the leader record, that would cost the store twice as many calls as there are
 // routers. With the delay, a few see the lease end and campaign; the others learn by a single call
-// who has won. A small VM, which should lead only if no other can, is never among the first.
-func searchDelay(routers int, lowCPU bool) time.Duration {
+// who has won. A router that should lead only if no other can is never among the first.
+func searchDelay(routers int, leadsLast bool) time.Duration {
 	if routers == 0 {
 		routers = assumedRouters
 	}
-	if !lowCPU && rand.Float64()*float64(routers) < immediateSearchers {
+	if !leadsLast && rand.Float64()*float64(routers) < immediateSearchers {
 		return 0
 	}
 	return minSearchDelay + rand.N(maxSearchDelay-minSearchDelay)
@@ -248,8 +248,8 @@
 // searchLeader makes this router ask the store who leads, either immediately or after a delay. The
 // additional delay applies to the second case only.
 func (sub *subscription) searchLeader(additional time.Duration) {
-	delay := searchDelay(sub.g.countedRouters(), sub.g.lowCPU())
-	if delay == 0 {
+	delay := searchDelay(sub.g.countedRouters(), sub.g.leadsLast())
+	if delay == 0 || sub.g.leadPosition().IsStandby() {
 		sub.watchLeader()
 		return
 	}
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -232,9 +232,10 @@
 	follower := &feed.Follower{
 		Router: sub.g.asRouter(), Address: leader.address, Term: uint64(leader.revision), Reports: sub.reports,
 		Promised: sub.promisedToOther(leader), Backs: sub.g.gate.isShut,
-		OnBacked: func(until time.Time) { sub.recordPromise(leader, until) },
-		OnUpdate: handler.handle,
-		Clock:    sub.g.opts.Clock, Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(), Reach: sub.g.paths.news, WakeReach: sub.g.paths.wake,
+		OnBacked:  func(until time.Time) { sub.recordPromise(leader, until) },
+		OnUpdate:  handler.handle,
+		Candidacy: sub.g.candidacy,
+		Clock:     sub.g.opts.Clock, Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(), Reach: sub.g.paths.news, WakeReach: sub.g.paths.wake,
 	}
 	return follower.Run(ctx)
 }
--- a/gateway/yield.go
+++ b/gateway/yield.go
@@ -138,11 +138,12 @@
 	}
 	l.g.log.Warn("leadership given up to a router that reaches more targets", "router", m.router, "revision", m.term.revision())
 	now := time.Now()
+	l.g.succession.decline()
 	l.compareNotBefore, l.campaignNotBefore = now.Add(minYieldInterval), now.Add(yieldedCampaignDelay)
 	t := m.term
 	l.g.workers.Run(func() {
 		err := l.endLease(t)
-		l.duty.Tell(&yielded{t, err})
+		l.duty.Tell(&yielded{t, err, "another router reaches more targets"})
 	})
 }
 
@@ -150,19 +151,21 @@
 type yielded struct {
 	term *term
 	err  error
+	why  string
 }
 
 func (l *leader) handleYielded(m *yielded) {
 	if m.term != l.term {
 		return
 	}
+	l.handingOver = false
 	if m.err != nil && !errors.Is(m.err, kv.ErrLeaseLost) {
 		// While the store doesn't answer, nobody else can lead.
 		l.g.log.Warn("lease not ended; this router continues to lead", "err", m.err)
 		l.compareNotBefore = time.Now().Add(compareInterval)
 		return
 	}
-	l.endTerm("another router reaches more targets")
+	l.endTerm(m.why)
 }
 
 // candidates returns the followers that are likely to reach targets of the services, those that lack the
@@ -246,5 +249,5 @@
 
 // awaitCampaign waits until this router may campaign.
 func (l *leader) awaitCampaign(routers int) {
-	duty.Sleep(l.g.lifetime, campaignDelay(l.g.opts.CPUShare, routers)+l.g.campaignPenalty())
+	duty.Sleep(l.g.lifetime, l.g.campaignDelay(routers)+l.g.campaignPenalty())
 }
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -42,6 +42,8 @@
 	// Backed is called with the time until which it does.
 	Backs    func() bool
 	OnBacked func(until time.Time)
+	// Candidacy returns what this router could do as the leader. It may be nil.
+	Candidacy func() Candidacy
 	// Clock measures how long updates are on their way. The default is clock.Boot.
 	Clock clock.Clock
 
@@ -69,6 +71,9 @@
 		Router: f.Router.Name, Term: f.Term, PromisedMs: f.Promised.Milliseconds(), Unpacks: true,
 		Address: f.Router.Address, DataCentre: f.Router.DataCentre,
 	}
+	if f.Candidacy != nil {
+		hello.Candidacy = encodeCandidacy(f.Candidacy())
+	}
 	if err := writeMessage(conn, hello); err != nil {
 		return err
 	}
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -94,6 +94,8 @@
 	Confirmed   bool
 	// Contacts are the addresses of some routers that answer AskState; nil if they have not changed.
 	Contacts []string
+	// Standbys are the routers that take over when the leader is lost; nil if they have not changed.
+	Standbys *Standbys
 	// Evacuations are the evacuated data centres; nil if they have not changed or aren't known.
 	Evacuations *evacuation.Snapshot
 }
@@ -289,6 +291,9 @@
 	if p.GetContacts() != nil {
 		u.Contacts = p.GetContacts().GetAddresses()
 	}
+	if p.GetStandbys() != nil {
+		u.Standbys = &Standbys{p.GetStandbys().GetRouters()}
+	}
 	if p.GetQuarantine() != nil {
 		u.Quarantine = decodeQuarantine(p.GetQuarantine(), time.Now())
 	}
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -33,6 +33,8 @@
 	OnJoin func(router Router, term uint64, promised time.Duration)
 	// OnLeave is called when a router that began to follow no longer does. It may be nil.
 	OnLeave func(router string, term uint64)
+	// OnCandidacy is called after OnJoin with what the router could do as the leader. It may be nil.
+	OnCandidacy func(router string, term uint64, c Candidacy)
 	// OnReach is called when a router tells what it reaches. It may be nil.
 	OnReach func(router string, term uint64, r Reach)
 	// OnRelay serves a connection of a router that asks for one to a target, and closes it. Without it,
@@ -116,6 +118,9 @@
 	defer context.AfterFunc(termCtx, cancel)()
 	router := Router{Name: f.hello.GetRouter(), Address: f.hello.GetAddress(), DataCentre: f.hello.GetDataCentre()}
 	s.OnJoin(router, term, time.Duration(f.hello.GetPromisedMs())*time.Millisecond)
+	if p := f.hello.GetCandidacy(); p != nil && s.OnCandidacy != nil {
+		s.OnCandidacy(router.Name, term, decodeCandidacy(p))
+	}
 	if s.OnLeave != nil {
 		defer s.OnLeave(router.Name, term)
 	}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -46,6 +46,9 @@
 	// contacts are some routers that answer AskState, and contactsChanged the version at which they were set.
 	contacts        []string
 	contactsChanged uint64
+	// standbys take over when the leader is lost, and standbysChanged is the version at which they were set.
+	standbys        []string
+	standbysChanged uint64
 	// evacuations are the evacuated data centres, nil if unknown, and evacuationsChanged the version at which they were set.
 	evacuations        *evacuation.Snapshot
 	evacuationsChanged uint64
@@ -282,7 +285,7 @@
 // sentState is what a follower has been sent so far.
 type sentState struct {
 	// all is the version up to which everything was sent, and tables the version up to which the
-	// tables, the list of suspected requests, the relays and the contacts were; a stale leader sends only these.
+	// tables, the list of suspected requests, the relays, the contacts and the standbys were; a stale leader sends only these.
 	all, tables uint64
 }
 
@@ -310,7 +313,7 @@
 
 // updateSince returns the update for a follower in the state, and the follower's state after
 // it; the caller holds the lock. A stale leader sends only tables, suspected
-// requests, relays and contacts: it keeps these itself, so they are right without an answer from the store.
+// requests, relays, contacts and standbys: it keeps these itself, so they are right without an answer from the store.
 func (s *Source) updateSince(state sentState, stale bool) (*feedpb.Update, sentState) {
 	u := &feedpb.Update{Stale: stale}
 	for _, kept := range s.tables {
@@ -327,6 +330,9 @@
 	if s.contactsChanged > state.tables {
 		u.Contacts = &feedpb.Contacts{Addresses: s.contacts}
 	}
+	if s.standbysChanged > state.tables {
+		u.Standbys = &feedpb.Standbys{Routers: s.standbys}
+	}
 	state.tables = s.version
 	if !stale {
 		s.addChanges(u, state.all)
