Wait for the targets of a new service also after a change of the leader

Cause: only a leader that found no table waited for more targets; the second one found the table that the first had written without any holder. It could happen before with each leader that was lost at the start of a service.

Change: whoever finds no holder in the table waits. The test failed before.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -20,6 +20,7 @@
 package assign
 
 import (
+	"slices"
 	"time"
 
 	"tarragongw/core/keyspace"
@@ -299,7 +300,7 @@
 	// expired.
 	noPlacementBefore time.Time
 
-	// neverPlaced reports whether no key has ever had a holder. firstTargetAt is when the
+	// neverPlaced reports whether no key has had a holder in this term or when it began. firstTargetAt is when the
 	// first target was seen, and lastTargetAt when the latest new one was.
 	neverPlaced                 bool
 	firstTargetAt, lastTargetAt time.Time
@@ -314,8 +315,8 @@
 	}
 	if table == nil {
 		table = keyspace.New(service)
-		a.neverPlaced = true
 	}
+	a.neverPlaced = !slices.ContainsFunc(table.Segments, func(s keyspace.Segment) bool { return s.Target != "" })
 	a.grantTimes = newGrantTimes(&a.cfg, table.LongestTTL)
 	a.nextToken = table.NextToken
 	a.raiseNextToken(cfg.Era)
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -80,6 +80,21 @@
 	assert.Equal(t, len(keysPerTarget(a)), 3)
 }
 
+// Guards against one target that gets all keys of a new service because the first leader is followed by another
+// before the targets have started.
+func TestNextLeaderOfANewServiceWaitsForTargetsToo(t *testing.T) {
+	first := TakeOver(start, Config{}, "s", nil)
+	write := first.Step(start).Write
+	assert.Assert(t, write != nil)
+	second := TakeOver(after(time.Second), Config{}, "s", write.Table)
+	second.SetTargets(after(time.Second), testTargets("a"))
+	runUntilIdle(second, after(time.Second))
+	assert.DeepEqual(t, keysPerTarget(second), map[string]int{"": 1 << 16})
+	second.SetTargets(after(2*time.Second), testTargets("a", "b", "c"))
+	runUntilIdle(second, after(2*time.Second+placementQuietPeriod))
+	assert.Equal(t, len(keysPerTarget(second)), 3)
+}
+
 // Nothing is ordered that is not in the store.
 func TestOrdersWaitForTheirWrite(t *testing.T) {
 	a := TakeOver(start, Config{}, "s", nil)
