Keep the standbys in the store for routers that all start anew

Cause: followers learn from the feed who leads next, and after such a loss there is none.

Change: the leader writes the standbys beside its own record, which each router reads first.

The test with all routers started anew fails without the record.

--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -333,8 +333,11 @@
 func (cs *clusterState) handleLeader(c *change) {
 	found := false
 	for _, r := range c.records {
-		if r.Key == quarantineKey {
+		switch r.Key {
+		case quarantineKey:
 			cs.handleQuarantine(r)
+		case standbysKey:
+			cs.g.succession.readRecord(r)
 		}
 	}
 	for _, r := range c.records {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -249,6 +249,8 @@
 	handoverCheckDue        time.Time
 	handingOver, overloaded bool
 	standbys                []string
+	// standbysWriteDue is the earliest time of the next write of the standbys.
+	standbysWriteDue time.Time
 	// serviceTimesDue is when the targets' service times are published next.
 	serviceTimesDue time.Time
 }
@@ -452,7 +454,7 @@
 		return
 	}
 	l.term = m.term
-	l.term.handover, l.handingOver, l.overloaded, l.standbys = lead.NewHandover(time.Now(), l.g.machine()), false, false, nil
+	l.resetSuccession(time.Now())
 	promised := l.g.subscription.promisedToOther(leaderStatus{revision: m.term.revision()})
 	l.term.quorum = newQuorum(l.g.opts.Name, l.g.opts.Clock.Now()+promised)
 	l.observed = leaderStatus{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision(), present: true}
--- a/gateway/standbys.go
+++ b/gateway/standbys.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"tarragongw/core/lead"
 	"tarragongw/duty"
+	"tarragongw/kv"
 	"tarragongw/peer/feed"
 )
 
@@ -21,15 +23,26 @@
 	// handoverNotice is the time between naming the successor and ending the lease, in which the
 	// followers learn of it.
 	handoverNotice = 100 * time.Millisecond
+	// standbysWriteInterval is the least time between two writes of the standbys to the store, and before the first of a
+	// term: until then its followers join.
+	standbysWriteInterval = 2 * time.Second
 	// declineTime is for how long a router does not want to lead after it has failed to.
 	declineTime = 10 * time.Second
+	// standbysKey is the key of the standbys. It lies beside the leader record, which a router that starts reads first:
+	// where all routers start anew, none knows the others.
+	standbysKey = leaderPrefix + "standbys"
+	// standbySeparator separates the names in the record.
+	standbySeparator = " "
 )
 
 // succession is what this router knows of who leads next, and whether it would itself.
 type succession struct {
 	mu sync.Mutex
-	// standbys are those that the last known leader named.
+	// standbys are those that the last known leader named: by its feed if fed is set, else by the store.
 	standbys []string
+	fed      bool
+	// stored are those that the store was last known to have.
+	stored []string
 	// declinesUntil is until when this router does not want to lead.
 	declinesUntil time.Time
 }
@@ -38,7 +51,34 @@
 func (s *succession) name(standbys []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.standbys = standbys
+	s.standbys, s.fed = standbys, true
+}
+
+// readRecord takes the standbys that the store has, unless a leader has named some.
+func (s *succession) readRecord(r kv.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stored = strings.Fields(string(r.Value))
+	if r.Deleted {
+		s.stored = nil
+	}
+	if !s.fed {
+		s.standbys = s.stored
+	}
+}
+
+// inStore returns the standbys that the store was last known to have.
+func (s *succession) inStore() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stored
+}
+
+// setInStore records that the store has the standbys.
+func (s *succession) setInStore(standbys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stored = standbys
 }
 
 // decline records that this router has failed to lead.
@@ -110,6 +150,13 @@
 	}
 }
 
+// resetSuccession prepares the decision who leads next for a term that starts now.
+func (l *leader) resetSuccession(now time.Time) {
+	l.term.handover = lead.NewHandover(now, l.g.machine())
+	l.handingOver, l.overloaded, l.standbys = false, false, nil
+	l.standbysWriteDue = now.Add(standbysWriteInterval)
+}
+
 // considerHandover names the standbys, and hands the lead over where another router should have it.
 func (l *leader) considerHandover(t *term, now time.Time) {
 	if l.handingOver || l.stopping || now.Before(l.handoverCheckDue) {
@@ -125,6 +172,7 @@
 		return t.quorum.hasPromise(bootTime, c.Router)
 	})
 	l.publishStandbys(lead.Standbys(now, candidates, maxStandbys))
+	l.storeStandbys(t, now)
 	if t.leaseAge(bootTime) > storeSuspectAfter {
 		return // no other router could take the lead
 	}
@@ -148,6 +196,26 @@
 	l.g.subscription.source.SetStandbys(routers)
 }
 
+// storeStandbys has the standbys written to the store if it has others, not too often.
+func (l *leader) storeStandbys(t *term, now time.Time) {
+	standbys := l.standbys
+	if now.Before(l.standbysWriteDue) || slices.Equal(standbys, l.g.succession.inStore()) {
+		return
+	}
+	l.standbysWriteDue = now.Add(standbysWriteInterval)
+	l.g.workers.Run(func() {
+		_, _, err := l.g.storeFor(purposeLead).Commit(t.ctx, kv.Txn{
+			Conditions: t.leadership.Load().conditions(),
+			Puts:       []kv.Put{{Key: standbysKey, Value: []byte(strings.Join(standbys, standbySeparator))}},
+		})
+		if err != nil {
+			l.g.log.Warn("standbys not written", "err", err)
+			return
+		}
+		l.g.succession.setInStore(standbys)
+	})
+}
+
 // handOver ends the lease once the followers know the successor.
 func (l *leader) handOver(t *term, now time.Time, successor string, why lead.Reason) {
 	l.g.log.Warn("leadership handed over", "to", successor, "why", why, "revision", t.revision())
--- a/gateway/standbys_test.go
+++ b/gateway/standbys_test.go
@@ -38,6 +38,31 @@
 // settledLead is longer than a router waits before it hands the lead over.
 const settledLead = time.Second
 
+// Guards against a weak router that leads first where all routers start anew and none knows the others.
+func TestStandbysAreKnownAfterAllRoutersHaveStartedAnew(t *testing.T) {
+	f := newFleet(t, 0, plainConfig, plainTarget("a"))
+	f.machine = strongMachine
+	f.start("strong-0")
+	f.start("strong-1")
+	f.machine = weakMachine
+	f.start("weak-0")
+	waittest.Until(t, "the standby is in the store", func() bool {
+		name := string(f.store.Value(standbysKey))
+		return name == "strong-0" || name == "strong-1"
+	})
+	standby := string(f.store.Value(standbysKey))
+	for _, g := range f.gateways {
+		abandon(g)
+	}
+	f.gateways = nil
+	weak := f.start("weak-0")
+	waittest.Until(t, "it has read who leads first", func() bool { return weak.succession.position("weak-0") == lead.AfterStandbys })
+	f.machine = strongMachine
+	strong := f.start(standby)
+	waittest.Until(t, "a router leads", func() bool { return f.leader() != nil })
+	assert.Assert(t, f.leader() == strong)
+}
+
 // Guards against a weak router that takes over from a lost leader although a strong one is there.
 func TestStandbyTakesOverFromALostLeader(t *testing.T) {
 	f := newFleet(t, 0, plainConfig, plainTarget("a"))
