Keep the expiry of a grant over a restart of its holder under its id

A target may start again under the id and at the address that it had. Renewals that the leader sends before it learns of the new start reach the new instance, which knows no token and accepts them. grantToNewInstance forgot when these expire. A new instance that was then cut off lost its keys to another target at once, while it held them.

The simulation now delivers orders to a restarted target, whose entry lags by 200 ms. Not played: orders of a superseded leader to a former instance.

--- a/core/assign/simulation_test.go
+++ b/core/assign/simulation_test.go
@@ -18,6 +18,9 @@
 	// simMaxLateMs bounds how long after its timeout an order may still arrive, in
 	// milliseconds.
 	simMaxLateMs = 560
+	// simEntryLag is how long a restarted target runs before its entry says so. Orders to its former instance reach it
+	// meanwhile, because it has the same id and address.
+	simEntryLag = 200 * time.Millisecond
 )
 
 // simGrant is a grant as a simulated target has it.
@@ -31,6 +34,8 @@
 type simTarget struct {
 	id       string
 	instance int64
+	// reported is the instance in its entry, which lags behind a restart by simEntryLag.
+	reported int64
 	// registered reports whether its entry is in the store, and running whether its process
 	// runs.
 	registered, running, draining bool
@@ -218,7 +223,7 @@
 		if !t.registered {
 			continue
 		}
-		target := directory.Target{ID: t.id, StartUnixMilli: t.instance, Service: "s", Address: t.id, Slots: 4, Draining: t.draining}
+		target := directory.Target{ID: t.id, StartUnixMilli: t.reported, Service: "s", Address: t.id, Slots: 4, Draining: t.draining}
 		if since, evacuated := sim.evacuatedSince[i%simDataCentres]; evacuated {
 			target.Evacuated, target.EvacuatedAfter = true, time.Unix(1000, 0).Add(since)
 		}
@@ -305,7 +310,7 @@
 	if sim.mutant == "low release token" && o.Kind == Release {
 		o.Token = 0
 	}
-	if t := sim.target(o.Holder); t != nil && sim.now < t.linkFullUntil { // queued on a full link: times out before it arrives
+	if t := sim.target(l, o.Holder); t != nil && sim.now < t.linkFullUntil { // queued on a full link: times out before it arrives
 		sim.schedule(orderTimeout, func() { sim.timeOutOrder(l, o) })
 		sim.schedule(orderTimeout+time.Duration(sim.random(simMaxLateMs))*time.Millisecond, func() { sim.deliverLate(l, o) })
 		return
@@ -324,13 +329,13 @@
 
 // deliverLate carries out an order after its timeout.
 func (sim *simulation) deliverLate(l *simLeader, o *Order) {
-	if t := sim.target(o.Holder); t != nil && t.running && !t.unreachableFrom[l.number] {
+	if t := sim.target(l, o.Holder); t != nil && t.running && !t.unreachableFrom[l.number] {
 		t.execute(o, sim.now)
 	}
 }
 
 func (sim *simulation) deliverOrder(l *simLeader, o *Order) {
-	t := sim.target(o.Holder)
+	t := sim.target(l, o.Holder)
 	unanswered := func() { l.assigner.OrderDone(sim.clock(), o.ID, Unanswered, "") }
 	if t == nil || !t.running || t.unreachableFrom[l.number] {
 		sim.schedule(orderTimeout, unanswered)
@@ -358,9 +363,12 @@
 	sim.schedule(time.Duration(sim.random(40))*time.Millisecond, func() { l.assigner.OrderDone(sim.clock(), o.ID, outcome, "h") })
 }
 
-func (sim *simulation) target(h keyspace.Holder) *simTarget {
+// target returns the target that orders of a leader to a holder reach: also a later instance of it, at the same address.
+// What a superseded leader sends to a former instance isn't played: a later one knows no token by which to refuse it.
+func (sim *simulation) target(l *simLeader, h keyspace.Holder) *simTarget {
+	current := l == sim.leaders[len(sim.leaders)-1]
 	for _, t := range sim.targets {
-		if t.id == h.Target && t.instance == h.StartUnixMilli {
+		if t.id == h.Target && (current || t.instance == h.StartUnixMilli) {
 			return t
 		}
 	}
@@ -419,8 +427,14 @@
 
 func (sim *simulation) restartTarget(t *simTarget) {
 	t.instance++
-	t.running, t.registered, t.draining = true, true, false
+	t.running = true
 	t.grants, t.seenTokens = nil, nil
+	instance := t.instance
+	sim.schedule(simEntryLag, func() {
+		if t.instance == instance {
+			t.reported, t.registered, t.draining = instance, true, false
+		}
+	})
 }
 
 // scheduleSuccessor has another leader take over once the old one's lease has expired.
@@ -498,7 +512,7 @@
 func newSimulation(seed uint64, mutant string) *simulation {
 	sim := &simulation{rngState: seed, mutant: mutant, evacuatedSince: map[int]time.Duration{}}
 	for i := range 4 {
-		sim.targets = append(sim.targets, &simTarget{id: fmt.Sprintf("t%d", i), instance: 1, registered: true, running: true, unreachableFrom: map[int]bool{}})
+		sim.targets = append(sim.targets, &simTarget{id: fmt.Sprintf("t%d", i), instance: 1, reported: 1, registered: true, running: true, unreachableFrom: map[int]bool{}})
 	}
 	sim.startLeader()
 	return sim
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -104,12 +104,12 @@
 	}
 }
 
-// grantToNewInstance grants the keys again to a new instance of the same target. It holds
-// nothing yet, and the previous instance has ended with its process.
+// grantToNewInstance grants the keys again to a new instance of the same target. The previous
+// instance has ended with its process. What was sent to it may have reached the new one, which
+// may have the same address, before this router learned of it; so the expiry stays.
 func (a *Assigner) grantToNewInstance(s *span, c *candidate) {
 	s.Holder, s.newHolder = c.target.Holder(), true
 	s.Moving, s.HolderUnreachable, s.nextTarget, s.handover = false, false, "", ""
-	s.inherited, s.expiry, s.oldLeaderExpiry = false, time.Time{}, time.Time{}
 	a.renewToken(s)
 }
 
