Shorten the time in which keys have no holder

Cause: keys were given to targets that had just left an order unanswered, and again after that; a new holder that no grant had reached kept its keys until it counted as unreachable; each unanswered retry put off the expiry by the time for which it was waited; a release that a lost holder left unanswered blocked its keys beyond their expiry (1.5 s a release); a target whose entry was gone got no release although it may run for seconds.

Now a target whose last order failed is given keys only if fewer than half of the targets answer; grants that never left go to another target after two failures; retries end with the grant before them, a first grant to a target in doubt has the shortest TTL; a release in flight isn't waited for once the grants have expired; a departed holder is ordered to release; keys are placed, and first grants sent, by demand.

The simulation ends the grants of a superseded leader when its last ones may arrive, as gateway does (oldLeaderDeadlinesAt adds LateArrivalBound); it counted from when they were sent, which had shown only because a release in flight held its keys back.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -43,6 +43,8 @@
 	// second; a grant that arrived that late was still held when its keys had already gone to
 	// another target.
 	LateArrivalBound = 600 * time.Millisecond
+	// answerTimeout is after how long without an answer a grant is Unanswered at the latest.
+	answerTimeout = 400 * time.Millisecond
 	// minFailures is how many orders in a row must fail before a holder counts as unreachable,
 	// and unreachableAfter how long ago its last answer must be. Single orders fail through
 	// broken connections or time out, and with many ranges three of them often fail at the
@@ -251,9 +253,10 @@
 	// inherited reports whether another leader may have granted the keys to the holder, which
 	// has not accepted a grant of this leader yet.
 	inherited bool
-	// orderInFlight reports whether an order is in flight, nextOrderAt when the next may be
+	// orderInFlight reports whether an order is in flight, orderID which, nextOrderAt when the next may be
 	// sent.
 	orderInFlight bool
+	orderID       uint64
 	nextOrderAt   time.Time
 	// newHolder reports whether the holder did not have the keys before, so that it refuses
 	// requests for them until it has accepted the grant.
@@ -274,6 +277,8 @@
 	era        uint32
 	spans      []span
 	candidates map[string]*candidate
+	// departed are the holders that are no longer known.
+	departed map[keyspace.Holder]*candidate
 	// endedHolders are the target instances that are known to have ended.
 	endedHolders map[keyspace.Holder]bool
 	loadTracker  *LoadTracker
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -37,9 +37,36 @@
 		c.target = t
 		candidates[t.ID] = c
 	}
+	a.keepDeparted(candidates)
 	a.candidates = candidates
 }
 
+// keepDeparted keeps the targets that are no longer known but still hold keys. Their entry may be gone while they run and
+// answer orders: a release then frees their keys sooner than the expiry of their grants.
+func (a *Assigner) keepDeparted(known map[string]*candidate) {
+	departed := map[keyspace.Holder]*candidate{}
+	for i := range a.spans {
+		s := &a.spans[i]
+		if s.Target == "" || known[s.Target] != nil {
+			continue
+		}
+		if c := a.candidates[s.Target]; c != nil && c.target.Holder() == s.Holder {
+			departed[s.Holder] = c
+		} else if c := a.departed[s.Holder]; c != nil {
+			departed[s.Holder] = c
+		}
+	}
+	a.departed = departed
+}
+
+// holderOfSpan returns the state of a range's holder, also if it is no longer among the known targets; nil if there is none.
+func (a *Assigner) holderOfSpan(s *span) *candidate {
+	if c := a.candidates[s.Target]; c != nil {
+		return c
+	}
+	return a.departed[s.Holder]
+}
+
 // SetEnded sets the target instances that are known to have ended and hold no keys any more.
 func (a *Assigner) SetEnded(holders []keyspace.Holder) {
 	a.endedHolders = make(map[keyspace.Holder]bool, len(holders))
@@ -69,6 +96,24 @@
 // acceptsKeys reports whether the target may be given keys.
 func (c *candidate) acceptsKeys() bool { return c != nil && !c.unreachable && c.target.TakesNewWork() }
 
+// silent reports whether the last order to the target failed.
+func (c *candidate) silent() bool { return c.failures > 0 }
+
+// mostAnswer reports whether at least half of the targets that accept keys have answered their last order. If fewer have,
+// the cause may be at this router, and that a target has not answered says little about it.
+func (a *Assigner) mostAnswer() bool {
+	accepting, answering := 0, 0
+	for _, c := range a.candidates {
+		if c.acceptsKeys() {
+			accepting++
+			if !c.silent() {
+				answering++
+			}
+		}
+	}
+	return answering > 0 && 2*answering >= accepting
+}
+
 // isCold reports whether the target bears fewer requests than others now, so that it is given keys only if all are cold.
 func (a *Assigner) isCold(now time.Time, c *candidate) bool {
 	return a.cfg.SpareCold && now.Before(c.target.ColdUntil)
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -37,7 +37,7 @@
 	}
 	for i := range a.spans {
 		s := &a.spans[i]
-		if expiry := s.lastExpiry(); s.Moving && !s.orderInFlight && expiry.Before(actions.Next) {
+		if expiry := s.lastExpiry(); s.Moving && (!s.orderInFlight || a.releaseInFlight(s)) && expiry.Before(actions.Next) {
 			actions.Next = expiry
 		}
 	}
@@ -61,7 +61,7 @@
 }
 
 func (a *Assigner) sendRelease(s *span, actions *Actions) {
-	c := a.candidates[s.Target]
+	c := a.holderOfSpan(s)
 	if c == nil {
 		return // the target has gone; its grants expire
 	}
@@ -83,8 +83,8 @@
 }
 
 // grantTTL returns the TTL of the next grant. For a holder that left an order unanswered, the
-// grant ends no later than those that it may already have. Otherwise each retry would put off
-// the time at which its keys can be given to another target.
+// grant ends no later than those that it may already have, or little later if it has not accepted any.
+// Otherwise each retry would put off the time at which its keys can be given to another target.
 func (a *Assigner) grantTTL(now time.Time, s *span, c *candidate) time.Duration {
 	ttl := a.grantTimes.current()
 	if s.inherited {
@@ -93,25 +93,41 @@
 	if a.storeUnreachable {
 		ttl = a.cfg.OutageGrantTTL
 	}
-	if c.failures == 0 || !s.acked {
+	switch {
+	case c.failures == 0 || s.inherited:
 		return ttl
+	case !s.acked && !s.lastExpiry().After(now):
+		return min(ttl, a.cfg.GrantTTL) // it may not answer this one either
 	}
-	remaining := s.lastExpiry().Sub(now) - LateArrivalBound - expiryMargin
+	remaining := s.lastExpiry().Sub(now) - answerTimeout - LateArrivalBound - expiryMargin
 	remaining -= time.Duration(float64(remaining) * maxClockDrift)
+	if !s.acked {
+		return min(max(remaining, minFirstTTL), ttl)
+	}
 	return min(max(remaining, minGrantTTL), ttl)
 }
 
-// minGrantTTL is the shortest TTL worth sending a grant for.
-const minGrantTTL = 100 * time.Millisecond
+const (
+	// minGrantTTL is the shortest TTL worth sending a grant for.
+	minGrantTTL = 100 * time.Millisecond
+	// minFirstTTL is the same for keys that the holder did not have before: the renewal that follows has to arrive while
+	// the first requests run.
+	minFirstTTL = time.Second
+)
 
 func (a *Assigner) addOrder(s *span, actions *Actions, o Order) {
 	a.lastOrderID++
 	o.ID = a.lastOrderID
-	s.orderInFlight = true
+	s.orderInFlight, s.orderID = true, o.ID
 	a.pendingOrders[o.ID] = pendingOrder{from: s.From, token: s.Token, kind: o.Kind, ttl: o.TTL}
 	actions.Orders = append(actions.Orders, o)
 }
 
+// releaseInFlight reports whether the range's order in flight is a release.
+func (a *Assigner) releaseInFlight(s *span) bool {
+	return s.orderInFlight && a.pendingOrders[s.orderID].kind == Release
+}
+
 // OrderDone records the outcome of an order.
 func (a *Assigner) OrderDone(now time.Time, id uint64, outcome Outcome, handover string) {
 	p, known := a.pendingOrders[id]
@@ -189,7 +205,7 @@
 
 // retryDelay returns the pause before the next order to a range's holder after a failed one.
 func (a *Assigner) retryDelay(s *span, first, longest time.Duration) time.Duration {
-	c := a.candidates[s.Target]
+	c := a.holderOfSpan(s)
 	if c == nil {
 		return longest
 	}
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -94,7 +94,7 @@
 		p.candidates = append(p.candidates, t)
 		p.byID[id] = t
 	}
-	p.removeCold()
+	p.removeCandidates(func(t *candidateLoad) bool { return t.cold })
 	sort.Slice(p.candidates, func(i, j int) bool { return p.candidates[i].target.ID < p.candidates[j].target.ID })
 	for i := range a.spans {
 		s := &a.spans[i]
@@ -110,11 +110,10 @@
 	return p
 }
 
-// removeCold removes the cold targets from those that may be given keys, unless all are cold.
-func (p *plan) removeCold() {
-	cold := func(t *candidateLoad) bool { return t.cold }
-	if warm := slices.DeleteFunc(slices.Clone(p.candidates), cold); len(warm) > 0 {
-		p.candidates = warm
+// removeCandidates removes the matching targets from those that may be given keys, unless all match.
+func (p *plan) removeCandidates(matches func(t *candidateLoad) bool) {
+	if others := slices.DeleteFunc(slices.Clone(p.candidates), matches); len(others) > 0 {
+		p.candidates = others
 	}
 }
 
--- a/core/assign/simulation_test.go
+++ b/core/assign/simulation_test.go
@@ -476,9 +476,9 @@
 	sim.leaders = append(sim.leaders, l)
 }
 
-// limitOldLeader passes to a leader when the one before it sends its last grants.
+// limitOldLeader passes to a leader when the last grants of the one before it may arrive.
 func (sim *simulation) limitOldLeader(l, old *simLeader) {
-	last := sim.clock().Add(old.leaseRenewed + simOldLeaderBound - sim.now)
+	last := sim.clock().Add(old.leaseRenewed + simOldLeaderBound + LateArrivalBound - sim.now)
 	switch {
 	case l.stopped:
 	case sim.longRuns:
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -18,10 +18,12 @@
 func (a *Assigner) Step(now time.Time) Actions {
 	a.checkHolders(now)
 	a.freeExpired(now)
+	a.freeUngranted(now)
 	a.placeUnheld(now)
 	a.merge(now)
 	actions := Actions{Next: now.Add(a.cfg.RenewInterval / 2)}
 	a.sendDueOrders(now, &actions)
+	a.sortByDemand(now, actions.Orders)
 	a.sendProbes(now, &actions)
 	if !a.writeInFlight && a.generation > a.sentGeneration {
 		a.requestWrite(now, &actions)
@@ -134,11 +136,19 @@
 	a.markChanged(s)
 }
 
-// freeExpired takes keys from holders that can't hold them any more.
+// freeExpired takes keys from holders that can't hold them any more. A release in flight gives nothing, so it is not waited
+// for: a holder that is lost answers none, and its answer counts for nothing afterwards.
 func (a *Assigner) freeExpired(now time.Time) {
 	for i := range a.spans {
 		s := &a.spans[i]
-		if s.Moving && !s.orderInFlight && (a.endedHolders[s.Holder] || !s.lastExpiry().After(now)) {
+		if !s.Moving || !a.endedHolders[s.Holder] && s.lastExpiry().After(now) {
+			continue
+		}
+		if a.releaseInFlight(s) {
+			delete(a.pendingOrders, s.orderID)
+			s.orderInFlight = false
+		}
+		if !s.orderInFlight {
 			a.markUnheld(s, "")
 		}
 	}
@@ -160,12 +170,11 @@
 	if len(p.candidates) == 0 {
 		return
 	}
+	if a.mostAnswer() {
+		p.removeCandidates(func(t *candidateLoad) bool { return t.silent() })
+	}
 	a.splitUnheld(p)
-	for i := range a.spans {
-		s := &a.spans[i]
-		if s.Target != "" {
-			continue
-		}
+	for _, s := range a.unheldByDemand() {
 		receiver := a.candidates[s.nextTarget]
 		if !p.accepts(receiver) {
 			receiver = p.leastUtilised()
--- a/core/assign/unreachable_test.go
+++ b/core/assign/unreachable_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,17 +17,31 @@
 	now time.Time
 	// unreached are the targets that orders don't reach.
 	unreached map[string]bool
+	// silent are the targets that orders reach and that don't answer; they are reported after orderTimeout,
+	// releases after releaseTimeout.
+	silent  map[string]bool
+	pending []pendingOutcome
 	// probes counts the probes by target.
 	probes map[string]int
 }
 
+// releaseTimeout is how long a release may wait for its answer, which comes when the running requests have ended.
+const releaseTimeout = 1500 * time.Millisecond
+
+// pendingOutcome is the outcome of an order that is reported later.
+type pendingOutcome struct {
+	at time.Time
+	id uint64
+}
+
 func newLeaderPath(a *Assigner, now time.Time) *leaderPath {
-	return &leaderPath{a: a, now: now, unreached: map[string]bool{}, probes: map[string]int{}}
+	return &leaderPath{a: a, now: now, unreached: map[string]bool{}, silent: map[string]bool{}, probes: map[string]int{}}
 }
 
 // run steps the assigner every 10 ms for a time.
 func (p *leaderPath) run(d time.Duration) {
 	for end := p.now.Add(d); p.now.Before(end); p.now = p.now.Add(10 * time.Millisecond) {
+		p.reportPending()
 		actions := p.a.Step(p.now)
 		if actions.Write != nil {
 			p.a.WriteDone(actions.Write.Generation, true)
@@ -35,6 +50,14 @@
 			if o.Kind == Probe {
 				p.probes[o.Holder.Target]++
 			}
+			if p.silent[o.Holder.Target] {
+				timeout := orderTimeout
+				if o.Kind == Release {
+					timeout = releaseTimeout
+				}
+				p.pending = append(p.pending, pendingOutcome{p.now.Add(timeout), o.ID})
+				continue
+			}
 			outcome := Accepted
 			if p.unreached[o.Holder.Target] {
 				outcome = NotSent
@@ -44,6 +67,36 @@
 	}
 }
 
+// reportPending reports the orders that had no answer in time.
+func (p *leaderPath) reportPending() {
+	due := func(o pendingOutcome) bool { return !o.at.After(p.now) }
+	for _, o := range p.pending {
+		if due(o) {
+			p.a.OrderDone(p.now, o.id, Unanswered, "")
+		}
+	}
+	p.pending = slices.DeleteFunc(p.pending, due)
+}
+
+// draining returns four targets, one of which drains, and restarted four, one of which is a new instance.
+func draining(id string) []directory.Target {
+	return changed(id, func(t *directory.Target) { t.Draining = true })
+}
+
+func restarted(id string) []directory.Target {
+	return changed(id, func(t *directory.Target) { t.StartUnixMilli++ })
+}
+
+func changed(id string, change func(t *directory.Target)) []directory.Target {
+	targets := testTargets("a", "b", "c", "d")
+	for i := range targets {
+		if targets[i].ID == id {
+			change(&targets[i])
+		}
+	}
+	return targets
+}
+
 // Guards against a service whose keys stay without a holder after its leader could reach no target for a
 // while: a target without keys gets no orders, whose answer alone would show that it is reached again.
 func TestTargetsThatWereAllUnreachableAreGivenKeysAgain(t *testing.T) {
