Keep live targets whose entries somebody else has written

Cause: an entry that can't be read was ignored as a change of the watch, but removed its target at once where it stood in a listing; an entry with another service took a live target from its own; each such entry was a line in the log.

Now a known target is kept for the 2.2 s in which targets write their entries again, and then counts as gone: with the entry lost, nothing would tell that it leaves. A removal of the entry counts at once. An entry that gives another service to the same instance is not the target's. Entries are counted by reason (target_entries_unreadable_total) and logged once in 10 s.

Tests: core/directory/doubt_test.go, gateway/unreadableentries_test.go.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -71,6 +71,8 @@
 	removeAt  time.Time
 	removedIn uint64
 	presentAt time.Time
+	// doubted is set while removeAt comes from an entry that can't be read, see Doubt.
+	doubted bool
 	// assumedColdUntil is until when the target counts as cold unless a report of a later revision than assumedColdIn says
 	// otherwise; zero for no assumption.
 	assumedColdUntil time.Time
@@ -166,10 +168,13 @@
 // them are running.
 func (d *Directory) Remove(now time.Time, id string, revision uint64) (changed bool) {
 	e, known := d.entries[id]
-	if !known || !e.removeAt.IsZero() || isBefore(revision, e.target.Revision) {
+	if !known || !e.removeAt.IsZero() && !e.doubted || isBefore(revision, e.target.Revision) {
 		return false
 	}
-	e.removeAt, e.removedIn, e.presentAt = now, revision, d.confirmedAt
+	if !e.doubted {
+		e.presentAt = d.confirmedAt
+	}
+	e.removeAt, e.removedIn, e.doubted = now, revision, false
 	if d.storeUnreachable {
 		e.removeAt = now.Add(ReturnGrace)
 	} else if until := d.storeReachableSince.Add(ReturnGrace); !d.storeReachableSince.IsZero() && until.After(now) {
@@ -179,9 +184,13 @@
 }
 
 // Replace records a complete listing of the store at a revision, zero if unknown. Targets that it doesn't contain
-// are removed.
-func (d *Directory) Replace(now time.Time, listed []Target, revision uint64) (changed bool) {
+// are removed. unreadable are the IDs whose entries name no target.
+func (d *Directory) Replace(now time.Time, listed []Target, revision uint64, unreadable ...string) (changed bool) {
 	inListing := make(map[string]bool, len(listed))
+	for _, id := range unreadable {
+		inListing[id] = true
+		d.Doubt(now, id, revision)
+	}
 	for _, t := range listed {
 		inListing[t.ID] = true
 		changed = d.Put(now, t) || changed
@@ -198,8 +207,8 @@
 // Restore records a complete listing, at a revision, of a store that was restored from an older copy. Its
 // entry for a known target may be older than the target's last report. An unknown target may
 // have left since the copy was made, and is added only once it writes its entry again. An
-// empty directory accepts the whole listing.
-func (d *Directory) Restore(now time.Time, listed []Target, revision uint64) (changed bool) {
+// empty directory accepts the whole listing. unreadable are the IDs whose entries name no target.
+func (d *Directory) Restore(now time.Time, listed []Target, revision uint64, unreadable ...string) (changed bool) {
 	var current []Target
 	for _, t := range listed {
 		switch old, known := d.entries[t.ID]; {
@@ -209,7 +218,7 @@
 			current = append(current, t)
 		}
 	}
-	return d.Replace(now, current, revision)
+	return d.Replace(now, current, revision, unreadable...)
 }
 
 // Adopt records the view that another router has at a revision of the store, zero if unknown: all of it if complete is
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -42,6 +42,8 @@
 	knownPrefixes map[string]bool
 	timer         *time.Timer
 	tableLogs     map[string]tableLog
+
+	unreadableEntries unreadableEntries
 }
 
 // stateConfirmed reports that parts of the state were the newest at a time. It follows the messages that have them.
@@ -241,12 +243,13 @@
 		cs.directory.StoreUnreachable()
 	}
 	cs.directory.StoreReachable(c.at)
-	if restored {
-		cs.publishTargets(cs.directory.Restore(c.at, cs.readTargets(c.records), uint64(c.revision)))
-		return
-	}
 	if c.listed {
-		cs.publishTargets(cs.directory.Replace(c.at, cs.readTargets(c.records), uint64(c.revision)))
+		targets, unreadable := cs.readTargets(c.records)
+		record := cs.directory.Replace
+		if restored {
+			record = cs.directory.Restore
+		}
+		cs.publishTargets(record(c.at, targets, uint64(c.revision), unreadable...))
 		return
 	}
 	changed := false
@@ -255,27 +258,34 @@
 			changed = cs.directory.Remove(c.at, a.TargetID(r.Key), uint64(r.Revision)) || changed
 		} else if t, ok := cs.readTarget(r); ok {
 			changed = cs.directory.Put(c.at, t) || changed
+		} else {
+			cs.directory.Doubt(c.at, a.TargetID(r.Key), uint64(r.Revision))
 		}
 	}
 	cs.directory.Applied(uint64(c.revision))
 	cs.publishTargets(changed)
 }
 
-func (cs *clusterState) readTargets(records []kv.Record) []directory.Target {
-	var all []directory.Target
+// readTargets decodes entries. It returns the IDs of those that name no target too.
+func (cs *clusterState) readTargets(records []kv.Record) (targets []directory.Target, unreadable []string) {
 	for _, r := range records {
 		if t, ok := cs.readTarget(r); ok {
-			all = append(all, t)
+			targets = append(targets, t)
+		} else {
+			unreadable = append(unreadable, cs.g.opts.Adapter.TargetID(r.Key))
 		}
 	}
-	return all
+	return targets, unreadable
 }
 
-// readTarget decodes an entry; it returns false if that fails.
+// readTarget decodes an entry; it returns false if that names no target.
 func (cs *clusterState) readTarget(r kv.Record) (directory.Target, bool) {
 	t, err := cs.g.opts.Adapter.DecodeTarget(r.Key, r.Value)
+	if err == nil && cs.directory.Contradicts(&t) {
+		err = errOtherService
+	}
 	if err != nil {
-		cs.g.log.Warn("entry of a target ignored", "key", r.Key, "err", err)
+		cs.unreadableEntries.observe(cs.g, r.Key, err)
 	}
 	t.Revision = uint64(r.Revision)
 	return t, err == nil
