--- a/core/assign/simulation_test.go
+++ b/core/assign/simulation_test.go
@@ -274,6 +274,9 @@
 	if sim.longRuns && sim.chance(5) {
 		l.assigner.SetWorkTime(time.Duration(sim.random(4000)) * time.Millisecond)
 	}
+	if sim.mutant == "forget grants at a restart" {
+		l.assigner.forgetGrantsOfRestarted()
+	}
 	actions := l.assigner.Step(sim.clock())
 	if actions.Write != nil {
 		sim.storeTable(l, actions.Write)
@@ -283,6 +286,16 @@
 	}
 }
 
+// forgetGrantsOfRestarted is a mutant: a new instance of a holder counts as one that nothing was sent to.
+func (a *Assigner) forgetGrantsOfRestarted() {
+	for i := range a.spans {
+		s := &a.spans[i]
+		if c := a.candidates[s.Target]; c != nil && c.target.StartUnixMilli != s.StartUnixMilli {
+			s.inherited, s.expiry, s.oldLeaderExpiry = false, time.Time{}, time.Time{}
+		}
+	}
+}
+
 func (sim *simulation) storeTable(l *simLeader, write *Write) {
 	sim.schedule(time.Duration(sim.random(60))*time.Millisecond, func() {
 		current := l == sim.leaders[len(sim.leaders)-1]
--- a/core/assign/two_holders_test.go
+++ b/core/assign/two_holders_test.go
@@ -108,7 +108,7 @@
 		mutant string
 		// firstSeed is slightly below the first seed that finds the mutant.
 		firstSeed uint64
-	}{{"ignore old grants", 0}, {"no wait for old leader", 0}, {"ignore late arrival", 1000}, {"ignore long grants", 0}} {
+	}{{"ignore old grants", 0}, {"no wait for old leader", 0}, {"ignore late arrival", 1000}, {"ignore long grants", 0}, {"forget grants at a restart", 0}} {
 		t.Run(m.mutant, func(t *testing.T) {
 			const runs = 400
 			for seed := range uint64(runs) {
