Have a new leader order departed holders to release their keys

Cause: a leader that takes over doesn't know the address of a holder whose entry is gone, and waits for the longest grant that the former leader may have given: up to 16 s without a quorum of followers. With a holder that runs on, the keys are free at its answer (TestNewLeaderHasDepartedHoldersReleaseTheirKeys).

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -314,7 +314,7 @@
 // table is nil if there is none yet.
 func TakeOver(now time.Time, cfg Config, service string, table *keyspace.Table) *Assigner {
 	a := &Assigner{
-		cfg: cfg.withDefaults(), service: service, candidates: map[string]*candidate{}, loadTracker: NewLoadTracker(),
+		cfg: cfg.withDefaults(), service: service, candidates: map[string]*candidate{}, departed: map[keyspace.Holder]*candidate{}, loadTracker: NewLoadTracker(),
 		pendingOrders: map[uint64]pendingOrder{},
 	}
 	if table == nil {
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -59,6 +59,16 @@
 	a.departed = departed
 }
 
+// SetDeparted sets targets that are no longer known, as far as this router remembers them: a new leader has not known the
+// holders that departed before.
+func (a *Assigner) SetDeparted(targets []directory.Target) {
+	for _, t := range targets {
+		if t.Service == a.service && a.departed[t.Holder()] == nil {
+			a.departed[t.Holder()] = &candidate{target: t}
+		}
+	}
+}
+
 // holderOfSpan returns the state of a range's holder, also if it is no longer among the known targets; nil if there is none.
 func (a *Assigner) holderOfSpan(s *span) *candidate {
 	if c := a.candidates[s.Target]; c != nil {
--- a/core/assign/ended_test.go
+++ b/core/assign/ended_test.go
@@ -35,3 +35,15 @@
 		})
 	}
 }
+
+// Guards against keys that nobody serves for up to sixteen seconds after a change of the leader, although their holder, whose
+// entry is gone, runs on and would release them.
+func TestNewLeaderHasDepartedHoldersReleaseTheirKeys(t *testing.T) {
+	old := newSettled(t, "a", "b")
+	now := after(placementQuietPeriod + time.Second)
+	a := TakeOver(now, Config{OutageGrantTTL: 6 * time.Second, OldLeaderBound: 10 * time.Second}, "s", old.Table())
+	a.SetTargets(now, testTargets("b"))
+	a.SetDeparted(testTargets("a"))
+	runUntilIdle(a, now)
+	assert.DeepEqual(t, keysPerTarget(a), map[string]int{"b": 1 << 16})
+}
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -205,7 +205,7 @@
 
 // retryDelay returns the pause before the next order to a range's holder after a failed one.
 func (a *Assigner) retryDelay(s *span, first, longest time.Duration) time.Duration {
-	c := a.holderOfSpan(s)
+	c := a.candidates[s.Target]
 	if c == nil {
 		return longest
 	}
--- a/core/directory/departed.go
+++ b/core/directory/departed.go
@@ -29,6 +29,15 @@
 	}
 }
 
+// Departed returns the last reports of the targets that were removed within departedRetention.
+func (d *Directory) Departed() []Target {
+	targets := make([]Target, 0, len(d.departed))
+	for _, gone := range d.departed {
+		targets = append(targets, gone.target)
+	}
+	return targets
+}
+
 // LeavingOrGone returns the instances that have announced that they leave or are gone, and when they were last known to stay.
 func (d *Directory) LeavingOrGone() map[keyspace.Holder]time.Time {
 	all := map[keyspace.Holder]time.Time{}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -149,12 +149,15 @@
 	targets []directory.Target
 	// endedInstances are instances of targets that have certainly ended.
 	endedInstances []keyspace.Holder
+	// departed are the last reports of targets that have no entry any more.
+	departed []directory.Target
 }
 
 // apply passes the status on to an assigner.
 func (s *targetStatus) apply(assigner *assign.Assigner) {
 	assigner.SetTargets(time.Now(), s.targets)
 	assigner.SetEnded(s.endedInstances)
+	assigner.SetDeparted(s.departed)
 }
 
 // term is a period during which this router leads.
