Take silence for a target's own only while nearly all answer

Cause: a leader whose own link is full takes its targets for silent. While more than a quarter of the targets are silent, keys are placed, tried again and given TTLs as before.

A release that got no answer may be carried out seconds later, and no release is refused: the keys aren't given back to the target that left one unanswered.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -264,6 +264,9 @@
 	// grantSent reports whether a grant was sent under the current token, and releaseSent
 	// whether the holder was ordered to release the keys.
 	grantSent, releaseSent bool
+	// unreleasedBy is the last holder, if it left an order to release the keys without an answer: it may carry that out
+	// seconds later, and it refuses no release.
+	unreleasedBy string
 }
 
 // lastExpiry is when every grant that may have reached the holder has expired.
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -109,19 +109,23 @@
 // silent reports whether the last order to the target failed.
 func (c *candidate) silent() bool { return c.failures > 0 }
 
-// mostAnswer reports whether at least half of the targets that accept keys have answered their last order. If fewer have,
-// the cause may be at this router, and that a target has not answered says little about it.
+// maxSilentShare is the part of the targets up to which silence is taken to be the targets' own. If more are silent, the cause
+// may be at this router, and silence says little about a target.
+const maxSilentShare = 0.25
+
+// mostAnswer reports whether nearly all targets that accept keys have answered their last order.
 func (a *Assigner) mostAnswer() bool {
-	accepting, answering := 0, 0
+	accepting, silent := 0, 0
 	for _, c := range a.candidates {
-		if c.acceptsKeys() {
-			accepting++
-			if !c.silent() {
-				answering++
-			}
+		if !c.acceptsKeys() {
+			continue
+		}
+		accepting++
+		if c.silent() {
+			silent++
 		}
 	}
-	return answering > 0 && 2*answering >= accepting
+	return float64(silent) <= max(maxSilentShare*float64(accepting), 1)
 }
 
 // isCold reports whether the target bears fewer requests than others now, so that it is given keys only if all are cold.
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -93,13 +93,20 @@
 	if a.storeUnreachable {
 		ttl = a.cfg.OutageGrantTTL
 	}
-	switch {
-	case c.failures == 0 || s.inherited:
+	if c.failures == 0 || s.inherited {
 		return ttl
-	case !s.acked && !s.lastExpiry().After(now):
+	}
+	doubtful := a.mostAnswer() // else the target's silence says little about it
+	if !s.acked && !doubtful {
+		return ttl
+	}
+	if !s.acked && !s.lastExpiry().After(now) {
 		return min(ttl, a.cfg.GrantTTL) // it may not answer this one either
 	}
-	remaining := s.lastExpiry().Sub(now) - answerTimeout - LateArrivalBound - expiryMargin
+	remaining := s.lastExpiry().Sub(now) - LateArrivalBound - expiryMargin
+	if doubtful {
+		remaining -= answerTimeout
+	}
 	remaining -= time.Duration(float64(remaining) * maxClockDrift)
 	if !s.acked {
 		return min(max(remaining, minFirstTTL), ttl)
@@ -168,6 +175,9 @@
 		a.markUnheld(s, handover)
 		return
 	}
+	if outcome != NotSent {
+		s.unreleasedBy = s.Target
+	}
 	s.nextOrderAt = now.Add(a.retryDelay(s, releaseRetryDelay, maxReleaseRetryDelay))
 }
 
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -151,11 +151,11 @@
 	return serviceTime / float64(max(c.target.Slots, 1))
 }
 
-// leastUtilised returns the candidate with the lowest utilisation.
-func (p *plan) leastUtilised() *candidate {
+// leastUtilised returns the candidate with the lowest utilisation; the target with the id avoid only if there is no other.
+func (p *plan) leastUtilised(avoid string) *candidate {
 	least := p.candidates[0]
 	for _, t := range p.candidates[1:] {
-		if t.utilisation() < least.utilisation() {
+		if least.target.ID == avoid || t.target.ID != avoid && t.utilisation() < least.utilisation() {
 			least = t
 		}
 	}
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -146,7 +146,7 @@
 		}
 		if a.releaseInFlight(s) {
 			delete(a.pendingOrders, s.orderID)
-			s.orderInFlight = false
+			s.orderInFlight, s.unreleasedBy = false, s.Target
 		}
 		if !s.orderInFlight {
 			a.markUnheld(s, "")
@@ -177,10 +177,10 @@
 	for _, s := range a.unheldByDemand() {
 		receiver := a.candidates[s.nextTarget]
 		if !p.accepts(receiver) {
-			receiver = p.leastUtilised()
+			receiver = p.leastUtilised(s.unreleasedBy)
 		}
 		p.addLoad(receiver, s.From, s.To)
-		s.Holder, s.nextTarget, s.newHolder = receiver.target.Holder(), "", true
+		s.Holder, s.nextTarget, s.newHolder, s.unreleasedBy = receiver.target.Holder(), "", true, ""
 		a.renewToken(s)
 	}
 }
