--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -44,6 +44,8 @@
 	// second; a grant that arrived that late was still held when its keys had already gone to
 	// another target.
 	LateArrivalBound = 600 * time.Millisecond
+	// answerTimeout is after how long without an answer a grant is Unanswered at the latest.
+	answerTimeout = 400 * time.Millisecond
 	// minFailures is how many orders in a row must fail before a holder counts as unreachable,
 	// and unreachableAfter how long ago its last answer must be. Single orders fail through
 	// broken connections or time out, and with many ranges three of them often fail at the
@@ -252,9 +254,10 @@
 	// inherited reports whether another leader may have granted the keys to the holder, which
 	// has not accepted a grant of this leader yet.
 	inherited bool
-	// orderInFlight reports whether an order is in flight, nextOrderAt when the next may be
+	// orderInFlight reports whether an order is in flight, orderID which, nextOrderAt when the next may be
 	// sent.
 	orderInFlight bool
+	orderID       uint64
 	nextOrderAt   time.Time
 	// newHolder reports whether the holder did not have the keys before, so that it refuses
 	// requests for them until it has accepted the grant.
@@ -262,6 +265,9 @@
 	// grantSent reports whether a grant was sent under the current token, and releaseSent
 	// whether the holder was ordered to release the keys.
 	grantSent, releaseSent bool
+	// unreleasedBy is the last holder, if it left an order to release the keys without an answer: it may carry that out
+	// seconds later, and it refuses no release.
+	unreleasedBy string
 }
 
 // lastExpiry is when every grant that may have reached the holder has expired.
@@ -275,6 +281,8 @@
 	era        uint32
 	spans      []span
 	candidates map[string]*candidate
+	// departed are the holders that are no longer known.
+	departed map[keyspace.Holder]*candidate
 	// endedHolders are the target instances that are known to have ended.
 	endedHolders map[keyspace.Holder]bool
 	loadTracker  *LoadTracker
@@ -310,7 +318,7 @@
 // table is nil if there is none yet.
 func TakeOver(now time.Time, cfg Config, service string, table *keyspace.Table) *Assigner {
 	a := &Assigner{
-		cfg: cfg.withDefaults(), service: service, candidates: map[string]*candidate{}, loadTracker: NewLoadTracker(),
+		cfg: cfg.withDefaults(), service: service, candidates: map[string]*candidate{}, departed: map[keyspace.Holder]*candidate{}, loadTracker: NewLoadTracker(),
 		pendingOrders: map[uint64]pendingOrder{},
 	}
 	if table == nil {
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -37,9 +37,46 @@
 		c.target = t
 		candidates[t.ID] = c
 	}
+	a.keepDeparted(candidates)
 	a.candidates = candidates
 }
 
+// keepDeparted keeps the targets that are no longer known but still hold keys. Their entry may be gone while they run and
+// answer orders: a release then frees their keys sooner than the expiry of their grants.
+func (a *Assigner) keepDeparted(known map[string]*candidate) {
+	departed := map[keyspace.Holder]*candidate{}
+	for i := range a.spans {
+		s := &a.spans[i]
+		if s.Target == "" || known[s.Target] != nil {
+			continue
+		}
+		if c := a.candidates[s.Target]; c != nil && c.target.Holder() == s.Holder {
+			departed[s.Holder] = c
+		} else if c := a.departed[s.Holder]; c != nil {
+			departed[s.Holder] = c
+		}
+	}
+	a.departed = departed
+}
+
+// SetDeparted sets targets that are no longer known, as far as this router remembers them: a new leader has not known the
+// holders that departed before.
+func (a *Assigner) SetDeparted(targets []directory.Target) {
+	for _, t := range targets {
+		if t.Service == a.service && a.departed[t.Holder()] == nil {
+			a.departed[t.Holder()] = &candidate{target: t}
+		}
+	}
+}
+
+// holderOfSpan returns the state of a range's holder, also if it is no longer among the known targets; nil if there is none.
+func (a *Assigner) holderOfSpan(s *span) *candidate {
+	if c := a.candidates[s.Target]; c != nil {
+		return c
+	}
+	return a.departed[s.Holder]
+}
+
 // SetEnded sets the target instances that are known to have ended and hold no keys any more.
 func (a *Assigner) SetEnded(holders []keyspace.Holder) {
 	a.endedHolders = make(map[keyspace.Holder]bool, len(holders))
@@ -69,6 +106,28 @@
 // acceptsKeys reports whether the target may be given keys.
 func (c *candidate) acceptsKeys() bool { return c != nil && !c.unreachable && c.target.TakesNewWork() }
 
+// silent reports whether the last order to the target failed.
+func (c *candidate) silent() bool { return c.failures > 0 }
+
+// maxSilentShare is the part of the targets up to which silence is taken to be the targets' own. If more are silent, the cause
+// may be at this router, and silence says little about a target.
+const maxSilentShare = 0.25
+
+// mostAnswer reports whether nearly all targets that accept keys have answered their last order.
+func (a *Assigner) mostAnswer() bool {
+	accepting, silent := 0, 0
+	for _, c := range a.candidates {
+		if !c.acceptsKeys() {
+			continue
+		}
+		accepting++
+		if c.silent() {
+			silent++
+		}
+	}
+	return float64(silent) <= max(maxSilentShare*float64(accepting), 1)
+}
+
 // isCold reports whether the target bears fewer requests than others now, so that it is given keys only if all are cold.
 func (a *Assigner) isCold(now time.Time, c *candidate) bool {
 	return a.cfg.SpareCold && now.Before(c.target.ColdUntil)
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -94,7 +94,7 @@
 		p.candidates = append(p.candidates, t)
 		p.byID[id] = t
 	}
-	p.removeCold()
+	p.removeCandidates(func(t *candidateLoad) bool { return t.cold })
 	sort.Slice(p.candidates, func(i, j int) bool { return p.candidates[i].target.ID < p.candidates[j].target.ID })
 	for i := range a.spans {
 		s := &a.spans[i]
@@ -110,11 +110,10 @@
 	return p
 }
 
-// removeCold removes the cold targets from those that may be given keys, unless all are cold.
-func (p *plan) removeCold() {
-	cold := func(t *candidateLoad) bool { return t.cold }
-	if warm := slices.DeleteFunc(slices.Clone(p.candidates), cold); len(warm) > 0 {
-		p.candidates = warm
+// removeCandidates removes the matching targets from those that may be given keys, unless all match.
+func (p *plan) removeCandidates(matches func(t *candidateLoad) bool) {
+	if others := slices.DeleteFunc(slices.Clone(p.candidates), matches); len(others) > 0 {
+		p.candidates = others
 	}
 }
 
@@ -152,11 +151,11 @@
 	return serviceTime / float64(max(c.target.Slots, 1))
 }
 
-// leastUtilised returns the candidate with the lowest utilisation.
-func (p *plan) leastUtilised() *candidate {
+// leastUtilised returns the candidate with the lowest utilisation; the target with the id avoid only if there is no other.
+func (p *plan) leastUtilised(avoid string) *candidate {
 	least := p.candidates[0]
 	for _, t := range p.candidates[1:] {
-		if t.utilisation() < least.utilisation() {
+		if least.target.ID == avoid || t.target.ID != avoid && t.utilisation() < least.utilisation() {
 			least = t
 		}
 	}
