Count what the lead costs its router: bytes by part of the feed, orders and their connections

Cause: nothing told which part of a leader's messages fills its link. Change: counters by part of the feed, of reports, orders by outcome, their bytes and the connections opened for them; one log line every 2 s while leading.

--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -24,7 +24,7 @@
 			g.leader.duty.Tell(&followerJoined{router.Name, kv.Revision(term), promised})
 		},
 		OnLeave: g.relays.leave, OnReach: g.relays.setReach, OnRelay: g.relayServer.Serve,
-		OnBacked: g.subscription.recordFollowerPromise,
+		OnBytes: g.leadCost.countFeed, OnBacked: g.subscription.recordFollowerPromise,
 	}
 	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
 		g.log.Error("feed server failed", "err", err)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	relayServer *relay.Server
 	// quarantineRecord is what this router writes to the store while it leads.
 	quarantineRecord quarantineRecord
+	leadCost         leadCost
 
 	mu       sync.RWMutex
 	services map[string]*service
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -242,6 +242,9 @@
 	compareNotBefore time.Time
 	// serviceTimesDue is when the targets' service times are published next.
 	serviceTimesDue time.Time
+	// costBefore is what the lead had cost at costAt, when that was last logged.
+	costBefore leadCosts
+	costAt     time.Time
 }
 
 func newLeader(g *Gateway) *leader {
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -161,6 +161,7 @@
 	began := time.Now()
 	m.outcome, m.handover, m.err = l.g.opts.Adapter.SendOrder(ctx, &o, deadline)
 	m.took = time.Since(began)
+	l.g.leadCost.countOrder(m.outcome)
 	return m
 }
 
@@ -331,6 +332,7 @@
 		return
 	}
 	now := time.Now()
+	l.observeCost(now)
 	l.publishServiceTimes()
 	for name, assignment := range l.term.services {
 		s := l.g.service(name)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -50,6 +50,9 @@
 	// SendOrder sends an order to its target. The error says why an order was not accepted. No part
 	// of the order is sent after until, a time of clock.Boot.
 	SendOrder func(ctx context.Context, o *assign.Order, until time.Duration) (assign.Outcome, string, error)
+	// OrderTraffic returns how many bytes of orders were sent, and how many connections were opened for them, since the
+	// start. It may be nil.
+	OrderTraffic func() (bytes, opened uint64)
 }
 
 // Options configures a Gateway.
--- a/peer/feed/frame.go
+++ b/peer/feed/frame.go
@@ -27,6 +27,8 @@
 // frame is an encoded update without its heartbeat number.
 type frame struct {
 	data []byte
+	// sizes are the bytes of data by part.
+	sizes *partSizes
 	// after is the state of a follower that has received the frame.
 	after     sentState
 	encodedAt time.Time
@@ -48,7 +50,7 @@
 			return nil, errors.Wrap(err, "encode a packed update")
 		}
 	}
-	return &frame{data: data, after: after, encodedAt: now}, nil
+	return &frame{data: data, sizes: sizesOf(u, len(data)), after: after, encodedAt: now}, nil
 }
 
 // withHeartbeat returns the frame's bytes preceded by their length and followed by the
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -48,8 +48,11 @@
 	OnReport func(r Report)
 	// OnObservations is called with what a router observed of suspected requests. It may be nil.
 	OnObservations func(router string, o *quarantine.Observations)
-	Clock          clock.Clock
-	Log            *slog.Logger
+	// OnBytes is called with the bytes of each part that were sent to a follower, and of the reports that one sent. It
+	// may be nil.
+	OnBytes func(part Part, bytes int)
+	Clock   clock.Clock
+	Log     *slog.Logger
 }
 
 // Serve accepts followers until the listener is closed.
@@ -148,6 +151,7 @@
 		if err := writeInChunks(f.conn, data); err != nil {
 			return err
 		}
+		f.countSent(frame, len(data))
 		select {
 		case <-changed:
 		case <-ticker.C:
@@ -157,6 +161,20 @@
 	}
 }
 
+// countSent counts a frame that was written as this many bytes.
+func (f *follower) countSent(sent *frame, written int) {
+	for part, bytes := range sent.sizes {
+		f.count(Part(part), bytes)
+	}
+	f.count(PartHeartbeat, written-len(sent.data))
+}
+
+func (f *follower) count(part Part, bytes int) {
+	if bytes > 0 && f.server.OnBytes != nil {
+		f.server.OnBytes(part, bytes)
+	}
+}
+
 // nextHeartbeat returns the heartbeat of the update that is sent next and records the time.
 func (f *follower) nextHeartbeat() *feedpb.Update {
 	f.mu.Lock()
@@ -179,6 +197,7 @@
 		if err := readMessage(f.conn, f.reader, p, 0); err != nil {
 			return // serve logs the end of the feed
 		}
+		f.count(PartReports, proto.Size(p))
 		for _, h := range p.GetHeat() {
 			r := Report{Service: h.GetService()}
 			for _, k := range h.GetKeys() {
