--- a/gateway/leadcost.go
+++ b/gateway/leadcost.go
@@ -54,8 +54,11 @@
 	if elapsed < leadCostInterval {
 		return
 	}
-	before, current := l.costBefore, l.g.leadCosts()
+	before, current, first := l.costBefore, l.g.leadCosts(), l.costAt.IsZero()
 	l.costBefore, l.costAt = current, now
+	if first {
+		return
+	}
 	attributes := []any{"in", elapsed, "followers", l.g.subscription.followers.Load(),
 		"order_bytes", current.orderBytes - before.orderBytes, "connections", current.connections - before.connections}
 	for part := range feed.Parts {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -11,6 +11,7 @@
 	"tarragongw/core/assign"
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/linkbudget"
 	"tarragongw/core/routes"
 	"tarragongw/duty"
 	"tarragongw/kv"
@@ -65,6 +66,10 @@
 	// serviceTimesInterval is how often the leader sends the targets' service times to its
 	// followers; measuring them takes about as long.
 	serviceTimesInterval = time.Second
+	// serviceTimesLinkShare is the part of the link that service times may take, and maxServiceTimesInterval the longest
+	// time between two messages for its sake.
+	serviceTimesLinkShare   = 0.05
+	maxServiceTimesInterval = 3 * time.Second
 	// minStepInterval is the least time between two steps. Each step goes over all key ranges,
 	// and in each renewal interval as many orders are answered as there are ranges.
 	minStepInterval = 5 * time.Millisecond
@@ -77,6 +82,10 @@
 	// publishInterval is the least time between two versions of a key table that are sent to the
 	// routers: the targets answer orders one by one, and each version goes to all routers.
 	publishInterval = 50 * time.Millisecond
+	// tablesLinkShare is the part of the link that tables may take, and maxPublishInterval the longest time between two
+	// for its sake.
+	tablesLinkShare    = 0.2
+	maxPublishInterval = 400 * time.Millisecond
 	// workTimeShare is the share of the runs that end under the grant under which they began.
 	workTimeShare = 0.99
 	// writeRetryDelay is the pause after a failed write.
@@ -203,10 +212,9 @@
 	// routers.
 	stored    *keyspace.Table
 	published uint64
-	// unpublished is set while the routers have not been sent the current table; that happens at
-	// publishDue.
+	// unpublished is set while the routers have not been sent the current table, and pace spaces those that they are sent.
 	unpublished bool
-	publishDue  time.Time
+	pace        linkbudget.Pace
 	// limits are the key limits that were last sent, at limitedAt.
 	limits    []keyspace.Limit
 	limitedAt time.Time
@@ -240,8 +248,8 @@
 	// earliest time of the next comparison.
 	comparing        bool
 	compareNotBefore time.Time
-	// serviceTimesDue is when the targets' service times are published next.
-	serviceTimesDue time.Time
+	// serviceTimesPace spaces the targets' service times that are published.
+	serviceTimesPace linkbudget.Pace
 	// costBefore is what the lead had cost at costAt, when that was last logged.
 	costBefore leadCosts
 	costAt     time.Time
@@ -249,6 +257,9 @@
 
 func newLeader(g *Gateway) *leader {
 	l := &leader{g: g}
+	l.serviceTimesPace = linkbudget.Pace{
+		BytesPerSecond: serviceTimesLinkShare * g.opts.LinkBytesPerSecond, Least: serviceTimesInterval, Longest: maxServiceTimesInterval,
+	}
 	l.duty = g.startDuty(l.handle)
 	return l
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -11,6 +11,7 @@
 	"tarragongw/clock"
 	"tarragongw/core/assign"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/linkbudget"
 	"tarragongw/duty"
 	"tarragongw/kv"
 	"tarragongw/peer/feed"
@@ -53,11 +54,10 @@
 		actions := assignment.assigner.Step(now)
 		l.carryOut(t, name, assignment, actions, now)
 		l.observeCoverage(name, assignment)
-		if assignment.unpublished && !now.Before(assignment.publishDue) {
+		if publishDue := l.publishDue(assignment); assignment.unpublished && !now.Before(publishDue) {
 			l.publishTable(assignment, now)
-		}
-		if assignment.unpublished && assignment.publishDue.Before(due) {
-			due = assignment.publishDue
+		} else if assignment.unpublished && publishDue.Before(due) {
+			due = publishDue
 		}
 		if actions.Next.Before(due) {
 			due = actions.Next
@@ -120,10 +120,16 @@
 	if m.term.oldLeaderDeadlines != nil {
 		assigner.BoundOldLeaderGrants(m.term.oldLeaderDeadlines.normal, m.term.oldLeaderDeadlines.outage)
 	}
-	m.term.services[m.service] = &serviceAssignment{assigner: assigner, revision: m.revision}
+	m.term.services[m.service] = &serviceAssignment{assigner: assigner, revision: m.revision, pace: l.tablePace()}
 	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.revision)
 }
 
+// tablePace returns the pace of a service's tables. Each has the bytes of all services counted: together they keep to
+// the part of the link.
+func (l *leader) tablePace() linkbudget.Pace {
+	return linkbudget.Pace{BytesPerSecond: tablesLinkShare * l.g.opts.LinkBytesPerSecond, Least: publishInterval, Longest: maxPublishInterval}
+}
+
 func (l *leader) carryOut(t *term, service string, assignment *serviceAssignment, actions assign.Actions, now time.Time) {
 	for _, o := range actions.Orders {
 		if o.Kind == assign.Probe {
@@ -259,11 +265,18 @@
 	}
 }
 
+// publishDue returns when the service's next table may be sent to all routers.
+func (l *leader) publishDue(assignment *serviceAssignment) time.Time {
+	return assignment.pace.Due(l.g.leadCost.feed[feed.PartTables].Load())
+}
+
 // publishTable sends all routers the stored key table, without the ranges that their new holders
 // have not accepted yet.
 func (l *leader) publishTable(assignment *serviceAssignment, now time.Time) {
 	assignment.published++
-	assignment.unpublished, assignment.publishDue = false, now.Add(publishInterval)
+	sent := l.g.leadCost.feed[feed.PartTables].Load()
+	assignment.unpublished = false
+	assignment.pace.Sent(now, sent)
 	l.g.state.duty.Tell(&feed.Table{Revision: uint64(assignment.revision), Sequence: assignment.published, Table: assignment.assigner.MarkUnconfirmed(assignment.stored)})
 }
 
@@ -378,14 +391,14 @@
 	})
 }
 
-// publishServiceTimes sends the other routers the targets' service times that have changed, every
-// serviceTimesInterval.
+// publishServiceTimes sends the other routers the targets' service times that have changed, at most
+// every serviceTimesInterval.
 func (l *leader) publishServiceTimes() {
-	now := time.Now()
-	if now.Before(l.serviceTimesDue) {
+	now, sent := time.Now(), l.g.leadCost.feed[feed.PartServiceTimes].Load()
+	if now.Before(l.serviceTimesPace.Due(sent)) {
 		return
 	}
-	l.serviceTimesDue = now.Add(serviceTimesInterval)
+	l.serviceTimesPace.Sent(now, sent)
 	l.g.mu.RLock()
 	defer l.g.mu.RUnlock()
 	for name, s := range l.g.services {
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"tarragongw/core/directory"
+	"tarragongw/core/linkbudget"
 	"tarragongw/peer/feed"
 	"tarragongw/peer/relay"
 )
@@ -20,6 +21,10 @@
 	maxRelays = 64
 	// relaysInterval is the least time between two lists of relays.
 	relaysInterval = 50 * time.Millisecond
+	// relaysLinkShare is the part of the link that the lists may take, and maxRelaysInterval the longest time between two
+	// for its sake. While targets are lost, each router finds that out by itself, and each of these changes the list.
+	relaysLinkShare   = 0.1
+	maxRelaysInterval = 2 * time.Second
 )
 
 // relayDirectory is what the leader knows of what each router reaches. While any router lacks a target,
@@ -35,6 +40,8 @@
 	// published are the relays that were last published, and scheduled is set while a list is due.
 	published []feed.Relay
 	scheduled bool
+	// pace spaces the lists.
+	pace linkbudget.Pace
 }
 
 // followerReach is a follower with what it reaches. conns counts its connections: one may begin before
@@ -46,7 +53,8 @@
 }
 
 func newRelayDirectory(g *Gateway) *relayDirectory {
-	return &relayDirectory{g: g, followers: map[string]*followerReach{}}
+	pace := linkbudget.Pace{BytesPerSecond: relaysLinkShare * g.opts.LinkBytesPerSecond, Longest: maxRelaysInterval}
+	return &relayDirectory{g: g, followers: map[string]*followerReach{}, pace: pace}
 }
 
 // join records that a router follows this one in a term.
@@ -106,7 +114,8 @@
 		return
 	}
 	d.scheduled = true
-	time.AfterFunc(relaysInterval, d.publish)
+	due := d.pace.Due(d.g.leadCost.feed[feed.PartRelays].Load())
+	time.AfterFunc(max(relaysInterval, time.Until(due)), d.publish)
 }
 
 // needed reports whether any router lacks a target; the caller holds the lock.
@@ -133,6 +142,7 @@
 		return
 	}
 	d.published = relays
+	d.pace.Sent(time.Now(), d.g.leadCost.feed[feed.PartRelays].Load())
 	d.mu.Unlock()
 	names := make([]string, 0, len(relays))
 	for i := range relays {
--- a/peer/feed/parts.go
+++ b/peer/feed/parts.go
@@ -16,6 +16,7 @@
 	PartServiceTimes
 	PartLimits
 	PartConfig
+	PartRelays
 	PartOther
 	PartHeartbeat
 	// PartReports is what followers send.
@@ -25,7 +26,7 @@
 
 // String returns the name used in logs and metrics.
 func (p Part) String() string {
-	return [...]string{"tables", "targets", "service_times", "limits", "config", "other", "heartbeat", "reports"}[p]
+	return [...]string{"tables", "targets", "service_times", "limits", "config", "relays", "other", "heartbeat", "reports"}[p]
 }
 
 // partSizes has bytes by part.
@@ -47,6 +48,9 @@
 		sizes[PartLimits] += proto.Size(l)
 	}
 	sizes[PartConfig] = len(u.GetConfigValue())
+	if u.GetRelays() != nil {
+		sizes[PartRelays] = proto.Size(u.GetRelays())
+	}
 	sum := 0
 	for _, n := range sizes {
 		sum += n
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -48,7 +48,7 @@
 	OnReport func(r Report)
 	// OnObservations is called with what a router observed of suspected requests. It may be nil.
 	OnObservations func(router string, o *quarantine.Observations)
-	// OnBytes is called with the bytes of each part that were sent to a follower, and of the reports that one sent. It
+	// OnBytes is called with the bytes of each part that are sent to a follower, and of the reports that one sent. It
 	// may be nil.
 	OnBytes func(part Part, bytes int)
 	Clock   clock.Clock
@@ -148,10 +148,10 @@
 		if err != nil {
 			return err
 		}
+		f.countSent(frame, len(data))
 		if err := writeInChunks(f.conn, data); err != nil {
 			return err
 		}
-		f.countSent(frame, len(data))
 		select {
 		case <-changed:
 		case <-ticker.C:
@@ -161,7 +161,7 @@
 	}
 }
 
-// countSent counts a frame that was written as this many bytes.
+// countSent counts a frame that is written as this many bytes.
 func (f *follower) countSent(sent *frame, written int) {
 	for part, bytes := range sent.sizes {
 		f.count(Part(part), bytes)
