Bound a leader's orders by the rate of its link, and try silent targets one range at a time

Cause: hundreds of ranges are renewed at the same moment, and all ranges of a target that doesn't answer are tried again beside each other. Change: orders share a budget of the link; where it is short, the most urgent go first; first renewals are spread. Unknown links have no budget.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"tarragongw/core/keyspace"
+	"tarragongw/core/linkbudget"
 )
 
 // Defaults of Config.
@@ -105,6 +106,8 @@
 	// WriteInterval is the least time between two writes of the table. If it is zero, only the
 	// duration of each write limits the rate.
 	WriteInterval time.Duration
+	// OrderBudget bounds the orders of all assigners that share it; nil if there is no bound.
+	OrderBudget *linkbudget.Bucket
 }
 
 func (c Config) withDefaults() Config {
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"slices"
 	"time"
 
 	"tarragongw/core/keyspace"
@@ -16,11 +17,40 @@
 	target string
 }
 
-// sendDueOrders adds the orders to send now, as far as the store has what they rest on.
+// sendDueOrders adds the orders to send now, as far as the store has what they rest on and Config.OrderBudget allows.
 func (a *Assigner) sendDueOrders(now time.Time, actions *Actions) {
+	due := a.dueOrders(now, actions)
+	if !a.cfg.OrderBudget.Has(now, len(due)) {
+		slices.SortStableFunc(due, func(i, j int) int { return compareUrgency(a.urgency(now, i), a.urgency(now, j)) })
+	}
+	for _, i := range due {
+		if !a.cfg.OrderBudget.Take(now) {
+			actions.Next = earlierOf(actions.Next, a.cfg.OrderBudget.Next())
+			break
+		}
+		s := &a.spans[i]
+		if s.Moving && s.generation <= a.writtenGeneration {
+			a.sendRelease(s, actions)
+		} else {
+			a.sendGrant(now, s, actions)
+		}
+	}
 	for i := range a.spans {
 		s := &a.spans[i]
-		if s.Target == "" || s.orderInFlight || !a.backedByStore(s) {
+		if expiry := s.lastExpiry(); s.Moving && !s.orderInFlight && expiry.Before(actions.Next) {
+			actions.Next = expiry
+		}
+	}
+}
+
+// dueOrders returns the indexes of the segments whose orders are due.
+func (a *Assigner) dueOrders(now time.Time, actions *Actions) []int {
+	var due []int
+	tried := a.triedSilentTargets()
+	for i := range a.spans {
+		s := &a.spans[i]
+		c := a.candidates[s.Target]
+		if s.Target == "" || c == nil || s.orderInFlight || !a.backedByStore(s) { // without a candidate the target has gone; its grants expire
 			continue
 		}
 		if s.nextOrderAt.After(now) && !a.releaseDue(s) {
@@ -29,18 +59,30 @@
 			}
 			continue
 		}
-		if s.Moving && s.generation <= a.writtenGeneration {
-			a.sendRelease(s, actions)
-			continue
+		if !s.Moving && c.failures >= minFailures {
+			if tried[s.Target] {
+				continue // the outcome of the order in flight leads to the next step
+			}
+			tried[s.Target] = true
 		}
-		a.sendGrant(now, s, actions)
+		due = append(due, i)
+	}
+	return due
+}
+
+// triedSilentTargets returns the targets that have left several orders without an answer and to which another is on its
+// way. Until they answer, they get one grant at a time: the others would fail as well, each after a time on the link.
+func (a *Assigner) triedSilentTargets() map[string]bool {
+	tried := map[string]bool{}
+	if !a.anyCandidate(func(c *candidate) bool { return c.failures >= minFailures }) {
+		return tried
 	}
 	for i := range a.spans {
-		s := &a.spans[i]
-		if expiry := s.lastExpiry(); s.Moving && !s.orderInFlight && expiry.Before(actions.Next) {
-			actions.Next = expiry
+		if s := &a.spans[i]; s.orderInFlight && !s.Moving {
+			tried[s.Target] = true
 		}
 	}
+	return tried
 }
 
 // backedByStore reports whether the store has the state that the order for the segment rests
@@ -62,18 +104,12 @@
 
 func (a *Assigner) sendRelease(s *span, actions *Actions) {
 	c := a.candidates[s.Target]
-	if c == nil {
-		return // the target has gone; its grants expire
-	}
 	s.releaseSent = true
 	a.addOrder(s, actions, Order{Kind: Release, Holder: s.Holder, Address: c.target.Address, From: s.From, To: s.To, Token: s.releaseToken})
 }
 
 func (a *Assigner) sendGrant(now time.Time, s *span, actions *Actions) {
 	c := a.candidates[s.Target]
-	if c == nil {
-		return
-	}
 	ttl := a.grantTTL(now, s, c)
 	a.addOrder(s, actions, Order{
 		Kind: Grant, Holder: s.Holder, Address: c.target.Address, From: s.From, To: s.To, Token: s.Token,
@@ -176,7 +212,8 @@
 			s.inherited, s.oldLeaderExpiry = false, earlierOf(s.oldLeaderExpiry, now.Add(expiresAfter(a.cfg.OutageGrantTTL)))
 		}
 		s.expiry = laterOf(s.expiry, now.Add(expiresAfter(p.ttl)))
-		s.acked, s.newHolder, s.handover, s.nextOrderAt = true, false, "", now.Add(a.cfg.RenewInterval)
+		s.nextOrderAt = now.Add(a.renewalPause(s))
+		s.acked, s.newHolder, s.handover = true, false, ""
 		if p.ttl < a.grantTimes.current() {
 			s.nextOrderAt = now // the TTL was shortened by grantTTL; the target answers again
 		}
@@ -187,6 +224,19 @@
 	}
 }
 
+// renewalPause returns the time until the next renewal. Where the link bounds orders, the first renewal under a token is
+// earlier by up to half the interval, by the keys: ranges that were granted at the same moment would otherwise be renewed
+// at the same moment from then on.
+func (a *Assigner) renewalPause(s *span) time.Duration {
+	if a.cfg.OrderBudget == nil || s.acked {
+		return a.cfg.RenewInterval
+	}
+	return a.cfg.RenewInterval/2 + a.cfg.RenewInterval/2*time.Duration(uint16(s.From)*spreadFactor)/(1<<16)
+}
+
+// spreadFactor spreads neighbouring keys evenly over all 16-bit numbers.
+const spreadFactor = 40503
+
 // retryDelay returns the pause before the next order to a range's holder after a failed one.
 func (a *Assigner) retryDelay(s *span, first, longest time.Duration) time.Duration {
 	c := a.candidates[s.Target]
--- a/gateway/leadcost.go
+++ b/gateway/leadcost.go
@@ -54,11 +54,8 @@
 	if elapsed < leadCostInterval {
 		return
 	}
-	before, current, first := l.costBefore, l.g.leadCosts(), l.costAt.IsZero()
+	before, current := l.costBefore, l.g.leadCosts()
 	l.costBefore, l.costAt = current, now
-	if first {
-		return
-	}
 	attributes := []any{"in", elapsed, "followers", l.g.subscription.followers.Load(),
 		"order_bytes", current.orderBytes - before.orderBytes, "connections", current.connections - before.connections}
 	for part := range feed.Parts {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -75,6 +75,11 @@
 	minStepInterval = 5 * time.Millisecond
 	// tableWriteInterval is the least time between two writes of a service's key table.
 	tableWriteInterval = 100 * time.Millisecond
+	// ordersLinkShare is the part of the link that orders may take, orderBytes what one takes with the headers of its
+	// packets, in bytes, and orderBurst the time for which as many are sent at once as fit.
+	ordersLinkShare = 0.4
+	orderBytes      = 350
+	orderBurst      = 200 * time.Millisecond
 	// limitsRenewInterval is how often the key limits are sent again, before they expire.
 	// limitsChangeThreshold is the relative change of a limit that is sent at once.
 	limitsRenewInterval   = time.Second
@@ -250,13 +255,16 @@
 	compareNotBefore time.Time
 	// serviceTimesPace spaces the targets' service times that are published.
 	serviceTimesPace linkbudget.Pace
-	// costBefore is what the lead had cost at costAt, when that was last logged.
+	// orderBudget bounds the orders for all services by the link.
+	orderBudget *linkbudget.Bucket
+	// costBefore is what the lead had cost at costAt, when that was last logged or the term began.
 	costBefore leadCosts
 	costAt     time.Time
 }
 
 func newLeader(g *Gateway) *leader {
 	l := &leader{g: g}
+	l.orderBudget = linkbudget.NewBucket(ordersLinkShare*g.opts.LinkBytesPerSecond, orderBytes, orderBurst)
 	l.serviceTimesPace = linkbudget.Pace{
 		BytesPerSecond: serviceTimesLinkShare * g.opts.LinkBytesPerSecond, Least: serviceTimesInterval, Longest: maxServiceTimesInterval,
 	}
@@ -456,7 +464,7 @@
 		m.term.cancel()
 		return
 	}
-	l.term = m.term
+	l.term, l.costAt = m.term, time.Now()
 	promised := l.g.subscription.promisedToOther(leaderStatus{revision: m.term.revision()})
 	l.term.quorum = newQuorum(l.g.opts.Name, l.g.opts.Clock.Now()+promised)
 	l.observed = leaderStatus{name: l.g.opts.Name, address: l.g.opts.PeerAddress, revision: m.term.revision(), present: true}
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -113,7 +113,7 @@
 		return
 	}
 	cfg := assign.Config{OutageGrantTTL: min(outageGrantTTL, l.g.opts.MaxGrantTTL), OldLeaderBound: orderLimitWithQuorum, WriteInterval: tableWriteInterval,
-		EvacuateWithin: l.g.opts.EvacuationLimit, SpareCold: l.g.sparesCold(m.service)}
+		EvacuateWithin: l.g.opts.EvacuationLimit, SpareCold: l.g.sparesCold(m.service), OrderBudget: l.orderBudget}
 	table := l.newestTable(m, &cfg)
 	assigner := assign.TakeOver(time.Now(), cfg, m.service, table)
 	l.targets.apply(assigner)
