Send the feed to followers one after the other on a slow link, so that orders don't wait behind it (unmeasured)

Cause: a change goes to all followers at the same moment; on a link of 10 Mbit/s some 100 to 400 kB stand before the next order, whose dial ends after 300 ms.

--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -8,6 +8,9 @@
 	"tarragongw/peer/feed"
 )
 
+// feedLinkShare is the part of the link that the feed to all followers may take; orders come before it.
+const feedLinkShare = 0.5
+
 // reportScale returns the number of all routers divided by the number of routers whose requests this
 // router knows of: itself and the followers that report to it.
 func (sub *subscription) reportScale() float64 {
@@ -24,7 +27,7 @@
 			g.leader.duty.Tell(&followerJoined{router.Name, kv.Revision(term), promised})
 		},
 		OnLeave: g.relays.leave, OnReach: g.relays.setReach, OnRelay: g.relayServer.Serve,
-		OnBytes: g.leadCost.countFeed, OnBacked: g.subscription.recordFollowerPromise,
+		OnBytes: g.leadCost.countFeed, Line: feed.NewLine(feedLinkShare * g.opts.LinkBytesPerSecond), OnBacked: g.subscription.recordFollowerPromise,
 	}
 	if err := server.Serve(g.lifetime, g.peerListener); err != nil {
 		g.log.Error("feed server failed", "err", err)
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -51,8 +51,10 @@
 	// OnBytes is called with the bytes of each part that are sent to a follower, and of the reports that one sent. It
 	// may be nil.
 	OnBytes func(part Part, bytes int)
-	Clock   clock.Clock
-	Log     *slog.Logger
+	// Line spaces what is sent to all followers together; nil if it need not be.
+	Line  *Line
+	Clock clock.Clock
+	Log   *slog.Logger
 }
 
 // Serve accepts followers until the listener is closed.
@@ -137,12 +139,16 @@
 	defer ticker.Stop()
 	var state sentState
 	for {
-		// The age comes before the frame, which may have more than was confirmed then, but not less.
-		heartbeat := f.nextHeartbeat()
-		frame, changed, err := source.frameSince(state, f.hello.GetUnpacks(), !f.server.StoreReachable())
+		frame, heartbeat, changed, err := f.nextFrame(source, state)
 		if err != nil {
 			return err
 		}
+		if f.server.Line.wait(ctx, len(frame.data)) {
+			// What has changed meanwhile replaces what is out of date.
+			if frame, heartbeat, changed, err = f.nextFrame(source, state); err != nil {
+				return err
+			}
+		}
 		state = frame.after
 		data, err := frame.withHeartbeat(heartbeat)
 		if err != nil {
@@ -161,6 +167,14 @@
 	}
 }
 
+// nextFrame returns the frame for the follower in the state and the heartbeat that goes with it.
+func (f *follower) nextFrame(source *Source, state sentState) (*frame, *feedpb.Update, <-chan struct{}, error) {
+	// The age comes before the frame, which may have more than was confirmed then, but not less.
+	heartbeat := f.nextHeartbeat()
+	frame, changed, err := source.frameSince(state, f.hello.GetUnpacks(), !f.server.StoreReachable())
+	return frame, heartbeat, changed, err
+}
+
 // countSent counts a frame that is written as this many bytes.
 func (f *follower) countSent(sent *frame, written int) {
 	for part, bytes := range sent.sizes {
