--- a/core/linkbudget/pace.go
+++ b/core/linkbudget/pace.go
@@ -15,20 +15,22 @@
 	Least, Longest time.Duration
 
 	sentAt time.Time
-	// sentBytes is what all messages before the last one had cost together.
-	sentBytes int64
+	// sentBytes is what all messages before the last one had cost together, and cost what the one before it did.
+	sentBytes, cost int64
 }
 
 // Due returns when the next message may be sent, given what all messages have cost so far, in bytes. It grows while
-// the last one is still being sent to followers.
+// the last one is still being sent to followers; until then that counts as much as the one before it.
 func (p *Pace) Due(bytes int64) time.Time {
 	pause := p.Least
 	if p.BytesPerSecond > 0 {
-		seconds := float64(bytes-p.sentBytes) / p.BytesPerSecond
+		seconds := float64(max(bytes-p.sentBytes, p.cost)) / p.BytesPerSecond
 		pause = max(pause, min(time.Duration(seconds*float64(time.Second)), p.Longest))
 	}
 	return p.sentAt.Add(pause)
 }
 
 // Sent records that a message is sent now, when all messages before it have cost so many bytes.
-func (p *Pace) Sent(now time.Time, bytes int64) { p.sentAt, p.sentBytes = now, bytes }
+func (p *Pace) Sent(now time.Time, bytes int64) {
+	p.sentAt, p.sentBytes, p.cost = now, bytes, bytes-p.sentBytes
+}
--- a/core/linkbudget/pace_test.go
+++ b/core/linkbudget/pace_test.go
@@ -50,3 +50,26 @@
 	versions, _ := replay(&Pace{BytesPerSecond: 1, Least: 50 * time.Millisecond, Longest: 500 * time.Millisecond}, 300, 1e6)
 	assert.Equal(t, versions, 4)
 }
+
+// Guards against messages that are sent as fast as before because each waits in line for longer than the next one takes to
+// be due, so that its cost is known too late.
+func TestCostsThatAreKnownLateStillCount(t *testing.T) {
+	p := &Pace{BytesPerSecond: 0.1 * slowLink, Least: 50 * time.Millisecond, Longest: 2 * time.Second}
+	began := time.Unix(1000, 0)
+	var sent []time.Time
+	cost := func(now time.Time) (bytes int64) {
+		for _, at := range sent {
+			if now.Sub(at) >= 400*time.Millisecond {
+				bytes += 63 * 1600
+			}
+		}
+		return bytes
+	}
+	for now := began; now.Before(began.Add(10 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		if !now.Before(p.Due(cost(now))) {
+			p.Sent(now, cost(now))
+			sent = append(sent, now)
+		}
+	}
+	assert.Assert(t, len(sent) >= 10 && len(sent) <= 26, "%d messages", len(sent)) // 12 would keep to the part exactly
+}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -68,7 +68,7 @@
 	serviceTimesInterval = time.Second
 	// serviceTimesLinkShare is the part of the link that service times may take, and maxServiceTimesInterval the longest
 	// time between two messages for its sake.
-	serviceTimesLinkShare   = 0.05
+	serviceTimesLinkShare   = 0.04
 	maxServiceTimesInterval = 3 * time.Second
 	// minStepInterval is the least time between two steps. Each step goes over all key ranges,
 	// and in each renewal interval as many orders are answered as there are ranges.
@@ -89,7 +89,7 @@
 	publishInterval = 50 * time.Millisecond
 	// tablesLinkShare is the part of the link that tables may take, and maxPublishInterval the longest time between two
 	// for its sake.
-	tablesLinkShare    = 0.2
+	tablesLinkShare    = 0.15
 	maxPublishInterval = 400 * time.Millisecond
 	// workTimeShare is the share of the runs that end under the grant under which they began.
 	workTimeShare = 0.99
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -23,7 +23,7 @@
 	relaysInterval = 50 * time.Millisecond
 	// relaysLinkShare is the part of the link that the lists may take, and maxRelaysInterval the longest time between two
 	// for its sake. While targets are lost, each router finds that out by itself, and each of these changes the list.
-	relaysLinkShare   = 0.1
+	relaysLinkShare   = 0.06
 	maxRelaysInterval = 2 * time.Second
 )
 
@@ -135,6 +135,11 @@
 func (d *relayDirectory) publish() {
 	services := d.g.targetServices()
 	d.mu.Lock()
+	if due := d.pace.Due(d.g.leadCost.feed[feed.PartRelays].Load()); time.Now().Before(due) { // the last list was still being sent
+		time.AfterFunc(time.Until(due), d.publish)
+		d.mu.Unlock()
+		return
+	}
 	d.scheduled = false
 	relays := d.relays(services)
 	if !d.g.subscription.leads() || slices.EqualFunc(relays, d.published, equalRelays) {
