--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -124,7 +124,7 @@
 	onAge func()
 }
 
-func newTestLeader(t *testing.T) *testLeader {
+func newTestLeader(t *testing.T, options ...func(*Server)) *testLeader {
 	leader := &testLeader{source: NewSource(), reports: make(chan Report, 16), joined: make(chan time.Duration, 16), backed: make(chan time.Duration, 256)}
 	leader.source.SetTargetsComplete()
 	leader.fresh.Store(true)
@@ -149,6 +149,9 @@
 		},
 		StoreReachable: leader.fresh.Load, OnReport: func(r Report) { leader.reports <- r }, Clock: clock.Boot{}, Log: slog.New(slog.DiscardHandler),
 	}
+	for _, set := range options {
+		set(server)
+	}
 	go func() { assert.Check(t, server.Serve(t.Context(), l)) }()
 	return leader
 }
