--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -43,6 +43,9 @@
 	actions.Write = &Write{Generation: a.generation, Table: a.Table()}
 }
 
+// SetWriteInterval changes Config.WriteInterval for the writes after the next one.
+func (a *Assigner) SetWriteInterval(d time.Duration) { a.cfg.WriteInterval = d }
+
 // Table returns the assignment as decided, stored or not.
 func (a *Assigner) Table() *keyspace.Table {
 	t := &keyspace.Table{Service: a.service, Era: a.era, NextToken: a.nextToken, LongestTTL: a.grantTimes.inTable(&a.cfg)}
--- a/core/linkbudget/pace.go
+++ b/core/linkbudget/pace.go
@@ -22,12 +22,17 @@
 // Due returns when the next message may be sent, given what all messages have cost so far, in bytes. It grows while
 // the last one is still being sent to followers; until then that counts as much as the one before it.
 func (p *Pace) Due(bytes int64) time.Time {
-	pause := p.Least
-	if p.BytesPerSecond > 0 {
-		seconds := float64(max(bytes-p.sentBytes, p.cost)) / p.BytesPerSecond
-		pause = max(pause, min(time.Duration(seconds*float64(time.Second)), p.Longest))
+	return p.sentAt.Add(Interval(max(bytes-p.sentBytes, p.cost), p.BytesPerSecond, p.Least, p.Longest))
+}
+
+// Interval returns the time between messages of a cost in bytes that keep to a part of a link, in bytes per second: no
+// less than least and, unless that is more, no longer than longest. It is least if the rate of the link is unknown.
+func Interval(bytes int64, bytesPerSecond float64, least, longest time.Duration) time.Duration {
+	if bytesPerSecond <= 0 {
+		return least
 	}
-	return p.sentAt.Add(pause)
+	seconds := float64(bytes) / bytesPerSecond
+	return max(least, min(time.Duration(seconds*float64(time.Second)), longest))
 }
 
 // Sent records that a message is sent now, when all messages before it have cost so many bytes.
--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -9,7 +9,7 @@
 )
 
 // feedLinkShare is the part of the link that the feed to all followers may take; orders come before it.
-const feedLinkShare = 0.35
+const feedLinkShare = 0.5
 
 // reportScale returns the number of all routers divided by the number of routers whose requests this
 // router knows of: itself and the followers that report to it.
--- a/gateway/leadcost.go
+++ b/gateway/leadcost.go
@@ -18,6 +18,8 @@
 type leadCost struct {
 	feed     [feed.Parts]atomic.Int64
 	outcomes [orderOutcomes]atomic.Int64
+	// tableWrites are the bytes of key tables that were sent to the store.
+	tableWrites atomic.Int64
 }
 
 // leadCosts are the counts of leadCost at a time.
@@ -25,6 +27,7 @@
 	feed        [feed.Parts]int64
 	outcomes    [orderOutcomes]int64
 	orderBytes  int64
+	tableWrites int64
 	connections int64
 }
 
@@ -34,7 +37,7 @@
 
 // leadCosts returns the counts since the start.
 func (g *Gateway) leadCosts() leadCosts {
-	var now leadCosts
+	now := leadCosts{tableWrites: g.leadCost.tableWrites.Load()}
 	for i := range now.feed {
 		now.feed[i] = g.leadCost.feed[i].Load()
 	}
@@ -57,7 +60,7 @@
 	before, current := l.costBefore, l.g.leadCosts()
 	l.costBefore, l.costAt = current, now
 	attributes := []any{"in", elapsed, "followers", l.g.subscription.followers.Load(),
-		"order_bytes", current.orderBytes - before.orderBytes, "connections", current.connections - before.connections}
+		"table_write_bytes", current.tableWrites - before.tableWrites, "order_bytes", current.orderBytes - before.orderBytes, "connections", current.connections - before.connections}
 	for part := range feed.Parts {
 		bytes := current.feed[part] - before.feed[part]
 		attributes = append(attributes, part.String()+"_bytes", bytes)
@@ -68,6 +71,7 @@
 		attributes = append(attributes, name, orders)
 		l.countCost("lead_orders_total", "outcome", name, orders)
 	}
+	l.countCost("lead_table_write_bytes_total", "", "", current.tableWrites-before.tableWrites)
 	l.countCost("lead_order_bytes_total", "", "", current.orderBytes-before.orderBytes)
 	l.countCost("lead_order_connections_total", "", "", current.connections-before.connections)
 	l.g.log.Info("cost of the lead", attributes...)
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -75,6 +75,10 @@
 	minStepInterval = 5 * time.Millisecond
 	// tableWriteInterval is the least time between two writes of a service's key table.
 	tableWriteInterval = 100 * time.Millisecond
+	// tableWritesLinkShare is the part of the link that these writes may take, and maxTableWriteInterval the longest time
+	// between two for its sake: each has the whole table.
+	tableWritesLinkShare  = 0.15
+	maxTableWriteInterval = 400 * time.Millisecond
 	// ordersLinkShare is the part of the link that orders may take, orderBytes what one takes with the headers of its
 	// packets, in bytes, and orderBurst the time for which as many are sent at once as fit.
 	ordersLinkShare = 0.4
@@ -135,7 +139,9 @@
 		table      *keyspace.Table
 		revision   kv.Revision
 		conflict   []kv.Record
-		err        error
+		// bytes is the length of the table as it was sent.
+		bytes int
+		err   error
 	}
 	orderDone struct {
 		term     *term
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"math"
 	"slices"
 	"time"
@@ -297,6 +298,8 @@
 		m.err = err
 		return m
 	}
+	m.bytes = base64.StdEncoding.EncodedLen(len(data))
+	l.g.leadCost.tableWrites.Add(int64(m.bytes))
 	m.revision, m.conflict, m.err = l.g.storeFor(purposeKeys).Commit(t.ctx, kv.Txn{
 		Conditions: append(t.leadership.Load().conditions(), kv.Condition{Key: tablePrefix + service, Revision: revision}),
 		Puts:       []kv.Put{{Key: tablePrefix + service, Value: data}},
@@ -316,6 +319,7 @@
 		m.err = errors.Wrap(kv.ErrUnknown, "the store was restored meanwhile")
 	}
 	assignment.assigner.WriteDone(m.generation, m.err == nil)
+	assignment.assigner.SetWriteInterval(linkbudget.Interval(int64(m.bytes), tableWritesLinkShare*l.g.opts.LinkBytesPerSecond, tableWriteInterval, maxTableWriteInterval))
 	if m.err == nil {
 		assignment.revision, assignment.writeNotBefore = m.revision, time.Time{}
 		assignment.stored, assignment.unpublished = m.table, true
--- a/peer/feed/line.go
+++ b/peer/feed/line.go
@@ -14,8 +14,9 @@
 	minLinedSize = 256
 	// minLineWait is the shortest wait that is worth one.
 	minLineWait = 2 * time.Millisecond
-	// maxLineWait is the longest wait. With a heartbeat's time it stays below silenceTimeout.
-	maxLineWait = 400 * time.Millisecond
+	// maxLineWait is the longest wait. With a heartbeat's time, and that of whatever did not fit into the line, it stays
+	// below silenceTimeout.
+	maxLineWait = 200 * time.Millisecond
 )
 
 // Line spaces the frames for followers on this router's link. A nil Line doesn't. It is safe for concurrent use.
