--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -12,6 +12,7 @@
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
 	"tarragongw/core/lead"
+	"tarragongw/core/linkbudget"
 	"tarragongw/core/routes"
 	"tarragongw/duty"
 	"tarragongw/kv"
@@ -66,11 +67,24 @@
 	// serviceTimesInterval is how often the leader sends the targets' service times to its
 	// followers; measuring them takes about as long.
 	serviceTimesInterval = time.Second
+	// serviceTimesLinkShare is the part of the link that service times may take, and maxServiceTimesInterval the longest
+	// time between two messages for its sake.
+	serviceTimesLinkShare   = 0.04
+	maxServiceTimesInterval = 3 * time.Second
 	// minStepInterval is the least time between two steps. Each step goes over all key ranges,
 	// and in each renewal interval as many orders are answered as there are ranges.
 	minStepInterval = 5 * time.Millisecond
 	// tableWriteInterval is the least time between two writes of a service's key table.
 	tableWriteInterval = 100 * time.Millisecond
+	// tableWritesLinkShare is the part of the link that these writes may take, and maxTableWriteInterval the longest time
+	// between two for its sake: each has the whole table.
+	tableWritesLinkShare  = 0.15
+	maxTableWriteInterval = 400 * time.Millisecond
+	// ordersLinkShare is the part of the link that orders may take, orderBytes what one takes with the headers of its
+	// packets, in bytes, and orderBurst the time for which as many are sent at once as fit.
+	ordersLinkShare = 0.4
+	orderBytes      = 350
+	orderBurst      = 200 * time.Millisecond
 	// limitsRenewInterval is how often the key limits are sent again, before they expire.
 	// limitsChangeThreshold is the relative change of a limit that is sent at once.
 	limitsRenewInterval   = time.Second
@@ -78,6 +92,10 @@
 	// publishInterval is the least time between two versions of a key table that are sent to the
 	// routers: the targets answer orders one by one, and each version goes to all routers.
 	publishInterval = 50 * time.Millisecond
+	// tablesLinkShare is the part of the link that tables may take, and maxPublishInterval the longest time between two
+	// for its sake.
+	tablesLinkShare    = 0.15
+	maxPublishInterval = 400 * time.Millisecond
 	// workTimeShare is the share of the runs that end under the grant under which they began.
 	workTimeShare = 0.99
 	// writeRetryDelay is the pause after a failed write.
@@ -122,7 +140,9 @@
 		table      *keyspace.Table
 		revision   kv.Revision
 		conflict   []kv.Record
-		err        error
+		// bytes is the length of the table as it was sent.
+		bytes int
+		err   error
 	}
 	orderDone struct {
 		term     *term
@@ -209,10 +229,9 @@
 	// routers.
 	stored    *keyspace.Table
 	published uint64
-	// unpublished is set while the routers have not been sent the current table; that happens at
-	// publishDue.
+	// unpublished is set while the routers have not been sent the current table, and pace spaces those that they are sent.
 	unpublished bool
-	publishDue  time.Time
+	pace        linkbudget.Pace
 	// limits are the key limits that were last sent, at limitedAt.
 	limits    []keyspace.Limit
 	limitedAt time.Time
@@ -254,12 +273,21 @@
 	standbys                []string
 	// standbysWriteDue is the earliest time of the next write of the standbys.
 	standbysWriteDue time.Time
-	// serviceTimesDue is when the targets' service times are published next.
-	serviceTimesDue time.Time
+	// serviceTimesPace spaces the targets' service times that are published.
+	serviceTimesPace linkbudget.Pace
+	// orderBudget bounds the orders for all services by the link.
+	orderBudget *linkbudget.Bucket
+	// costBefore is what the lead had cost at costAt, when that was last logged or the term began.
+	costBefore leadCosts
+	costAt     time.Time
 }
 
 func newLeader(g *Gateway) *leader {
 	l := &leader{g: g}
+	l.orderBudget = linkbudget.NewBucket(ordersLinkShare*g.opts.LinkBytesPerSecond, orderBytes, orderBurst)
+	l.serviceTimesPace = linkbudget.Pace{
+		BytesPerSecond: serviceTimesLinkShare * g.opts.LinkBytesPerSecond, Least: serviceTimesInterval, Longest: maxServiceTimesInterval,
+	}
 	l.duty = g.startDuty(l.handle)
 	return l
 }
@@ -456,7 +484,7 @@
 		m.term.cancel()
 		return
 	}
-	l.term = m.term
+	l.term, l.costAt = m.term, time.Now()
 	l.resetSuccession(time.Now())
 	promised := l.g.subscription.promisedToOther(leaderStatus{revision: m.term.revision()})
 	l.term.quorum = newQuorum(l.g.opts.Name, l.g.opts.Clock.Now()+promised)
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"math"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 	"tarragongw/clock"
 	"tarragongw/core/assign"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/linkbudget"
 	"tarragongw/duty"
 	"tarragongw/kv"
 	"tarragongw/peer/feed"
@@ -53,11 +55,10 @@
 		actions := assignment.assigner.Step(now)
 		l.carryOut(t, name, assignment, actions, now)
 		l.observeCoverage(name, assignment)
-		if assignment.unpublished && !now.Before(assignment.publishDue) {
+		if publishDue := l.publishDue(assignment); assignment.unpublished && !now.Before(publishDue) {
 			l.publishTable(assignment, now)
-		}
-		if assignment.unpublished && assignment.publishDue.Before(due) {
-			due = assignment.publishDue
+		} else if assignment.unpublished && publishDue.Before(due) {
+			due = publishDue
 		}
 		if actions.Next.Before(due) {
 			due = actions.Next
@@ -114,17 +115,23 @@
 		return
 	}
 	cfg := assign.Config{OutageGrantTTL: min(outageGrantTTL, l.g.opts.MaxGrantTTL), OldLeaderBound: orderLimitWithQuorum, WriteInterval: tableWriteInterval,
-		EvacuateWithin: l.g.opts.EvacuationLimit, SpareCold: l.g.sparesCold(m.service)}
+		EvacuateWithin: l.g.opts.EvacuationLimit, SpareCold: l.g.sparesCold(m.service), OrderBudget: l.orderBudget}
 	table := l.newestTable(m, &cfg)
 	assigner := assign.TakeOver(time.Now(), cfg, m.service, table)
 	l.targets.apply(assigner)
 	if m.term.oldLeaderDeadlines != nil {
 		assigner.BoundOldLeaderGrants(m.term.oldLeaderDeadlines.normal, m.term.oldLeaderDeadlines.outage)
 	}
-	m.term.services[m.service] = &serviceAssignment{assigner: assigner, revision: m.revision}
+	m.term.services[m.service] = &serviceAssignment{assigner: assigner, revision: m.revision, pace: l.tablePace()}
 	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.revision)
 }
 
+// tablePace returns the pace of a service's tables. Each has the bytes of all services counted: together they keep to
+// the part of the link.
+func (l *leader) tablePace() linkbudget.Pace {
+	return linkbudget.Pace{BytesPerSecond: tablesLinkShare * l.g.opts.LinkBytesPerSecond, Least: publishInterval, Longest: maxPublishInterval}
+}
+
 func (l *leader) carryOut(t *term, service string, assignment *serviceAssignment, actions assign.Actions, now time.Time) {
 	for _, o := range actions.Orders {
 		if o.Kind == assign.Probe {
@@ -162,6 +169,7 @@
 	began := time.Now()
 	m.outcome, m.handover, m.err = l.g.opts.Adapter.SendOrder(ctx, &o, deadline)
 	m.took = time.Since(began)
+	l.g.leadCost.countOrder(m.outcome)
 	return m
 }
 
@@ -262,11 +270,18 @@
 	}
 }
 
+// publishDue returns when the service's next table may be sent to all routers.
+func (l *leader) publishDue(assignment *serviceAssignment) time.Time {
+	return assignment.pace.Due(l.g.leadCost.feed[feed.PartTables].Load())
+}
+
 // publishTable sends all routers the stored key table, without the ranges that their new holders
 // have not accepted yet.
 func (l *leader) publishTable(assignment *serviceAssignment, now time.Time) {
 	assignment.published++
-	assignment.unpublished, assignment.publishDue = false, now.Add(publishInterval)
+	sent := l.g.leadCost.feed[feed.PartTables].Load()
+	assignment.unpublished = false
+	assignment.pace.Sent(now, sent)
 	l.g.state.duty.Tell(&feed.Table{Revision: uint64(assignment.revision), Sequence: assignment.published, Table: assignment.assigner.MarkUnconfirmed(assignment.stored)})
 }
 
@@ -287,6 +302,8 @@
 		m.err = err
 		return m
 	}
+	m.bytes = base64.StdEncoding.EncodedLen(len(data))
+	l.g.leadCost.tableWrites.Add(int64(m.bytes))
 	m.revision, m.conflict, m.err = l.g.storeFor(purposeKeys).Commit(t.ctx, kv.Txn{
 		Conditions: append(t.leadership.Load().conditions(), kv.Condition{Key: tablePrefix + service, Revision: revision}),
 		Puts:       []kv.Put{{Key: tablePrefix + service, Value: data}},
@@ -306,6 +323,7 @@
 		m.err = errors.Wrap(kv.ErrUnknown, "the store was restored meanwhile")
 	}
 	assignment.assigner.WriteDone(m.generation, m.err == nil)
+	assignment.assigner.SetWriteInterval(linkbudget.Interval(int64(m.bytes), tableWritesLinkShare*l.g.opts.LinkBytesPerSecond, tableWriteInterval, maxTableWriteInterval))
 	if m.err == nil {
 		assignment.revision, assignment.writeNotBefore = m.revision, time.Time{}
 		assignment.stored, assignment.unpublished = m.table, true
@@ -335,6 +353,7 @@
 		return
 	}
 	now := time.Now()
+	l.observeCost(now)
 	l.publishServiceTimes()
 	for name, assignment := range l.term.services {
 		s := l.g.service(name)
@@ -380,14 +399,14 @@
 	})
 }
 
-// publishServiceTimes sends the other routers the targets' service times that have changed, every
-// serviceTimesInterval.
+// publishServiceTimes sends the other routers the targets' service times that have changed, at most
+// every serviceTimesInterval.
 func (l *leader) publishServiceTimes() {
-	now := time.Now()
-	if now.Before(l.serviceTimesDue) {
+	now, sent := time.Now(), l.g.leadCost.feed[feed.PartServiceTimes].Load()
+	if now.Before(l.serviceTimesPace.Due(sent)) {
 		return
 	}
-	l.serviceTimesDue = now.Add(serviceTimesInterval)
+	l.serviceTimesPace.Sent(now, sent)
 	l.g.mu.RLock()
 	defer l.g.mu.RUnlock()
 	for name, s := range l.g.services {
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -12,6 +12,7 @@
 
 	"tarragongw/core/directory"
 	"tarragongw/core/lead"
+	"tarragongw/core/linkbudget"
 	"tarragongw/peer/feed"
 	"tarragongw/peer/relay"
 )
@@ -21,6 +22,10 @@
 	maxRelays = 64
 	// relaysInterval is the least time between two lists of relays.
 	relaysInterval = 50 * time.Millisecond
+	// relaysLinkShare is the part of the link that the lists may take, and maxRelaysInterval the longest time between two
+	// for its sake. While targets are lost, each router finds that out by itself, and each of these changes the list.
+	relaysLinkShare   = 0.06
+	maxRelaysInterval = 2 * time.Second
 )
 
 // relayDirectory is what the leader knows of what each router reaches. While any router lacks a target,
@@ -36,6 +41,8 @@
 	// published are the relays that were last published, and scheduled is set while a list is due.
 	published []feed.Relay
 	scheduled bool
+	// pace spaces the lists.
+	pace linkbudget.Pace
 }
 
 // followerReach is a follower with what it reaches. conns counts its connections: one may begin before
@@ -52,7 +59,8 @@
 }
 
 func newRelayDirectory(g *Gateway) *relayDirectory {
-	return &relayDirectory{g: g, followers: map[string]*followerReach{}}
+	pace := linkbudget.Pace{BytesPerSecond: relaysLinkShare * g.opts.LinkBytesPerSecond, Longest: maxRelaysInterval}
+	return &relayDirectory{g: g, followers: map[string]*followerReach{}, pace: pace}
 }
 
 // join records that a router follows this one in a term.
@@ -112,7 +120,8 @@
 		return
 	}
 	d.scheduled = true
-	time.AfterFunc(relaysInterval, d.publish)
+	due := d.pace.Due(d.g.leadCost.feed[feed.PartRelays].Load())
+	time.AfterFunc(max(relaysInterval, time.Until(due)), d.publish)
 }
 
 // needed reports whether any router lacks a target; the caller holds the lock.
@@ -132,6 +141,11 @@
 func (d *relayDirectory) publish() {
 	services := d.g.targetServices()
 	d.mu.Lock()
+	if due := d.pace.Due(d.g.leadCost.feed[feed.PartRelays].Load()); time.Now().Before(due) { // the last list was still being sent
+		time.AfterFunc(time.Until(due), d.publish)
+		d.mu.Unlock()
+		return
+	}
 	d.scheduled = false
 	relays := d.relays(services)
 	if !d.g.subscription.leads() || slices.EqualFunc(relays, d.published, equalRelays) {
@@ -139,6 +153,7 @@
 		return
 	}
 	d.published = relays
+	d.pace.Sent(time.Now(), d.g.leadCost.feed[feed.PartRelays].Load())
 	d.mu.Unlock()
 	names := make([]string, 0, len(relays))
 	for i := range relays {
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -50,8 +50,13 @@
 	OnReport func(r Report)
 	// OnObservations is called with what a router observed of suspected requests. It may be nil.
 	OnObservations func(router string, o *quarantine.Observations)
-	Clock          clock.Clock
-	Log            *slog.Logger
+	// OnBytes is called with the bytes of each part that are sent to a follower, and of the reports that one sent. It
+	// may be nil.
+	OnBytes func(part Part, bytes int)
+	// Line spaces what is sent to all followers together; nil if it need not be.
+	Line  *Line
+	Clock clock.Clock
+	Log   *slog.Logger
 }
 
 // Serve accepts followers until the listener is closed.
@@ -139,17 +144,22 @@
 	defer ticker.Stop()
 	var state sentState
 	for {
-		// The age comes before the frame, which may have more than was confirmed then, but not less.
-		heartbeat := f.nextHeartbeat()
-		frame, changed, err := source.frameSince(state, f.hello.GetUnpacks(), !f.server.StoreReachable())
+		frame, heartbeat, changed, err := f.nextFrame(source, state)
 		if err != nil {
 			return err
 		}
+		if f.server.Line.wait(ctx, len(frame.data)) {
+			// What has changed meanwhile replaces what is out of date.
+			if frame, heartbeat, changed, err = f.nextFrame(source, state); err != nil {
+				return err
+			}
+		}
 		state = frame.after
 		data, err := frame.withHeartbeat(heartbeat)
 		if err != nil {
 			return err
 		}
+		f.countSent(frame, len(data))
 		if err := writeInChunks(f.conn, data); err != nil {
 			return err
 		}
@@ -162,6 +172,28 @@
 	}
 }
 
+// nextFrame returns the frame for the follower in the state and the heartbeat that goes with it.
+func (f *follower) nextFrame(source *Source, state sentState) (*frame, *feedpb.Update, <-chan struct{}, error) {
+	// The age comes before the frame, which may have more than was confirmed then, but not less.
+	heartbeat := f.nextHeartbeat()
+	frame, changed, err := source.frameSince(state, f.hello.GetUnpacks(), !f.server.StoreReachable())
+	return frame, heartbeat, changed, err
+}
+
+// countSent counts a frame that is written as this many bytes.
+func (f *follower) countSent(sent *frame, written int) {
+	for part, bytes := range sent.sizes {
+		f.count(Part(part), bytes)
+	}
+	f.count(PartHeartbeat, written-len(sent.data))
+}
+
+func (f *follower) count(part Part, bytes int) {
+	if bytes > 0 && f.server.OnBytes != nil {
+		f.server.OnBytes(part, bytes)
+	}
+}
+
 // nextHeartbeat returns the heartbeat of the update that is sent next and records the time.
 func (f *follower) nextHeartbeat() *feedpb.Update {
 	f.mu.Lock()
@@ -184,6 +216,7 @@
 		if err := readMessage(f.conn, f.reader, p, 0); err != nil {
 			return // serve logs the end of the feed
 		}
+		f.count(PartReports, proto.Size(p))
 		for _, h := range p.GetHeat() {
 			r := Report{Service: h.GetService()}
 			for _, k := range h.GetKeys() {
