Spread sets of hot keys each of which exceeds every target's spare room

Cause: a range moved only if its load fits what the receiver has to spare. A set of 60 neighbouring keys with most of a target's capacity each thus stayed with one target, whatever room all targets had together.

Change: where nothing fits, a hot donor gives as much as makes both targets equally utilised; the receiver then gives its other keys away.

--- a/core/assign/rebalance.go
+++ b/core/assign/rebalance.go
@@ -120,6 +120,11 @@
 		return Move{}, false
 	}
 	from, to, load, ok := movable.bestToMove(wantedLoad)
+	if !ok && donor.hot {
+		// Each of a set of popular keys may have more load than any target has to spare. It still is better off at
+		// a target that has none of them, and that gives its other keys away.
+		from, to, load, ok = movable.bestToMove(math.Min(excess, p.evenLoad(donor, receiver)))
+	}
 	if !ok || donor.utilisation()-load*donor.cost < receiver.utilisation()+load*receiver.cost {
 		return Move{}, false
 	}
@@ -129,6 +134,11 @@
 	return Move{From: from, To: to, Target: receiver.target.ID}, true
 }
 
+// evenLoad returns the load that makes both targets equally utilised when it moves from the donor to the receiver.
+func (p *plan) evenLoad(donor, receiver *candidateLoad) float64 {
+	return (donor.utilisation() - receiver.utilisation()) / (donor.cost + receiver.cost)
+}
+
 // mostSpare returns the target that can take the most load, and that load, in requests.
 func (p *plan) mostSpare(donor *candidateLoad) (*candidateLoad, float64) {
 	var best *candidateLoad
--- a/core/assign/uneven_test.go
+++ b/core/assign/uneven_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// Guards against a set of popular keys that stays with one target, because each of them has more load than
+// any other target has to spare.
+func TestHotSetsOf60And200KeysAreSpread(t *testing.T) {
+	for _, hotKeys := range []int{60, 200} {
+		sim := newMeasuredSim(t, 0, 1)
+		sim.believed = sim.serviceTime
+		sim.run(4, 0, 0)
+		before := sim.maxUtilisation(0.4, 30000, hotKeys)
+		moved := sim.run(5, 0.4, hotKeys)
+		after := sim.maxUtilisation(0.4, 30000, hotKeys)
+		assert.Assert(t, after < before/10, "%d keys: %v of %v", hotKeys, after, before)
+		assert.Assert(t, moved < 0.15, "%d keys: %v of all keys moved", hotKeys, moved)
+	}
+}
+
 // Guards against a leader that knows no speeds yet and takes the keys from the fast targets that hold many.
 func TestRestartOfAllRoutersLeavesKeysInPlace(t *testing.T) {
 	sim := newMeasuredSim(t, 0, 0.5, 1, 1.5)
