Place keys of targets that have left where there is capacity

Cause: keys without a holder were placed as if all targets were equally fast, and were moved once more thereafter.

Change: the plan uses the service times that Rebalance was last given.

--- a/core/assign/rebalance.go
+++ b/core/assign/rebalance.go
@@ -17,7 +17,8 @@
 // keys away until they are as busy as the rest. Otherwise nothing moves, even if by chance the
 // busiest of hundreds of targets looks overloaded.
 func (a *Assigner) Rebalance(now time.Time, serviceTimes ServiceTimes, requestsPerSample float64) []Move {
-	p := a.planWithServiceTimes(now, serviceTimes)
+	a.remember(serviceTimes)
+	p := a.planWithServiceTimes(now, a.knownTime)
 	if len(p.candidates) < 2 || requestsPerSample <= 0 {
 		return nil
 	}
@@ -38,6 +39,16 @@
 	return moves
 }
 
+// remember keeps the targets' service times, by which keys of targets that have left are placed too.
+func (a *Assigner) remember(serviceTimes ServiceTimes) {
+	a.knownTimes = make(map[string]float64, len(a.candidates))
+	for id := range a.candidates {
+		a.knownTimes[id] = serviceTime(id, serviceTimes, 0)
+	}
+}
+
+func (a *Assigner) knownTime(target string) float64 { return a.knownTimes[target] }
+
 // removeNoise replaces each target's load by its expected load: the load of its fraction of
 // the keys, plus the difference of its own load from that as far as it is more than chance.
 // The busiest of n targets with equal load lies about sqrt(2 ln n) standard deviations above
--- a/core/assign/uneven_test.go
+++ b/core/assign/uneven_test.go
@@ -116,3 +116,22 @@
 	moved := sim.run(4, 0, 0)
 	assert.Assert(t, moved < 0.03, "%v of the keys moved", moved)
 }
+
+// Guards against keys of targets that have left which are placed as if all others were equally fast, and are moved once
+// more thereafter.
+func TestKeysOfTargetsThatLeaveInSeriesGoWhereThereIsCapacity(t *testing.T) {
+	sim := newMeasuredSim(t, 0, 0.68, 0.68, 1.64)
+	sim.run(24, 0, 0)
+	var ids []string
+	for i := range largeFleet {
+		ids = append(ids, fmt.Sprintf("t%03d", i))
+	}
+	moved, worst := 0.0, 0.0
+	for left := 2; left <= 40; left += 2 {
+		sim.assigner.SetTargets(sim.now, testTargets(ids[left:]...))
+		moved += sim.run(1, 0, 0)
+		worst = max(worst, sim.maxUtilisation(0, 0, 0))
+	}
+	assert.Assert(t, moved < 0.08, "%v of the keys moved beside those of the targets that left", moved)
+	assert.Assert(t, worst < 1.4, "%v", worst)
+}
