Leave the bytes of earlier terms out of the pace of a leader's tables

A router that led again charged its first table with all bytes that it had sent before, so that the second one waited for up to 400 ms. Found by the part's own review; not measured.

--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -132,7 +132,9 @@
 // tablePace returns the pace of a service's tables. Each has the bytes of all services counted: together they keep to
 // the part of the link.
 func (l *leader) tablePace() linkbudget.Pace {
-	return linkbudget.Pace{BytesPerSecond: tablesLinkShare * l.g.opts.LinkBytesPerSecond, Least: publishInterval, Longest: maxPublishInterval}
+	pace := linkbudget.Pace{BytesPerSecond: tablesLinkShare * l.g.opts.LinkBytesPerSecond, Least: publishInterval, Longest: maxPublishInterval}
+	pace.Sent(time.Time{}, l.g.leadCost.feed[feed.PartTables].Load()) // what earlier terms have sent is paid for
+	return pace
 }
 
 func (l *leader) carryOut(t *term, service string, assignment *serviceAssignment, actions assign.Actions, now time.Time) {
