Take targets that a router has not heard of for as full as the others, and let full queues drain

A router without a request in flight at a target also sent there whatever the wait.

Targets of services without keys now count as full as the mean of recent reports where there is no fresh one of their own, and a request is refused if even a new one would be late at the best target.

--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -40,6 +40,8 @@
 	// Due is the time of the objective, after which the answer loses most of its value, and
 	// Deadline is when the answer must have begun; the zero time means none.
 	Due, Deadline time.Time
+	// Objective is the latency within which an answer to a new request has its full value; zero means none.
+	Objective time.Duration
 	// Bytes is the expected size of the request and its answer.
 	Bytes int64
 	// Avoid is the target of the previous attempt, which is chosen only if there is no other.
@@ -133,6 +135,8 @@
 	evacuationLimit time.Duration
 	cold            coldLimit
 	workTimes       workTimes
+	// typical is the work of other routers at a target.
+	typical typicalWork
 }
 
 // New returns a Service for a router in the data centre; byKey says that the keys are divided
@@ -161,6 +165,9 @@
 			state = newTargetState(t)
 		}
 		state.Target = t
+		if !s.byKey {
+			state.typical = &s.typical
+		}
 		targetByID[t.ID] = state
 		s.targetList = append(s.targetList, state)
 		if t.TakesNewWork() {
@@ -320,7 +327,7 @@
 	if !t.hasRoom(now) {
 		return Decision{}, s.noRoom(now, t)
 	}
-	if t.inFlight > 0 && !s.worthQueueing(now, r, t) {
+	if t.inFlight > 0 && !s.worthQueueing(now, r, t) || s.drains(now, r, t) {
 		return Decision{}, s.tooLate(now, t)
 	}
 	d := Decision{Verdict: Send, Target: t.Target, Work: t.totalWork(now), ReportAge: -1, ServiceMultiple: t.serviceMultiple(now),
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -81,6 +81,8 @@
 	// work by the last report, which came at lastReport.
 	othersMean, othersLast float64
 	lastReport             time.Time
+	// typical is the work at a target of the service; nil if each counts only by its own reports.
+	typical *typicalWork
 	// lastWaiting is the number of waiting requests in the last report.
 	lastWaiting int
 	// meanServiceTime is the mean time to an answer without the wait for a slot, in seconds;
@@ -125,11 +127,12 @@
 
 // othersWork returns the expected work of other routers at the target.
 func (t *targetState) othersWork(now time.Time) float64 {
-	if t.lastReport.IsZero() {
-		return t.othersMean
+	own := t.othersMean
+	if !t.lastReport.IsZero() {
+		weight := math.Exp(-now.Sub(t.lastReport).Seconds() / othersDecayTime.Seconds())
+		own += (t.othersLast - t.othersMean) * weight
 	}
-	weight := math.Exp(-now.Sub(t.lastReport).Seconds() / othersDecayTime.Seconds())
-	return t.othersMean + (t.othersLast-t.othersMean)*weight
+	return t.typical.estimate(now, own, t.slots(), t.lastReport)
 }
 
 // totalWork returns the expected work of all routers at the target.
@@ -252,6 +255,9 @@
 	}
 	t.othersMean += (others - t.othersMean) * othersGain
 	t.othersLast, t.lastReport, t.lastWaiting = others, now, r.Waiting
+	if t.typical != nil {
+		t.typical.record(now, others/t.slots())
+	}
 }
 
 // actualServiceMultiple returns how many service times an answered request has stayed at the
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -160,6 +160,7 @@
 		Bytes: x.g.sizes.expect(x.route.Name, x.r) + headerOverhead,
 	}
 	if x.route.Objective > 0 {
+		q.Objective = x.route.Objective
 		q.Due = x.began.Add(x.route.Objective - x.age)
 	}
 	return q
