--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -66,6 +66,9 @@
 	b.requestTokens += min(b.perRequest, free)
 }
 
+// PerRequest returns the part of a token that each request adds.
+func (b *WindowBudget) PerRequest() float64 { return b.perRequest }
+
 // Take removes the token for one retry and reports whether there was one.
 func (b *WindowBudget) Take(now time.Time) bool {
 	b.refill(now)
