Refuse the least urgent requests first while a service has too little room

A router counts sends without an answer in time and answers that found as many waiting as slots. Above a fifth the admitted part falls at once, without any it rises over seconds; it is divided by priority with a floor of a quarter, and the most urgent are not cut. Retries are ranked too.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -260,6 +260,7 @@
 		s := g.services[spec.Name]
 		if s == nil || s.byKey != spec.ByKey {
 			s = newService(spec, &g.opts, g.newBudget(), g.logReach)
+			s.admission.onChange = g.observeAdmission(spec.Name)
 			s.setShare(g.share.current())
 		}
 		s.limitCold(g.opts.Cold.Rate(spec.WarmupRate))
--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -14,6 +14,9 @@
 
 // place places the request at a target, and waits for that if necessary.
 func (x *exchange) place() (dispatch.Decision, *fault.Fault) {
+	if f := x.admit(); f != nil {
+		return dispatch.Decision{}, f
+	}
 	if x.body == nil {
 		return x.service.acquire(x.r.Context(), x.dispatchRequest(), func() {})
 	}
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"tarragongw/core/pressure"
 	"tarragongw/core/retry"
 )
 
@@ -16,9 +17,11 @@
 // takeRetry takes a retry from the service's budget, and reports whether there was one.
 func (x *exchange) takeRetry() bool {
 	x.g.share.apply() // it may have expired
-	taken := x.service.takeRetry()
+	rank := x.rank()
+	taken := x.service.takeRetry(rank)
 	if !taken {
-		x.g.log.Info("retry refused by the budget", "id", x.meta.ID, "service", x.service.name, "sends", x.sends, "share", x.g.share.current())
+		x.g.log.Info("retry refused by the budget", "id", x.meta.ID, "service", x.service.name, "sends", x.sends, "share", x.g.share.current(),
+			"rank", rank, "rank_share", x.service.retryShare(rank))
 	}
 	if tel := x.g.opts.Telemetry; tel != nil {
 		result := "taken"
@@ -29,3 +32,10 @@
 	}
 	return taken
 }
+
+// rank returns the rank of the request among those that ask for what is scarce.
+func (x *exchange) rank() int { return pressure.RankOf(x.route.Priority, x.age >= returnAge) }
+
+// returnAge is the least time that a caller which returns after a refusal has waited; less is how callers' time limits
+// differ by themselves.
+const returnAge = 50 * time.Millisecond
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -11,6 +11,7 @@
 	"tarragongw/core/dispatch"
 	"tarragongw/core/fault"
 	"tarragongw/core/keyspace"
+	"tarragongw/core/pressure"
 	"tarragongw/core/retry"
 	"tarragongw/core/routes"
 )
@@ -28,9 +29,13 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Service
 	budget     *retry.WindowBudget
-	waiting    map[uint64]chan dispatch.Decision
-	lastID     uint64
-	timer      *time.Timer
+	// retries decides who may take from the budget while it doesn't suffice for all.
+	retries pressure.Retries
+	// admission decides who is served while the targets have too little room.
+	admission admission
+	waiting   map[uint64]chan dispatch.Decision
+	lastID    uint64
+	timer     *time.Timer
 	// table is the key table in force.
 	table *keyspace.Table
 	// tableChanged is closed when the table changes.
@@ -143,6 +148,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.dispatcher.Done(now, id, result, took, turns)
+	s.admission.recordEnd(now, result)
 	if result == dispatch.Unreachable || result == dispatch.Answered && s.extent != dispatch.ReachesAll {
 		s.observeReach()
 	}
@@ -170,7 +176,9 @@
 func (s *service) recordReport(id string, r dispatch.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.dispatcher.Report(time.Now(), id, r)
+	now := time.Now()
+	s.dispatcher.Report(now, id, r)
+	s.admission.recordReport(now, &r)
 }
 
 // poll answers requests that no longer have to wait; the caller holds the lock.
@@ -200,13 +208,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.budget.Request()
+	s.retries.Token(time.Now(), s.budget.PerRequest())
+}
+
+// takeRetry takes a retry for a request of the rank from the budget, and reports whether there was one that more urgent
+// requests leave.
+func (s *service) takeRetry(rank int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	return s.retries.Admit(now, rank, rand.Float64()) && s.budget.Take(now)
 }
 
-// takeRetry takes a retry from the budget, and reports whether there was one.
-func (s *service) takeRetry() bool {
+// retryShare returns the share of the rank's requests that may take a retry.
+func (s *service) retryShare(rank int) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Take(time.Now())
+	return s.retries.Share(rank)
 }
 
 // setShare sets this router's part of what all routers share: the service's retries, see WindowBudget.SetFraction, and the
