Don't publish service times that are only expected

At 300 routers and 3,000 targets the leader sent all routers the times of targets that had answered nothing yet, expected by the key table. The test failed before (two published in place of one).

--- a/core/dispatch/targetstats.go
+++ b/core/dispatch/targetstats.go
@@ -148,12 +148,13 @@
 }
 
 // ChangedServiceTimes returns the lasting service times that have changed by at least
-// serviceTimeChange since they were last returned, and by how many answers each is known.
+// serviceTimeChange since they were last returned, and by how many answers each is known. What is only expected of a
+// target is left out: a router that becomes the leader expects the same by the key table.
 func (s *Service) ChangedServiceTimes() []TargetStats {
 	var all []TargetStats
 	for _, t := range s.targetList {
 		lasting := s.speeds.Time(t.ID)
-		if lasting == 0 || t.publishedServiceTime != 0 && math.Abs(lasting-t.publishedServiceTime) < serviceTimeChange*t.publishedServiceTime {
+		if lasting == 0 || s.speeds.Answers(t.ID) == 0 || t.publishedServiceTime != 0 && math.Abs(lasting-t.publishedServiceTime) < serviceTimeChange*t.publishedServiceTime {
 			continue
 		}
 		t.publishedServiceTime = lasting
