--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -289,8 +289,6 @@
 	// endedHolders are the target instances that are known to have ended.
 	endedHolders map[keyspace.Holder]bool
 	loadTracker  *LoadTracker
-	// knownTimes are the targets' service times that Rebalance was last given, in seconds.
-	knownTimes map[string]float64
 	// keyLimits are the hot keys of which only part of the requests is served.
 	keyLimits map[keyspace.Key]keyLimit
 
--- a/core/assign/plan.go
+++ b/core/assign/plan.go
@@ -77,9 +77,9 @@
 	rate, utilisationGoal float64
 }
 
-// newPlan sums the present load of each target, with the service times that Rebalance was last
-// given. Keys that are moving count for the target that they move to.
-func (a *Assigner) newPlan(now time.Time) *plan { return a.planWithServiceTimes(now, a.knownTime) }
+// newPlan sums the present load of each target. Keys that are moving count for the target that
+// they move to.
+func (a *Assigner) newPlan(now time.Time) *plan { return a.planWithServiceTimes(now, nil) }
 
 // planWithServiceTimes is newPlan with service times that differ between targets.
 func (a *Assigner) planWithServiceTimes(now time.Time, serviceTimes ServiceTimes) *plan {
--- a/core/assign/rebalance.go
+++ b/core/assign/rebalance.go
@@ -17,8 +17,7 @@
 // keys away until they are as busy as the rest. Otherwise nothing moves, even if by chance the
 // busiest of hundreds of targets looks overloaded.
 func (a *Assigner) Rebalance(now time.Time, serviceTimes ServiceTimes, requestsPerSample float64) []Move {
-	a.remember(serviceTimes)
-	p := a.planWithServiceTimes(now, a.knownTime)
+	p := a.planWithServiceTimes(now, serviceTimes)
 	if len(p.candidates) < 2 || requestsPerSample <= 0 {
 		return nil
 	}
@@ -39,16 +38,6 @@
 	return moves
 }
 
-// remember keeps the targets' service times, by which keys of targets that have left are placed too.
-func (a *Assigner) remember(serviceTimes ServiceTimes) {
-	a.knownTimes = make(map[string]float64, len(a.candidates))
-	for id := range a.candidates {
-		a.knownTimes[id] = serviceTime(id, serviceTimes, 0)
-	}
-}
-
-func (a *Assigner) knownTime(target string) float64 { return a.knownTimes[target] }
-
 // removeNoise replaces each target's load by its expected load: the load of its fraction of
 // the keys, plus the difference of its own load from that as far as it is more than chance.
 // The busiest of n targets with equal load lies about sqrt(2 ln n) standard deviations above
@@ -131,11 +120,6 @@
 		return Move{}, false
 	}
 	from, to, load, ok := movable.bestToMove(wantedLoad)
-	if !ok && donor.hot {
-		// Each of a set of popular keys may have more load than any target has to spare. It still is better off at
-		// a target that has none of them, and that gives its other keys away.
-		from, to, load, ok = movable.bestToMove(math.Min(excess, p.evenLoad(donor, receiver)))
-	}
 	if !ok || donor.utilisation()-load*donor.cost < receiver.utilisation()+load*receiver.cost {
 		return Move{}, false
 	}
@@ -145,11 +129,6 @@
 	return Move{From: from, To: to, Target: receiver.target.ID}, true
 }
 
-// evenLoad returns the load that makes both targets equally utilised when it moves from the donor to the receiver.
-func (p *plan) evenLoad(donor, receiver *candidateLoad) float64 {
-	return (donor.utilisation() - receiver.utilisation()) / (donor.cost + receiver.cost)
-}
-
 // mostSpare returns the target that can take the most load, and that load, in requests.
 func (p *plan) mostSpare(donor *candidateLoad) (*candidateLoad, float64) {
 	var best *candidateLoad
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -7,7 +7,6 @@
 	"tarragongw/core/directory"
 	"tarragongw/core/fault"
 	"tarragongw/core/keyspace"
-	"tarragongw/core/speed"
 )
 
 const (
@@ -134,8 +133,6 @@
 	evacuationLimit time.Duration
 	cold            coldLimit
 	workTimes       workTimes
-	// speeds are the lasting speeds of targets, by which keys are divided among them.
-	speeds *speed.Speeds
 }
 
 // New returns a Service for a router in the data centre; byKey says that the keys are divided
@@ -143,7 +140,7 @@
 func New(dataCentre string, byKey bool, random *rand.Rand) *Service {
 	return &Service{
 		dataCentre: dataCentre, byKey: byKey, targetByID: map[string]*targetState{}, overallServiceTime: initialService, random: random,
-		pendingStats: map[string]*TargetStats{}, speeds: speed.New(initialService),
+		pendingStats: map[string]*TargetStats{},
 	}
 }
 
@@ -171,7 +168,6 @@
 		}
 	}
 	s.targetByID = targetByID
-	s.speeds.Keep(func(id string) bool { return targetByID[id] != nil })
 	for id := range s.pendingStats {
 		if targetByID[id] == nil {
 			delete(s.pendingStats, id)
@@ -263,13 +259,11 @@
 		s.overallServiceTime += (sample - s.overallServiceTime) * meanGain
 		s.workTimes.add(sample, 1)
 		s.recordServiceTime(id, sample)
-		s.speeds.Add(id, 1, sample)
 	case TimedOut:
 		t.recordOutcome(now, 1)
 		t.cutQueueLimit()
 		if t.recordTimeout(sample, s.overallServiceTime) {
 			s.recordServiceTime(id, sample)
-			s.speeds.AddUnanswered(id, sample)
 		}
 	case Failed:
 		t.recordOutcome(now, 1)
@@ -463,9 +457,6 @@
 
 // ServiceTime returns the target's mean service time in seconds; zero before its first answer.
 func (s *Service) ServiceTime(id string) float64 {
-	if s.byKey {
-		return s.speeds.Time(id)
-	}
 	if t := s.targetByID[id]; t != nil {
 		return t.meanServiceTime
 	}
--- a/core/dispatch/targetstats.go
+++ b/core/dispatch/targetstats.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"tarragongw/core/keyspace"
 )
 
 // TargetStats are the statistics of a target over a number of answers.
@@ -134,12 +132,10 @@
 		}
 		if stats.Answers > 0 && stats.Mean > 0 {
 			s.workTimes.add(stats.Mean.Seconds(), stats.Answers)
-			s.speeds.Add(stats.Target, stats.Answers, stats.Mean.Seconds())
 			t.updateServiceTime(stats.Answers, stats.Mean.Seconds(), s.overallServiceTime, t.answerGain(stats.Mean.Seconds()))
 		}
 		if stats.Stalled.Seconds() > math.Max(t.meanServiceTime, s.overallServiceTime) {
 			t.updateServiceTime(1, stats.Stalled.Seconds(), s.overallServiceTime, stallGain)
-			s.speeds.AddUnanswered(stats.Target, stats.Stalled.Seconds())
 		}
 		if stats.Failed > 0 || stats.Waiting >= t.Slots && stats.Waiting > 0 {
 			t.overloadedAt = now
@@ -147,46 +143,25 @@
 	}
 }
 
-// ChangedServiceTimes returns the lasting service times that have changed by at least
-// serviceTimeChange since they were last returned, and by how many answers each is known. What is only expected of a
-// target is left out: a router that becomes the leader expects the same by the key table.
+// ChangedServiceTimes returns the mean service times that have changed by at least
+// serviceTimeChange since they were last returned.
 func (s *Service) ChangedServiceTimes() []TargetStats {
 	var all []TargetStats
 	for _, t := range s.targetList {
-		lasting := s.speeds.Time(t.ID)
-		if lasting == 0 || s.speeds.Answers(t.ID) == 0 || t.publishedServiceTime != 0 && math.Abs(lasting-t.publishedServiceTime) < serviceTimeChange*t.publishedServiceTime {
+		if t.meanServiceTime == 0 || t.publishedServiceTime != 0 && math.Abs(t.meanServiceTime-t.publishedServiceTime) < serviceTimeChange*t.publishedServiceTime {
 			continue
 		}
-		t.publishedServiceTime = lasting
-		all = append(all, TargetStats{Target: t.ID, Answers: s.speeds.Answers(t.ID), Mean: time.Duration(lasting * float64(time.Second))})
+		t.publishedServiceTime = t.meanServiceTime
+		all = append(all, TargetStats{Target: t.ID, Mean: time.Duration(t.meanServiceTime * float64(time.Second))})
 	}
 	return all
 }
 
-// SetServiceTimes replaces service times by those that the leader has merged from all routers. A router
-// that becomes the leader thus knows how fast the targets are.
+// SetServiceTimes replaces mean service times by those that the leader has merged from all routers.
 func (s *Service) SetServiceTimes(all []TargetStats) {
 	for _, stats := range all {
 		if t := s.targetByID[stats.Target]; t != nil && stats.Mean > 0 {
 			t.meanServiceTime = stats.Mean.Seconds()
-			s.speeds.Set(stats.Target, stats.Answers, stats.Mean.Seconds())
-		}
-	}
-}
-
-// ExpectSpeeds takes the division of the keys as a sign of how fast the targets are, until enough answers
-// are known: a target with twice the keys is taken to be twice as fast. Otherwise the first leader after a
-// restart of all routers, which knows no speeds, would divide the keys evenly again.
-func (s *Service) ExpectSpeeds(table *keyspace.Table) {
-	keys := map[string]float64{}
-	for i := range table.Segments {
-		if segment := &table.Segments[i]; segment.Target != "" {
-			keys[segment.Target] += float64(segment.Len())
 		}
 	}
-	mean := float64(int(keyspace.LastKey)+1) / math.Max(float64(len(keys)), 1)
-	for id, n := range keys {
-		keys[id] = mean / n
-	}
-	s.speeds.Expect(keys)
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -117,9 +117,6 @@
 	cfg := assign.Config{OutageGrantTTL: min(outageGrantTTL, l.g.opts.MaxGrantTTL), OldLeaderBound: orderLimitWithQuorum, WriteInterval: tableWriteInterval,
 		EvacuateWithin: l.g.opts.EvacuationLimit, SpareCold: l.g.sparesCold(m.service), OrderBudget: l.orderBudget}
 	table := l.newestTable(m, &cfg)
-	if s := l.g.service(m.service); s != nil && table != nil {
-		s.expectSpeeds(table)
-	}
 	assigner := assign.TakeOver(time.Now(), cfg, m.service, table)
 	l.targets.apply(assigner)
 	if m.term.oldLeaderDeadlines != nil {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -253,13 +253,6 @@
 	s.dispatcher.SetServiceTimes(serviceTimes)
 }
 
-// expectSpeeds takes the division of the keys as a sign of how fast the targets are.
-func (s *service) expectSpeeds(table *keyspace.Table) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.dispatcher.ExpectSpeeds(table)
-}
-
 // overloaded reports whether a target has recently been overloaded.
 func (s *service) overloaded(id string) bool {
 	s.mu.Lock()
