--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -26,7 +26,7 @@
 		h.subscription.g.contacts.set(u.Contacts)
 	}
 	if u.Standbys != nil {
-		h.subscription.g.succession.name(u.Standbys.Routers)
+		h.subscription.g.succession.setStandbys(u.Standbys.Routers)
 	}
 	if u.Stale {
 		h.handleStale(u)
--- a/gateway/standbys.go
+++ b/gateway/standbys.go
@@ -47,8 +47,8 @@
 	declinesUntil time.Time
 }
 
-// name records the routers that take over when the leader is lost.
-func (s *succession) name(standbys []string) {
+// setStandbys records the routers that take over when the leader is lost.
+func (s *succession) setStandbys(standbys []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.standbys, s.fed = standbys, true
@@ -192,7 +192,7 @@
 	}
 	l.standbys = routers
 	l.g.log.Info("standbys named", "routers", routers)
-	l.g.succession.name(routers)
+	l.g.succession.setStandbys(routers)
 	l.g.subscription.source.SetStandbys(routers)
 }
 
