Test that targets which leave or rest by their answers get no requests; it fails

Five routers, targets with keys and without. A target states in its answers that it leaves while its entry says that it stays: later than 2 s after a router has passed on such an answer, that router sends it 108 to 216 requests in 2 s without keys and 135 with keys, with the store up and down; with the leader lost besides, keys lapse. Targets that turn requests away with Retry-After: 3 get up to 36 requests from one router in that time, 4 of 4 cases, where the test allows none.

--- /dev/null
+++ b/gateway/targetstatements_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"tarragongw/internal/waittest"
+	"tarragongw/platform/platformtest"
+)
+
+const (
+	// askedRest is the rest that targets ask for, and restGrace how long after its beginning requests may arrive that were
+	// sent before.
+	askedRest = 3 * time.Second
+	restGrace = 500 * time.Millisecond
+)
+
+// newStatementFleet starts gateways in front of targets with and without keys, and waits until all serve. No target may get
+// requests later than drainLimit after its leaving was acknowledged.
+func newStatementFleet(t *testing.T, gateways int) *fleet {
+	f := newFleet(t, 0, mixedConfig, mixedTargets()...)
+	f.knownWithin = drainLimit
+	for i := range gateways {
+		f.start(routerName(i))
+	}
+	f.awaitSubscribed()
+	f.awaitServed()
+	return f
+}
+
+// byID returns the callers' first tries by ID.
+func (l *callerLoad) byID() map[string]firstTry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tries := make(map[string]firstTry, len(l.tries))
+	for _, try := range l.tries {
+		tries[try.id] = try
+	}
+	return tries
+}
+
+// toldToLeave returns when each router first passed on an answer that states that the target leaves.
+func (l *callerLoad) toldToLeave(target string) map[string]time.Time {
+	tries, told := l.byID(), map[string]time.Time{}
+	for _, answered := range l.f.targets[target].LeavingAnswers() {
+		try, known := tries[answered.ID]
+		if at, again := told[try.router]; known && (!again || try.sent.Add(try.took).Before(at)) {
+			told[try.router] = try.sent.Add(try.took)
+		}
+	}
+	return told
+}
+
+// errLateAtLeaving returns an error if requests reached a target later than drainLimit after their router had passed on that it
+// leaves.
+func (l *callerLoad) errLateAtLeaving(target string) error {
+	told, tries, late := l.toldToLeave(target), l.byID(), 0
+	var latest time.Duration
+	for _, arrival := range l.f.targets[target].Arrivals() {
+		at, isTold := told[tries[arrival.ID].router]
+		if after := arrival.At.Sub(at); isTold && after > drainLimit {
+			late, latest = late+1, max(latest, after)
+		}
+	}
+	if late > 0 {
+		return errors.Errorf("%d requests reached %s later than %v after their router had passed on that it leaves, up to %v", late, target, drainLimit, latest)
+	}
+	return nil
+}
+
+// errInRest returns an error if a router sends a target more than a number of requests between restGrace after it was turned
+// away and the end of the rest that was asked for.
+func (l *callerLoad) errInRest(target string, rest time.Duration, allowed int) error {
+	tries := l.byID()
+	asked, arrived := map[string][]time.Time{}, map[string][]time.Time{}
+	for _, r := range l.f.targets[target].TurnedAway() {
+		asked[tries[r.ID].router] = append(asked[tries[r.ID].router], r.At)
+	}
+	for _, r := range l.f.targets[target].Arrivals() {
+		arrived[tries[r.ID].router] = append(arrived[tries[r.ID].router], r.At)
+	}
+	for router, times := range asked {
+		for _, at := range times {
+			n := 0
+			for _, arrival := range arrived[router] {
+				if after := arrival.Sub(at); after > restGrace && after < rest {
+					n++
+				}
+			}
+			if n > allowed {
+				return errors.Errorf("%s asked %s for %v without requests and got %d", target, router, rest, n)
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against routers that go on sending to a target that has said in an answer that it leaves, while its entry says that it
+// stays.
+func TestTargetsThatSayTheyLeaveGetNoLateRequests(t *testing.T) {
+	for name, trouble := range map[string]func(f *fleet){
+		"the store is up":   func(*fleet) {},
+		"the store is down": func(f *fleet) { f.cutStore(true) },
+		"the store is down and the leader lost": func(f *fleet) {
+			f.cutStore(true)
+			abandon(f.leader())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStatementFleet(t, 5)
+			load := startLoad(f)
+			keyed, any := f.busiest("keyed"), f.busiest("any")
+			trouble(f)
+			f.targets[keyed].StateLeaving("1")
+			f.targets[any].StateLeaving("1")
+			waittest.Until(t, "a router was told", func() bool { return len(load.toldToLeave(any)) > 0 && len(load.toldToLeave(keyed)) > 0 })
+			time.Sleep(2 * drainLimit)
+			load.end()
+			assert.Check(t, load.errLateAtLeaving(any))
+			assert.Check(t, load.errLateAtLeaving(keyed))
+			load.checkPromises()
+		})
+	}
+}
+
+// Guards against routers that go on sending to a target that has turned them away and asked for a rest.
+func TestRestingTargetsGetNoRequests(t *testing.T) {
+	for name, rest := range map[string]*platformtest.Rest{
+		"said not to have run": {RetryAfter: []string{"3"}},
+		"not said":             {RetryAfter: []string{"3"}, Unstated: true},
+	} {
+		for _, service := range []string{"keyed", "any"} {
+			t.Run(service+", "+name, func(t *testing.T) {
+				f := newStatementFleet(t, 5)
+				load := startLoad(f)
+				for _, target := range f.targets {
+					if target.Service == service {
+						target.AskRest(rest)
+					}
+				}
+				time.Sleep(askedRest + 2*time.Second)
+				load.end()
+				turnedAway := 0
+				for id, target := range f.targets {
+					if target.Service == service {
+						turnedAway += len(target.TurnedAway())
+						assert.Check(t, load.errInRest(id, askedRest, 0))
+					}
+				}
+				assert.Check(t, turnedAway > 0)
+				load.checkPromises()
+			})
+		}
+	}
+}
