Send no requests to targets that state in their answers that they leave

What callers saw: their requests were answered, by a target that was about to end; with a planned stop they would have been cut off. Cause: only the store's word counted, and the store was down. No code read Server-Leaving: every router logged it, once the line was there, and none refused or moved anything for it. Change: such a statement, in any answer to a request, an order or a status check, is recorded in the router's directory, where the entry's word stands: nothing takes it back for that instance, new work ends at once, requests for keys 1.85 s later, checked again at the connection and at the first byte. It goes over the feed to the leader and from there to all routers, also while the leader doesn't hear from the store; a new leader is told again by all. The earliest word counts, be it the entry's or the target's. It is forgotten a minute after the instance is.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -90,6 +90,8 @@
 	entries map[string]*entry
 	// departed are the targets that were removed, see Ended.
 	departed map[string]departedTarget
+	// stated are the instances that have stated in answers that they leave, and since when that is known.
+	stated map[keyspace.Holder]time.Time
 	// storeUnreachable reports whether the store is unreachable. storeReachableSince is when
 	// it last became reachable again.
 	storeUnreachable    bool
@@ -103,7 +105,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{entries: map[string]*entry{}, departed: map[string]departedTarget{}}
+	return &Directory{entries: map[string]*entry{}, departed: map[string]departedTarget{}, stated: map[keyspace.Holder]time.Time{}}
 }
 
 // Put records a report of a target. It returns whether anything changed except the report's
@@ -119,8 +121,8 @@
 		return answered
 	}
 	t.ColdUntil = reportedCold(old, now, &t)
-	d.noticeReport(&t)
 	d.keepLeaving(&t)
+	d.noticeReport(&t)
 	delete(d.departed, t.ID)
 	d.entries[t.ID] = nextEntry(old, now, t)
 	if !known || !old.removeAt.IsZero() {
@@ -136,10 +138,18 @@
 
 // keepLeaving completes a report by what is known of the target's leaving.
 func (d *Directory) keepLeaving(t *Target) {
-	if last := d.lastEntry(t); last != nil && last.target.Draining {
+	last := d.lastEntry(t)
+	known := last != nil && last.target.Draining
+	switch {
+	case known && t.Draining:
+		// What was known may be a later statement of the target itself.
+		t.LeavingAfter = earliestLeaving(&last.target, d.confirmedAt)
+	case known:
 		t.Draining, t.LeavingAfter = true, last.target.LeavingAfter
-	} else if t.Draining {
+	case t.Draining:
 		t.LeavingAfter = d.confirmedAt
+	default:
+		t.LeavingAfter, t.Draining = d.stated[t.Holder()], !d.stated[t.Holder()].IsZero()
 	}
 }
 
--- a/core/directory/notice.go
+++ b/core/directory/notice.go
@@ -13,10 +13,14 @@
 	NoticeBack
 	// NoticeOutdated: an older report says that a leaving target stays.
 	NoticeOutdated
+	// NoticeStated: the target has stated in an answer that it leaves.
+	NoticeStated
 )
 
 // String returns the kind as log lines have it.
-func (k NoticeKind) String() string { return [...]string{"draining", "gone", "back", "outdated"}[k] }
+func (k NoticeKind) String() string {
+	return [...]string{"draining", "gone", "back", "outdated", "stated"}[k]
+}
 
 // Notice is what was learned about the leaving of one target.
 type Notice struct {
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -92,6 +92,8 @@
 		if cs.knownPrefixes[cs.g.opts.Adapter.TargetPrefix] {
 			cs.publishTargets(true)
 		}
+	case *leavingStated:
+		cs.useStatedLeaving(m)
 	case coldAnswers:
 		cs.useColdAnswers(m)
 	case tick:
--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -21,7 +21,7 @@
 func (g *Gateway) serveFollowers() {
 	server := &feed.Server{
 		Log: g.log, StoreReachable: g.subscription.isFresh, ConfigAge: g.feedAge, State: g.ownState, LeaderSource: g.subscription.feedSource,
-		OnReport: g.handleReport, OnObservations: g.guard.Observe, OnLimitNews: g.statedLimits.handleNews, Clock: g.opts.Clock,
+		OnReport: g.handleReport, OnObservations: g.guard.Observe, OnTargetNews: g.handleTargetNews, Clock: g.opts.Clock,
 		OnJoin: func(router feed.Router, term uint64, promised time.Duration) {
 			g.relays.join(router, term)
 			g.leader.duty.Tell(&followerJoined{router.Name, kv.Revision(term), promised})
--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -23,6 +23,9 @@
 		h.subscription.g.statedLimits.setListed(u.TargetLimits.Limits, h.leader.name)
 	}
 	h.subscription.g.statedLimits.leaderHeard(h.leader.name)
+	if u.Leaving != nil {
+		h.subscription.g.statedLeaving.hear(u.Leaving.Targets, h.leader.name)
+	}
 	h.subscription.g.statedLimits.handlePermits(u.Permits)
 	if u.Relays != nil {
 		h.subscription.g.paths.setRelays(u.Relays.Relays)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,7 @@
 	guard               *crashguard.Guard
 	statements          *statements
 	rests               *rests
+	statedLeaving       *statedLeaving
 	statedLimits        *statedLimits
 	unreadStatements    *unreadStatements
 	// paths are this router's ways to the targets, relays the routers through which others may reach
@@ -117,6 +118,7 @@
 	g.guard = newGuard(g)
 	g.statedLimits = newStatedLimits(g)
 	g.rests = newRests(g)
+	g.statedLeaving = newStatedLeaving(g)
 	g.statements = newStatements(g)
 	g.unreadStatements = &unreadStatements{g: g, known: map[string]bool{}}
 	g.handler = caller.NewHandler(g.callerConfig(nil), g, observer{g})
--- a/gateway/limitledger.go
+++ b/gateway/limitledger.go
@@ -32,7 +32,7 @@
 }
 
 // handleNews records what a follower tells of limits, and answers its requests for permits.
-func (l *statedLimits) handleNews(_ string, news *feed.LimitNews) []feed.Permits {
+func (l *statedLimits) handleNews(news *feed.TargetNews) []feed.Permits {
 	mayGive := l.g.leader.mayGivePermits()
 	l.mu.Lock()
 	if l.ledger == nil {
--- a/gateway/sendlimits.go
+++ b/gateway/sendlimits.go
@@ -60,10 +60,12 @@
 // untilFor returns until when requests may be sent to a target by one part of the state, which says of some targets that
 // they may get no more.
 func (f *freshness) untilFor(t *directory.Target, ended *atomic.Pointer[map[keyspace.Holder]time.Duration]) time.Duration {
+	until := f.expiry()
 	if known, found := (*ended.Load())[t.Holder()]; found {
-		return f.usableUntil(known)
+		// A target that has stated itself that it leaves may have been acknowledged before.
+		until = min(until, f.usableUntil(known))
 	}
-	return f.expiry()
+	return until
 }
 
 // await returns once the state is young enough for requests to be sent by it.
--- a/gateway/statedlimits.go
+++ b/gateway/statedlimits.go
@@ -269,10 +269,10 @@
 }
 
 // takeNews returns what there is for the leader.
-func (l *statedLimits) takeNews() *feed.LimitNews {
+func (l *statedLimits) takeNews() *feed.TargetNews {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	news := &feed.LimitNews{Statements: l.statements, Requests: l.requests}
+	news := &feed.TargetNews{Statements: l.statements, Requests: l.requests}
 	l.statements, l.requests = nil, nil
 	return news
 }
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"time"
 
 	"tarragongw/core/directory"
@@ -14,8 +13,6 @@
 type statements struct {
 	g          *Gateway
 	unreadable map[statement.Kind]*unreadableReports
-	// leaving has the targets that have stated that they leave, by keyspace.Holder.
-	leaving sync.Map
 }
 
 func newStatements(g *Gateway) *statements {
@@ -48,19 +45,13 @@
 		s.unreadable[said.Unreadable[i].Kind].observe(t, said.Unreadable[i].Err)
 	}
 	if said.Leaving {
-		s.observeLeaving(t)
+		s.g.statedLeaving.observe(t)
 	}
 	if said.Rest > 0 {
 		s.g.rests.observe(t, said.Rest)
 	}
 }
 
-func (s *statements) observeLeaving(t *directory.Target) {
-	if _, known := s.leaving.LoadOrStore(t.Holder(), time.Now()); !known {
-		s.g.log.Info("target leaves", "target", t.ID, "born", t.StartUnixMilli, "service", t.Service, "how", "stated", "told_by", "an answer")
-	}
-}
-
 // observeOrder records what a target states in its answer to an order or a status check. Limits and load are not read there:
 // a target need not state them in all answers.
 func (s *statements) observeOrder(holder keyspace.Holder, said statement.Answer) {
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -229,6 +229,7 @@
 	sub.g.guard.Retell()
 	sub.g.paths.retell()
 	sub.g.statedLimits.retell()
+	sub.g.statedLeaving.retell()
 	handler := &updateHandler{subscription: sub, leader: leader}
 	follower := &feed.Follower{
 		Router: sub.g.asRouter(), Address: leader.address, Term: uint64(leader.revision), Reports: sub.reports,
@@ -237,7 +238,7 @@
 		OnUpdate:  handler.handle,
 		Candidacy: sub.g.candidacy,
 		Clock:     sub.g.opts.Clock, Observations: sub.g.guard.Take, Wake: sub.g.guard.Wake(), Reach: sub.g.paths.news, WakeReach: sub.g.paths.wake,
-		LimitNews: sub.g.statedLimits.takeNews, WakeLimits: sub.g.statedLimits.wake,
+		TargetNews: sub.g.takeTargetNews, WakeNews: sub.g.statedLimits.wake,
 	}
 	return follower.Run(ctx)
 }
--- a/gateway/targetstatements_test.go
+++ b/gateway/targetstatements_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
+	"tarragongw/core/keyspace"
 	"tarragongw/internal/waittest"
 	"tarragongw/platform/platformtest"
 )
@@ -156,3 +159,76 @@
 		}
 	}
 }
+
+// knowsLeaving reports whether a gateway knows an instance of a target to leave.
+func (g *Gateway) knowsLeaving(id string, start int64) bool {
+	t, known := g.targetOf(keyspace.Holder{Target: id, StartUnixMilli: start})
+	return known && t.Draining
+}
+
+// Guards against a leaving that only the router knows that was told, while the store is down, and against one that holds on for
+// the next life of the target.
+func TestAllRoutersLearnThatATargetSaysItLeaves(t *testing.T) {
+	f := newStatementFleet(t, 3)
+	f.cutStore(true)
+	id := f.busiest("any")
+	f.targets[id].StateLeaving("1")
+	told := f.gateways[0]
+	waittest.Until(t, "one router is told", func() bool {
+		f.send(told, call{method: http.MethodGet, path: "/read/1", key: -1})
+		return told.knowsLeaving(id, 1)
+	})
+	for _, g := range f.gateways {
+		waittest.Until(t, "all know", func() bool { return g.knowsLeaving(id, 1) })
+	}
+	arrivals := len(f.targets[id].Arrivals())
+	for _, g := range f.gateways {
+		for range 20 {
+			assert.Equal(t, f.send(g, call{method: http.MethodGet, path: "/read/1", key: -1}).status, http.StatusOK)
+		}
+	}
+	assert.Equal(t, len(f.targets[id].Arrivals()), arrivals)
+	f.cutStore(false)
+	f.targets[id].StateLeaving("")
+	f.targets[id].Restart(f.store)
+	for _, g := range f.gateways {
+		waittest.Until(t, "the next life is known to stay", func() bool {
+			t, known := g.targetOf(keyspace.Holder{Target: id, StartUnixMilli: 2})
+			return known && !t.Draining
+		})
+	}
+}
+
+// Guards against a holder that says that it leaves to the leader only, by its answers to orders.
+func TestHolderThatSaysItLeavesToTheLeaderLosesItsKeys(t *testing.T) {
+	f := newStatementFleet(t, 3)
+	id := f.holder(100)
+	f.targets[id].StateLeaving("1")
+	waittest.Until(t, "the keys have moved", func() bool { held := f.holder(100); return held != "" && held != id })
+}
+
+// Guards against targets that get no requests any more because of a value that can't be read.
+func TestUnreadableStatementsHarmNobody(t *testing.T) {
+	f := newStatementFleet(t, 2)
+	for _, text := range []string{"", "abc", "-3", "NaN", "+Inf"} {
+		for _, target := range f.targets {
+			target.StateLeaving("no " + text)
+			target.AskRest(&platformtest.Rest{RetryAfter: []string{text}})
+		}
+		for _, g := range f.gateways {
+			f.send(g, call{method: http.MethodGet, path: "/read/1", key: -1})
+			f.send(g, call{method: http.MethodGet, path: "/look/1", key: 100})
+		}
+		for _, target := range f.targets {
+			target.AskRest(nil)
+		}
+		for _, g := range f.gateways {
+			assert.Equal(t, f.send(g, call{method: http.MethodGet, path: "/read/1", key: -1}).status, http.StatusOK)
+			assert.Equal(t, f.send(g, call{method: http.MethodGet, path: "/look/1", key: 100}).status, http.StatusOK)
+		}
+	}
+	for _, message := range []string{"leaving of a target not read", "rest of a target not read"} {
+		logged := strings.Count(f.log.String(), message)
+		assert.Assert(t, logged > 0 && logged <= 2*len(f.gateways), "%s: %d", message, logged)
+	}
+}
--- a/peer/feed/client.go
+++ b/peer/feed/client.go
@@ -38,10 +38,10 @@
 	// makes the follower send it at once. Both may be nil.
 	Reach     func() *Reach
 	WakeReach <-chan struct{}
-	// LimitNews returns what there is to tell and to ask about the limits of targets since the last call. WakeLimits makes
+	// TargetNews returns what there is to tell and to ask about statements of targets since the last call. WakeNews makes
 	// the follower send it. Both may be nil.
-	LimitNews  func() *LimitNews
-	WakeLimits <-chan struct{}
+	TargetNews func() *TargetNews
+	WakeNews   <-chan struct{}
 	// Backs says whether this router can't reach the store, so that it backs the leader;
 	// Backed is called with the time until which it does.
 	Backs    func() bool
@@ -130,8 +130,8 @@
 		case <-ticker.C:
 		case <-f.Wake:
 		case <-f.WakeReach:
-		case <-f.WakeLimits:
-			if err := writeMessage(conn, encodeLimitNews(f.LimitNews(), time.Now())); err != nil {
+		case <-f.WakeNews:
+			if err := writeMessage(conn, encodeTargetNews(f.TargetNews(), time.Now())); err != nil {
 				return
 			}
 			continue
--- a/peer/feed/feed.go
+++ b/peer/feed/feed.go
@@ -100,6 +100,8 @@
 	Evacuations *evacuation.Snapshot
 	// TargetLimits are the limits that targets state; nil if they have not changed.
 	TargetLimits *TargetLimits
+	// Leaving are the targets that have stated in answers that they leave; nil if they have not changed.
+	Leaving *LeavingTargets
 	// Permits answer permit requests of this follower.
 	Permits []Permits
 }
@@ -301,6 +303,9 @@
 	if p.GetTargetLimits() != nil {
 		u.TargetLimits = decodeTargetLimits(p.GetTargetLimits())
 	}
+	if p.GetLeavingTargets() != nil {
+		u.Leaving = &LeavingTargets{decodeLeaving(p.GetLeavingTargets().GetTargets(), time.Now())}
+	}
 	u.Permits = decodePermits(p.GetPermits())
 	if p.GetQuarantine() != nil {
 		u.Quarantine = decodeQuarantine(p.GetQuarantine(), time.Now())
--- a/peer/feed/server.go
+++ b/peer/feed/server.go
@@ -50,9 +50,9 @@
 	OnReport func(r Report)
 	// OnObservations is called with what a router observed of suspected requests. It may be nil.
 	OnObservations func(router string, o *quarantine.Observations)
-	// OnLimitNews is called with what a router tells and asks about the limits of targets, and returns the answers. It may be
+	// OnTargetNews is called with what a router tells and asks about the limits of targets, and returns the answers. It may be
 	// nil.
-	OnLimitNews func(router string, news *LimitNews) []Permits
+	OnTargetNews func(router string, news *TargetNews) []Permits
 	// OnBytes is called with the bytes of each part that are sent to a follower, and of the reports that one sent. It
 	// may be nil.
 	OnBytes func(part Part, bytes int)
@@ -265,8 +265,8 @@
 		if p.GetReach() != nil && f.server.OnReach != nil {
 			f.server.OnReach(f.hello.GetRouter(), f.hello.GetTerm(), Reach{decodeUnreached(p.GetReach().GetUnreached()), p.GetReach().GetUnavailable()})
 		}
-		if news := decodeLimitNews(p, time.Now()); news != nil && f.server.OnLimitNews != nil {
-			f.answer(f.server.OnLimitNews(f.hello.GetRouter(), news))
+		if news := decodeTargetNews(p, time.Now()); news != nil && f.server.OnTargetNews != nil {
+			f.answer(f.server.OnTargetNews(f.hello.GetRouter(), news))
 		}
 		if p.GetBacks() {
 			f.recordBacking(p.GetBeat())
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -53,6 +53,9 @@
 	// targetLimits are the limits that targets state, and targetLimitsChanged the version at which they were set.
 	targetLimits        []targetlimit.Limit
 	targetLimitsChanged uint64
+	// leaving are the targets that have stated that they leave, and leavingChanged the version at which they were set.
+	leaving        []LeavingTarget
+	leavingChanged uint64
 	// evacuations are the evacuated data centres, nil if unknown, and evacuationsChanged the version at which they were set.
 	evacuations        *evacuation.Snapshot
 	evacuationsChanged uint64
@@ -251,6 +254,14 @@
 	s.targetLimits, s.targetLimitsChanged = all, s.version
 }
 
+// SetLeaving publishes the targets that have stated in answers that they leave.
+func (s *Source) SetLeaving(all []LeavingTarget) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextVersionAndWake()
+	s.leaving, s.leavingChanged = all, s.version
+}
+
 // SetContacts publishes the addresses of some routers that answer AskState. The next heartbeat carries them.
 func (s *Source) SetContacts(addresses []string) {
 	s.mu.Lock()
@@ -297,8 +308,8 @@
 // sentState is what a follower has been sent so far.
 type sentState struct {
 	// all is the version up to which everything was sent, and tables the version up to which the
-	// tables, the list of suspected requests, the limits of targets, the relays, the contacts and the standbys were; a stale
-	// leader sends only these.
+	// tables, the list of suspected requests, the limits and the leaving of targets, the relays, the contacts and the standbys
+	// were; a stale leader sends only these.
 	all, tables uint64
 }
 
@@ -325,8 +336,8 @@
 }
 
 // updateSince returns the update for a follower in the state, and the follower's state after
-// it; the caller holds the lock. A stale leader sends only tables, suspected requests, limits of
-// targets, relays, contacts and standbys: it keeps these itself, so they are right without an answer from the store.
+// it; the caller holds the lock. A stale leader sends only tables, suspected requests, what targets state of
+// themselves, relays, contacts and standbys: it keeps these itself, so they are right without an answer from the store.
 func (s *Source) updateSince(state sentState, stale bool) (*feedpb.Update, sentState) {
 	u := &feedpb.Update{Stale: stale}
 	for _, kept := range s.tables {
@@ -341,6 +352,9 @@
 		// A new follower may know of limits that have ended.
 		u.TargetLimits = encodeTargetLimits(s.targetLimits)
 	}
+	if s.leavingChanged > state.tables {
+		u.LeavingTargets = &feedpb.LeavingTargets{Targets: encodeLeaving(s.leaving, time.Now())}
+	}
 	if s.relaysChanged > state.tables {
 		u.Relays = encodeRelays(s.relays)
 	}
--- a/peer/feed/targetlimits.go
+++ b/peer/feed/targetlimits.go
@@ -37,10 +37,11 @@
 	Wait time.Duration
 }
 
-// LimitNews is what a follower tells and asks its leader about the limits of targets.
-type LimitNews struct {
+// TargetNews is what a follower tells its leader about statements of targets, and the permits that it asks for.
+type TargetNews struct {
 	Statements []LimitStatement
 	Requests   []PermitRequest
+	Leaving    []LeavingTarget
 }
 
 // TargetLimits are all limits of targets that are in force.
@@ -75,8 +76,8 @@
 	return limits
 }
 
-func encodeLimitNews(news *LimitNews, now time.Time) *feedpb.Report {
-	p := &feedpb.Report{}
+func encodeTargetNews(news *TargetNews, now time.Time) *feedpb.Report {
+	p := &feedpb.Report{Leaving: encodeLeaving(news.Leaving, now)}
 	for i := range news.Statements {
 		s := &news.Statements[i]
 		p.LimitStatements = append(p.LimitStatements, &feedpb.LimitStatement{
@@ -96,13 +97,13 @@
 // millisBetween returns the whole milliseconds from one time to a later one.
 func millisBetween(from, to time.Time) uint64 { return uint64(max(to.Sub(from).Milliseconds(), 0)) }
 
-// decodeLimitNews returns nil if the report has none.
-func decodeLimitNews(p *feedpb.Report, now time.Time) *LimitNews {
-	if len(p.GetLimitStatements())+len(p.GetPermitRequests()) == 0 {
+// decodeTargetNews returns nil if the report has none.
+func decodeTargetNews(p *feedpb.Report, now time.Time) *TargetNews {
+	if len(p.GetLimitStatements())+len(p.GetPermitRequests())+len(p.GetLeaving()) == 0 {
 		return nil
 	}
 	ago := func(millis uint64) time.Time { return now.Add(-time.Duration(millis) * time.Millisecond) }
-	news := &LimitNews{}
+	news := &TargetNews{Leaving: decodeLeaving(p.GetLeaving(), now)}
 	for _, s := range p.GetLimitStatements() {
 		news.Statements = append(news.Statements, LimitStatement{
 			Limit: decodeTargetLimit(s.GetLimit()), Unstated: s.GetUnstated(), SentAt: ago(s.GetSentMsAgo()), AnsweredAt: ago(s.GetAnsweredMsAgo()),
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -201,6 +201,9 @@
 				return nil, errStaleResponse
 			}
 			x.staleResponse = true
+			if x.pool.cfg.Dialect.Observe != nil {
+				x.pool.cfg.Dialect.Observe(resp, time.Time{})
+			}
 			x.conn.headerLeft = x.pool.cfg.MaxHeaderBytes
 			continue
 		case resp.StatusCode >= http.StatusOK:
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -26,9 +26,9 @@
 	// Signature is a header field that every successful response from the target itself has;
 	// empty means that there is none.
 	Signature string
-	// Observe, if not nil, is called with each response that belongs to its request, before refusals
-	// and the signature are checked, and with when the request's first byte was about to be written.
-	// It must not read the body.
+	// Observe, if not nil, is called with each response, before refusals and the signature are checked,
+	// and with when the request's first byte was about to be written; the zero time if the response
+	// belongs to an earlier request. It must not read the body.
 	Observe func(resp *http.Response, sentAt time.Time)
 }
 
