Send no requests to targets that have asked this router for a rest

What callers saw: over a tenth of the requests for keys of four targets were refused by them for seconds, one after the other; each target got up to 15 requests in 3 s from a router that it had asked for 3 s without any (two are allowed), and one request came twice within 1 ms. The next request for the key went to the same holder, as did the retry of the one that was turned away. Change: a 503 or 429 with Retry-After, in an answer to a request, an order or a status check, has this router place no request there until its end, checked again when the connection is ready. Each such answer binds by itself: none shortens an earlier one, and a success ends none. Requests that only resting targets could take wait if they can still be in time, and are refused at once else, with what is left. A rest is no failure of the target. A router on the way reads the answers that it passes on, and answers in the target's place while that rests. Status checks wait; grants are renewed, and counted. Why this works: the decision asks the state of the target that every answer updates, whichever request it answered.

--- a/cmd/tarragongw/serve.go
+++ b/cmd/tarragongw/serve.go
@@ -137,7 +137,7 @@
 			ReadyPath: platform.ReadyPath, ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey,
 			EvacuationPrefix: platform.EvacuationPrefix, TargetPrefix: platform.TargetPrefix,
 			DecodeConfig: platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, TargetID: platform.TargetID,
-			DecodeAnswer: platform.DecodeAnswer, ObserveOrders: orders.Observe, UnreadHeaders: platform.UnreadHeaders,
+			DecodeAnswer: platform.DecodeAnswer, EncodeRefusal: platform.EncodeRefusal, ObserveOrders: orders.Observe, UnreadHeaders: platform.UnreadHeaders,
 			UnreadConfigFields: platform.UnreadConfigFields, UnreadEntryFields: platform.UnreadEntryFields, SendOrder: orders.Send, OrderTraffic: orders.Traffic, Warmup: orders.Warmup, AskLimit: orders.AskLimit,
 		},
 	}
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -36,7 +36,7 @@
 	var best *targetState
 	var lowest float64
 	for _, t := range s.sample() {
-		if !t.TakesNewWork() || t.inConnectBackoff(now) || t.ID == r.Avoid && len(s.targetList) > 1 || !s.permitted(now, t) || s.lacksPermit(now, t) {
+		if !t.TakesNewWork() || t.inConnectBackoff(now) || t.ID == r.Avoid && len(s.targetList) > 1 || t.rests(now) || !s.permitted(now, t) || s.lacksPermit(now, t) {
 			continue
 		}
 		cost := s.cost(now, r, t)
--- a/core/dispatch/cold.go
+++ b/core/dispatch/cold.go
@@ -198,7 +198,7 @@
 func (s *Service) awaitPermit(now time.Time) *block {
 	permits := 0.0
 	for _, t := range s.targetList {
-		if rate, limited := s.coldRate(now, t); limited && t.TakesNewWork() && !t.inConnectBackoff(now) {
+		if rate, limited := s.coldRate(now, t); limited && t.TakesNewWork() && !t.inConnectBackoff(now) && !t.rests(now) {
 			permits += rate * s.cold.part
 		}
 	}
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -94,6 +94,8 @@
 	Failed
 	// Shed requests were refused by the target because it had no room.
 	Shed
+	// Rested requests were turned away by the target, which has asked for a rest.
+	Rested
 	// Misplaced requests were refused by the target because it doesn't hold the key.
 	Misplaced
 	// TimedOut requests were sent and had no answer by their deadline.
@@ -256,6 +258,7 @@
 	sample := took.Seconds() / max(t.actualServiceMultiple(now, turns), 1)
 	switch result {
 	case Answered:
+		t.resuming = t.rests(now)
 		t.recordOutcome(now, 0)
 		t.recordAnswer(sample, s.overallServiceTime)
 		s.overallServiceTime += (sample - s.overallServiceTime) * meanGain
@@ -278,6 +281,8 @@
 	case Unreachable:
 		t.recordOutcome(now, 1)
 		t.recordUnreachable(now)
+	case Rested:
+		s.recordOverload(now, t, 0, 1)
 	case Misplaced, Abandoned:
 	}
 }
@@ -400,7 +405,11 @@
 	if cold := s.awaitPermit(now); cold != nil {
 		return nil, cold
 	}
-	if limited := s.overAllTargetLimits(now); limited != nil {
+	limited, rested := s.overAllTargetLimits(now), s.firstRested(now)
+	if rested != nil && (limited == nil || rested.restUntil.Sub(now) < limited.retryAfter) {
+		return nil, s.restBlock(now, r, rested, nil)
+	}
+	if limited != nil {
 		return nil, limited
 	}
 	return nil, &block{kind: fault.NoOwner, detail: "no target takes work", wait: -1, retryAfter: noTargetRetryAfter}
@@ -428,6 +437,9 @@
 	if t.inConnectBackoff(now) {
 		return nil, &block{kind: fault.NoOwner, detail: "target " + t.ID + " can't be reached", wait: -1, retryAfter: t.nextConnectAt.Sub(now) + minRetryAfter}
 	}
+	if t.rests(now) {
+		return nil, s.restBlock(now, r, t, t)
+	}
 	if !s.admitsCold(now, t) {
 		return nil, s.refuseColdHolder(now, t)
 	}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -109,6 +109,10 @@
 	permitAt     time.Time
 	// noPermitUntil is until when there is no permit for the target, if it states a limit.
 	noPermitUntil time.Time
+	// restUntil is until when the target wants no requests from this router, and resuming is set from then until it has answered
+	// a request again.
+	restUntil time.Time
+	resuming  bool
 	// overloadedAt is when the target last showed a sign of overload.
 	overloadedAt time.Time
 }
@@ -187,7 +191,7 @@
 // hasRoom reports whether one more request may be sent. A router that has none in flight
 // may always send one; otherwise it would get no report that the other routers' work has ended.
 func (t *targetState) hasRoom(now time.Time) bool {
-	return t.inFlight == 0 || t.totalWork(now) < t.slots()+t.queueLimit
+	return t.inFlight == 0 || !t.resuming && t.totalWork(now) < t.slots()+t.queueLimit
 }
 
 // queuedAhead returns the number of requests that have to end before a new one gets a slot.
--- a/core/dispatch/targetlimits.go
+++ b/core/dispatch/targetlimits.go
@@ -55,7 +55,7 @@
 func (s *Service) overAllTargetLimits(now time.Time) *block {
 	var first *targetState
 	for _, t := range s.choices {
-		if s.lacksPermit(now, t) && (first == nil || t.noPermitUntil.Before(first.noPermitUntil)) {
+		if s.lacksPermit(now, t) && !t.rests(now) && (first == nil || t.noPermitUntil.Before(first.noPermitUntil)) {
 			first = t
 		}
 	}
--- a/gateway/coldchecks.go
+++ b/gateway/coldchecks.go
@@ -90,7 +90,7 @@
 
 // askOneWhetherCold returns what a target answers; nil if it doesn't.
 func (g *Gateway) askOneWhetherCold(c *coldCheck) *coldAnswer {
-	if g.lifetime.Err() != nil {
+	if g.lifetime.Err() != nil || g.rests.check(&c.target) != nil {
 		return nil
 	}
 	coldFor, err := g.opts.Adapter.Warmup(g.lifetime, &c.target, c.path)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -179,12 +179,18 @@
 	x.targets[d.Target.ID] = true
 	x.avoid = d.Target.ID
 	resp, f := x.deliver(d)
+	rest, resting := x.g.rests.left(d.Target.Holder())
 	if f != nil {
-		result = resultOf(f)
+		if result = resultOf(f); resting && f.Kind == fault.TargetRefused {
+			result, f.RetryAfter = dispatch.Rested, rest
+		}
 		x.recordFailure(began, d, f)
 		x.countLapse(f, d, again)
 		return f
 	}
+	if resting && resp.StatusCode == http.StatusServiceUnavailable {
+		result = dispatch.Rested
+	}
 	if failed := resp.StatusCode >= http.StatusInternalServerError; failed && x.mayReplaceAnswer() {
 		resp.Body.Close()
 		f := fault.New(fault.TargetLost, "the target answered "+strconv.Itoa(resp.StatusCode))
@@ -211,7 +217,10 @@
 		return
 	}
 	x.lapses++
-	if errors.Is(f, errMayHaveLeft) || errors.Is(f, errNoPermit) {
+	if until, resting := x.g.rests.until(d.Target.Holder()); resting {
+		x.service.rest(d.Target.Holder(), until) // the service may have lost it with the target's entry
+	}
+	if errors.Is(f, errMayHaveLeft) || errors.Is(f, errNoPermit) || errors.Is(f, errResting) {
 		x.sends--
 		if !again {
 			delete(x.targets, d.Target.ID)
@@ -236,6 +245,9 @@
 	if f := x.g.sends.check(&d.Target); f != nil {
 		return f
 	}
+	if f := x.g.rests.check(&d.Target); f != nil {
+		return f
+	}
 	if f := x.g.statedLimits.check(&d.Target, x.permitAt); f != nil {
 		return f
 	}
@@ -320,6 +332,9 @@
 	if f.Kind == fault.StaleRoute && x.service.byKey && !x.waitForNewerTable() {
 		return false
 	}
+	if f.Kind == fault.TargetRefused && x.service.byKey && f.RetryAfter > 0 {
+		return false // the key's holder rests, and no other target has the key
+	}
 	if f.Kind == fault.TargetUnreachable {
 		return true // no target has received the request
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -292,7 +292,7 @@
 			ReadyPath: platform.ReadyPath, ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetPrefix: platform.TargetPrefix,
 			EvacuationPrefix: platform.EvacuationPrefix,
 			DecodeConfig:     platform.DecodeConfig, DecodeTarget: platform.DecodeTarget, TargetID: platform.TargetID,
-			DecodeAnswer: platform.DecodeAnswer, ObserveOrders: orders.Observe, UnreadHeaders: platform.UnreadHeaders,
+			DecodeAnswer: platform.DecodeAnswer, EncodeRefusal: platform.EncodeRefusal, ObserveOrders: orders.Observe, UnreadHeaders: platform.UnreadHeaders,
 			UnreadConfigFields: platform.UnreadConfigFields, UnreadEntryFields: platform.UnreadEntryFields, SendOrder: orders.Send, OrderTraffic: orders.Traffic, Warmup: orders.Warmup, AskLimit: orders.AskLimit,
 		},
 	})
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -157,6 +157,10 @@
 // how long the new leader has to wait.
 func (l *leader) sendOrder(t *term, service string, o assign.Order) *orderDone {
 	m := &orderDone{term: t, service: service, order: o, outcome: assign.Unanswered}
+	if l.g.rests.countOrder(&o) && o.Kind == assign.Probe {
+		m.err, m.outcome = errResting, assign.NotSent
+		return m
+	}
 	now := l.g.opts.Clock.Now()
 	left, err := l.orderTimeLeft(t, now, o.ForOutage)
 	if err != nil {
--- a/gateway/limitedconn_test.go
+++ b/gateway/limitedconn_test.go
@@ -22,7 +22,7 @@
 	target := directory.Target{ID: "a", StartUnixMilli: 1}
 	near, far := net.Pipe()
 	defer far.Close()
-	conn := &limitedConn{Conn: near, sends: g.sends, target: target}
+	conn := &limitedConn{Conn: near, g: g, target: target}
 	received := make(chan string, 8)
 	go func() {
 		buffer := make([]byte, 16)
--- a/gateway/limitledger.go
+++ b/gateway/limitledger.go
@@ -89,6 +89,9 @@
 
 // askTarget asks a target by a status check whether it still states a limit.
 func (l *statedLimits) askTarget(t *directory.Target, path string) {
+	if l.g.rests.check(t) != nil {
+		return // it is due again later
+	}
 	l.debit(t.Holder())
 	sentAt := time.Now()
 	perSecond, stated, err := l.g.opts.Adapter.AskLimit(l.g.lifetime, t, path)
--- a/gateway/relays.go
+++ b/gateway/relays.go
@@ -222,7 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &limitedConn{Conn: conn, sends: g.sends, target: t}, nil
+	return &limitedConn{Conn: conn, g: g, target: t}, nil
 }
 
 func (g *Gateway) findTarget(r *relay.Request) (directory.Target, bool) {
--- a/gateway/rests.go
+++ b/gateway/rests.go
@@ -4,11 +4,18 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"tarragongw/core/assign"
 	"tarragongw/core/directory"
+	"tarragongw/core/fault"
 	"tarragongw/core/keyspace"
 	"tarragongw/core/statement"
 )
 
+// errResting is the cause of faults of requests that were not sent because their target rests.
+var errResting = errors.New("the target wants no requests from this router for a while")
+
 // rests are the times during which targets want no requests from this router, as they have stated in answers to it.
 type rests struct {
 	g *Gateway
@@ -31,6 +38,12 @@
 	}
 	r.mu.Unlock()
 	r.count("rests_asked_total", t.Service, t.ID)
+	if change == statement.Unchanged {
+		return
+	}
+	if s := r.g.service(t.Service); s != nil {
+		s.rest(t.Holder(), rest.Until)
+	}
 	if change == statement.Began {
 		r.log("target asks for a rest", &rest)
 	}
@@ -84,3 +97,27 @@
 	defer r.mu.Unlock()
 	return r.known.Until(time.Now(), holder)
 }
+
+// left returns for how much longer a target rests, and whether it does.
+func (r *rests) left(holder keyspace.Holder) (time.Duration, bool) {
+	until, resting := r.until(holder)
+	return time.Until(until), resting
+}
+
+// countOrder reports whether the target of an order rests, and counts the order then. Somebody has to hold the keys, so that
+// grants are renewed in a rest too.
+func (r *rests) countOrder(o *assign.Order) bool {
+	_, resting := r.until(o.Holder)
+	if tel := r.g.opts.Telemetry; tel != nil && resting {
+		tel.Scope().Tagged(map[string]string{"kind": o.Kind.String()}).Counter("orders_to_resting_targets_total").Inc(1)
+	}
+	return resting
+}
+
+// check returns a fault if no request may be sent to a target because it rests.
+func (r *rests) check(t *directory.Target) *fault.Fault {
+	if _, resting := r.until(t.Holder()); resting {
+		return fault.Wrap(fault.StaleRoute, errResting, "")
+	}
+	return nil
+}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -233,6 +233,15 @@
 	s.poll(time.Now())
 }
 
+// rest has no requests placed at a target until a time, because it has asked for that.
+func (s *service) rest(holder keyspace.Holder, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.dispatcher.Rest(now, holder, until)
+	s.poll(now)
+}
+
 // refusePermit takes the placement of a request back that got no permit, and leaves the target alone for a while.
 func (s *service) refusePermit(t *directory.Target, wait time.Duration) {
 	s.mu.Lock()
--- a/gateway/subscription_test.go
+++ b/gateway/subscription_test.go
@@ -35,6 +35,9 @@
 	g.opts.LeavingLimit = defaultLeavingLimit
 	g.sends = newSendLimits(g)
 	g.statedLimits, g.unreadStatements = newStatedLimits(g), &unreadStatements{g: g, known: map[string]bool{}}
+	g.opts.Adapter.DecodeAnswer = platform.DecodeAnswer
+	g.rests, g.statedLeaving = newRests(g), newStatedLeaving(g)
+	g.statements = newStatements(g)
 	g.configFresh = newFreshness(g, "configuration", defaultPropagationLimit, func() error { return nil })
 	g.lifetime, g.cancel = context.WithCancel(t.Context())
 	t.Cleanup(g.running.Wait)
--- a/gateway/targetstatements_test.go
+++ b/gateway/targetstatements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -129,6 +130,25 @@
 	}
 }
 
+// askRests makes all targets of a service turn requests away, or none any more.
+func (f *fleet) askRests(service string, rest *platformtest.Rest) {
+	for _, target := range f.targets {
+		if target.Service == service {
+			target.AskRest(rest)
+		}
+	}
+}
+
+// arrivals returns how many requests have reached the targets of a service.
+func (f *fleet) arrivals(service string) (n int) {
+	for _, target := range f.targets {
+		if target.Service == service {
+			n += len(target.Arrivals())
+		}
+	}
+	return n
+}
+
 // Guards against routers that go on sending to a target that has turned them away and asked for a rest.
 func TestRestingTargetsGetNoRequests(t *testing.T) {
 	for name, rest := range map[string]*platformtest.Rest{
@@ -139,11 +159,7 @@
 			t.Run(service+", "+name, func(t *testing.T) {
 				f := newStatementFleet(t, 5)
 				load := startLoad(f)
-				for _, target := range f.targets {
-					if target.Service == service {
-						target.AskRest(rest)
-					}
-				}
+				f.askRests(service, rest)
 				time.Sleep(askedRest + 2*time.Second)
 				load.end()
 				turnedAway := 0
@@ -232,3 +248,53 @@
 		assert.Assert(t, logged > 0 && logged <= 2*len(f.gateways), "%s: %d", message, logged)
 	}
 }
+
+// Guards against a router that sends to a target for others, or for itself, what that wants no requests from it for.
+func TestRestHoldsForTheRouterOnTheWayToo(t *testing.T) {
+	f, cut, leader := cutFollower(t, plainTarget("p0"), plainTarget("p1"))
+	read := call{method: http.MethodGet, path: "/read/1", key: -1}
+	for _, first := range []*Gateway{cut, leader} {
+		f.askRests("any", &platformtest.Rest{RetryAfter: []string{"1.5"}})
+		waittest.Until(t, "both rest", func() bool {
+			f.send(first, read)
+			return len(first.rests.current()) == 2
+		})
+		f.askRests("any", nil)
+		arrivals := f.arrivals("any")
+		for _, g := range []*Gateway{leader, cut} {
+			a := f.send(g, read)
+			assert.Equal(t, a.status, http.StatusServiceUnavailable)
+			wait, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			assert.Assert(t, err == nil && wait > 0.5 && wait < 4, "Retry-After: %v", a.header)
+			assert.Equal(t, f.runsOf(a.id), 0)
+		}
+		assert.Equal(t, f.arrivals("any"), arrivals)
+		f.sendUntilServed(leader, read)
+		f.sendUntilServed(cut, read)
+	}
+}
+
+// Guards against refusals that come late or without what is left of the rest, and against a rest that never ends or that the
+// callers of other targets notice.
+func TestCallersOfARestingTargetAreToldWhenToReturn(t *testing.T) {
+	f := newStatementFleet(t, 2)
+	load := startLoad(f)
+	id := f.holder(100)
+	began := time.Now()
+	f.targets[id].AskRest(&platformtest.Rest{RetryAfter: []string{"2"}})
+	g, look := f.gateways[0], call{method: http.MethodGet, path: "/look/1", key: 100}
+	var refused answer
+	waittest.Until(t, "a request is turned away", func() bool {
+		refused = f.send(g, look)
+		return refused.status == http.StatusServiceUnavailable
+	})
+	wait, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	assert.Assert(t, err == nil && wait >= 1 && wait <= 5, "Retry-After: %v", refused.header)
+	f.targets[id].AskRest(nil)
+	f.sendUntilServed(g, look)
+	waittest.Until(t, "no rest is left", func() bool { return len(g.rests.current()) == 0 })
+	load.end()
+	assert.Check(t, load.errSlowRefusal(began))
+	assert.Check(t, load.share(began, "/read/", f.routerNames()) > 0.9)
+	load.checkPromises()
+}
