List targets that leave or rest by their own word in tarragonctl limits

Cause: operators who look for the reason of a refusal saw limits only. Change: tarragonctl limits lists both before the limits, from the same call of any router. A router on the way whose refusal begins between two reads answers at once. Measured: tests of operator, cmd/tarragonctl and of relays pass, with the race detector.

--- a/gateway/limitedconn.go
+++ b/gateway/limitedconn.go
@@ -31,24 +31,42 @@
 
 // Read implements net.Conn.
 func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.isRefused() {
+		return c.refusal.Read(b)
+	}
 	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.refusal != nil {
+	if c.isRefused() {
 		return c.refusal.Read(b)
 	}
-	if n == 0 {
-		return n, err
+	if n > 0 {
+		c.observe(b[:n])
 	}
+	return n, err
+}
+
+// observe reads what the target states of itself from bytes of its answer.
+func (c *limitedConn) observe(answer []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.inRequest = false
-	if c.head != nil {
-		if resp := c.head.add(b[:n]); resp != nil {
-			said := c.g.opts.Adapter.DecodeAnswer(resp)
-			c.g.statements.observe(&c.target, &said)
-			c.head = nil
-		}
+	if c.head == nil {
+		return
 	}
-	return n, err
+	if resp := c.head.add(answer); resp != nil {
+		said := c.g.opts.Adapter.DecodeAnswer(resp)
+		c.g.statements.observe(&c.target, &said)
+		c.head = nil
+	}
+}
+
+// SetReadDeadline implements net.Conn. A refusal is read at once, whatever the deadline.
+func (c *limitedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusal != nil {
+		t = time.Now()
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Write implements net.Conn.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,9 +29,7 @@
 	if g.evacuates() {
 		mux.Handle("GET "+operator.PathEvacuations, operator.NewEvacuationsHandler(g.describeEvacuations))
 	}
-	mux.Handle("GET "+operator.PathTargetLimits, operator.NewTargetLimitsHandler(func() *operator.TargetLimits {
-		return operator.DescribeTargetLimits(g.opts.Name, g.subscription.leads(), g.statedLimits.current())
-	}))
+	mux.Handle("GET "+operator.PathTargetLimits, operator.NewTargetLimitsHandler(g.describeStatements))
 	g.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	g.goRun(func() { g.serveInternal(g.metricsServer, g.metricsListener) })
 }
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -7,6 +7,7 @@
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
 	"tarragongw/core/statement"
+	"tarragongw/operator"
 )
 
 // statements hands on what targets state of themselves in their answers to what keeps it.
@@ -71,3 +72,17 @@
 	}
 	return directory.Target{}, false
 }
+
+// describeStatements returns what targets state of themselves, as operators see it.
+func (g *Gateway) describeStatements() *operator.TargetLimits {
+	described := operator.DescribeTargetLimits(g.opts.Name, g.subscription.leads(), g.statedLimits.current())
+	for _, t := range g.statedLeaving.all() {
+		described.Leaving = append(described.Leaving, operator.LeavingTarget{Target: t.Holder.Target, KnownMillis: time.Since(t.At).Milliseconds()})
+	}
+	for _, rest := range g.rests.current() {
+		described.Rests = append(described.Rests, operator.TargetRest{
+			Target: rest.Holder.Target, Service: rest.Service, LeftMillis: time.Until(rest.Until).Milliseconds(), Asked: rest.Asked,
+		})
+	}
+	return described
+}
