Let a target that answers after its rest have requests as before at once

Cause: after its rest a target got one request at a time until that was over, so that a long download would have kept all others waiting. Change: the first byte of an answer ends it, or a second without one. Measured: tests of core/dispatch, and of rests in gateway, pass.

--- a/core/dispatch/rests.go
+++ b/core/dispatch/rests.go
@@ -12,10 +12,12 @@
 	// rests end at the same moment don't return at the same moment.
 	restSpread    = 0.1
 	maxRestSpread = 500 * time.Millisecond
+	// resumeTime is for how long after its rest a target gets one request at a time, unless it answers one before.
+	resumeTime = time.Second
 )
 
 // Rest has no requests placed at a target until a time, because it has asked this router for that. After it, the target gets one
-// request at a time until it has answered one.
+// request at a time until it has begun to answer one.
 func (s *Service) Rest(now time.Time, holder keyspace.Holder, until time.Time) {
 	t := s.targetByID[holder.Target]
 	if t == nil || t.Holder() != holder {
@@ -26,6 +28,18 @@
 	t.resuming = true
 }
 
+// AnswerBegun records that a target has begun to answer a request that it didn't turn away.
+func (s *Service) AnswerBegun(now time.Time, id string) {
+	if t := s.targetByID[id]; t != nil {
+		t.resuming = t.rests(now)
+	}
+}
+
+// resumes reports whether the target's rest has just ended, and it has not begun to answer a request since.
+func (t *targetState) resumes(now time.Time) bool {
+	return t.resuming && now.Before(t.restUntil.Add(resumeTime))
+}
+
 // rests reports whether the target has asked this router for a rest that has not ended.
 func (t *targetState) rests(now time.Time) bool { return now.Before(t.restUntil) }
 
--- a/core/dispatch/rests_test.go
+++ b/core/dispatch/rests_test.go
@@ -33,16 +33,23 @@
 	assert.Assert(t, decided[11].Verdict == Refuse, "%+v", decided)
 }
 
-// Guards against a burst at a target whose rest ends, and against a target that gets one request at a time for good.
+// Guards against a burst at a target whose rest ends, and against a target that gets one request at a time for as long as an answer
+// takes, or for good.
 func TestTargetGetsOneRequestAtATimeAfterItsRest(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := newService(target("a", "here"))
 	s.Rest(now, keyspace.Holder{Target: "a"}, now.Add(time.Second))
-	now = now.Add(2 * time.Second)
+	now = now.Add(1500 * time.Millisecond)
 	assert.Equal(t, s.Offer(now, Request{ID: 1}).Verdict, Send)
 	assert.Equal(t, s.Offer(now, Request{ID: 2}).Verdict, Wait)
-	s.Done(now, "a", Answered, 10*time.Millisecond, 1)
-	for i := range 4 {
+	s.AnswerBegun(now, "a")
+	for i := range 3 {
 		assert.Equal(t, s.Offer(now, Request{ID: uint64(3 + i)}).Verdict, Send)
 	}
+	silent := newService(target("a", "here"))
+	silent.Rest(now, keyspace.Holder{Target: "a"}, now.Add(time.Second))
+	now = now.Add(1500 * time.Millisecond)
+	assert.Equal(t, silent.Offer(now, Request{ID: 1}).Verdict, Send)
+	assert.Equal(t, silent.Offer(now, Request{ID: 2}).Verdict, Wait)
+	assert.Equal(t, silent.Poll(now.Add(resumeTime))[2].Verdict, Send)
 }
--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -76,6 +76,8 @@
 	ServiceMultiple float64
 	// ServiceTime is the mean service time over all targets.
 	ServiceTime time.Duration
+	// Resumes says that the target's rest has just ended; AnswerBegun has to be called if it begins to answer.
+	Resumes bool
 	// Fault is the kind of error of a refused request, RetryAfter the advised wait, and Detail
 	// the text for the caller.
 	Fault      fault.Kind
@@ -258,7 +260,6 @@
 	sample := took.Seconds() / max(t.actualServiceMultiple(now, turns), 1)
 	switch result {
 	case Answered:
-		t.resuming = t.rests(now)
 		t.recordOutcome(now, 0)
 		t.recordAnswer(sample, s.overallServiceTime)
 		s.overallServiceTime += (sample - s.overallServiceTime) * meanGain
@@ -331,7 +332,7 @@
 		return Decision{}, s.tooLate(now, t)
 	}
 	d := Decision{Verdict: Send, Target: t.Target, Work: t.totalWork(now), ReportAge: -1, ServiceMultiple: t.serviceMultiple(now),
-		ServiceTime: time.Duration(s.overallServiceTime * float64(time.Second))}
+		ServiceTime: time.Duration(s.overallServiceTime * float64(time.Second)), Resumes: t.resumes(now)}
 	if !t.lastReport.IsZero() {
 		d.ReportAge = now.Sub(t.lastReport)
 	}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -191,7 +191,7 @@
 // hasRoom reports whether one more request may be sent. A router that has none in flight
 // may always send one; otherwise it would get no report that the other routers' work has ended.
 func (t *targetState) hasRoom(now time.Time) bool {
-	return t.inFlight == 0 || !t.resuming && t.totalWork(now) < t.slots()+t.queueLimit
+	return t.inFlight == 0 || !t.resumes(now) && t.totalWork(now) < t.slots()+t.queueLimit
 }
 
 // queuedAhead returns the number of requests that have to end before a new one gets a slot.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -190,6 +190,8 @@
 	}
 	if resting && resp.StatusCode == http.StatusServiceUnavailable {
 		result = dispatch.Rested
+	} else if d.Resumes {
+		x.service.answerBegun(d.Target.ID)
 	}
 	if failed := resp.StatusCode >= http.StatusInternalServerError; failed && x.mayReplaceAnswer() {
 		resp.Body.Close()
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -242,6 +242,15 @@
 	s.poll(now)
 }
 
+// answerBegun records that a target has begun to answer a request after its rest.
+func (s *service) answerBegun(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.dispatcher.AnswerBegun(now, id)
+	s.poll(now)
+}
+
 // refusePermit takes the placement of a request back that got no permit, and leaves the target alone for a while.
 func (s *service) refusePermit(t *directory.Target, wait time.Duration) {
 	s.mu.Lock()
