--- a/Makefile
+++ b/Makefile
@@ -75,12 +75,12 @@
 soak:
 	$(GO) test -race -count=$(ROUNDS) -shuffle=on -timeout 60m $(SOAKED)
 
-# soak-leaving runs real router processes that are stopped again and again while targets leave and data centres are
+# soak-leaving runs real router processes that are stopped again and again while targets leave or rest and data centres are
 # evacuated, with SEEDS seeds.
 .PHONY: soak-leaving
 SEEDS ?= 50
 soak-leaving:
-	$(GO) test ./cmd/tarragongw -run "TestLeavingTargets|TestEvacuatedTargets" -count=1 -timeout 120m -v -leaving.seeds=$(SEEDS)
+	$(GO) test ./cmd/tarragongw -run "TestLeavingTargets|TestEvacuatedTargets|TestStatementsOfTargets" -count=1 -timeout 120m -v -leaving.seeds=$(SEEDS)
 
 # fuzz runs each fuzz target for FUZZTIME on FUZZERS workers.
 .PHONY: fuzz
--- a/cmd/tarragongw/leaving_run_test.go
+++ b/cmd/tarragongw/leaving_run_test.go
@@ -65,6 +65,12 @@
 	departures []departure
 	nextTarget int
 	served     map[string]int
+	// said are the targets that state in answers that they leave, and told since when a life of a router has passed that on.
+	said []*platformtest.Target
+	told map[toldKey]time.Time
+	// restPeriods are the times in which targets turned requests away, and stops those in which routers were stopped.
+	restPeriods []restPeriod
+	stops       []routerStop
 }
 
 type livingTarget struct {
@@ -83,7 +89,7 @@
 	t.Helper()
 	r := &leavingRun{
 		system: &system{t: t, bin: t.TempDir(), store: platformtest.NewStore(), bounds: bounds},
-		random: rand.New(rand.NewPCG(seed, 0)), ctx: ctx, present: map[string]*livingTarget{}, served: map[string]int{},
+		random: rand.New(rand.NewPCG(seed, 0)), ctx: ctx, present: map[string]*livingTarget{}, served: map[string]int{}, told: map[toldKey]time.Time{},
 	}
 	t.Cleanup(r.store.Close)
 	buildCommands(t, r.bin)
@@ -168,9 +174,14 @@
 func (r *leavingRun) stopAgainAndAgain(random *rand.Rand, maxPause time.Duration, choose func() *process) {
 	for r.ctx.Err() == nil {
 		if p := choose(); p != nil {
+			stopped := routerStop{life: routerLife(p.name, 0), from: time.Now()}
 			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
 			r.sleep(minStopped + time.Duration(random.Int64N(int64(maxStopped-minStopped))))
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+			stopped.to = time.Now()
+			r.mu.Lock()
+			r.stops = append(r.stops, stopped)
+			r.mu.Unlock()
 		}
 		r.sleep(time.Duration(random.Int64N(int64(maxPause))))
 	}
@@ -197,12 +208,15 @@
 		req.Header.Set(platform.HeaderDeadline, "1500")
 		req.Header.Set(platform.HeaderKey, strconv.Itoa(i*7919%65536))
 		outcome := "no answer"
+		var header http.Header
+		var body []byte
 		if resp, err := client.Do(req); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
+			body, _ = io.ReadAll(resp.Body)
 			resp.Body.Close()
-			outcome = strconv.Itoa(resp.StatusCode)
+			outcome, header = strconv.Itoa(resp.StatusCode), resp.Header
 		}
 		r.mu.Lock()
+		r.recordAnswer(routerLife(p.name, n), header, string(body))
 		r.served[path+" "+outcome]++
 		r.mu.Unlock()
 		r.sleep(8 * time.Millisecond)
