Tell followers of entries that were gone and are back

Cause: a follower that had found an entry missing takes only reports of a later revision. For the leader an entry that is back says the same as before, so that it told nobody, and what it sent to new followers had the revision of the last change, before the gap. TestEntriesThatLapseInAnOutageAreBackAtAllRouters failed before (known=0 at four of five routers for a minute) and passes. Change: a target has the revision in which its entry was created; that it is another one is a change, which is published with the new revision. New followers are sent the newest revisions. Why this works: the store itself says that the entry was gone, whoever saw the gap.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -42,6 +42,9 @@
 	// Revision orders the reports of a target, whichever way they come: it is the revision of the entry in the store
 	// in which the report stands, or of an earlier one that says the same. Zero means unknown.
 	Revision uint64
+	// Created is the revision in which the entry was created, another one than before if the entry was gone since; zero if
+	// unknown.
+	Created uint64
 	// LeavingAfter is the last time at which a draining target was known not to drain, as far as this router
 	// knows; zero if it was never known to. The Directory sets it.
 	LeavingAfter time.Time
@@ -109,7 +112,8 @@
 }
 
 // Put records a report of a target. It returns whether anything changed except the report's
-// sequence number and the time until which the target is cold; that it has become cold again is a change.
+// sequence number and the time until which the target is cold; that it has become cold again is a change, and so is that its entry
+// was gone meanwhile: routers that have found that have to be told.
 //
 // A report that is older than what is known changes nothing. A target that has announced that it leaves never stays
 // after all: only another instance of it does.
@@ -121,6 +125,9 @@
 		return answered
 	}
 	t.ColdUntil = reportedCold(old, now, &t)
+	if t.Created == 0 && known && old.target.StartUnixMilli == t.StartUnixMilli {
+		t.Created = old.target.Created // the report is another router's
+	}
 	d.keepLeaving(&t)
 	d.noticeReport(&t)
 	delete(d.departed, t.ID)
--- a/core/directory/order_test.go
+++ b/core/directory/order_test.go
@@ -177,3 +177,17 @@
 	d.Put(at(400), Target{ID: "a", StartUnixMilli: 2, Revision: 9})
 	assert.Assert(t, !d.Targets()[0].Draining)
 }
+
+// Guards against an entry that was gone and is back, and that nobody is told of because it says the same as before.
+func TestEntryThatIsBackIsAChange(t *testing.T) {
+	now := time.Unix(1000, 0)
+	entry := func(revision, created uint64) Target {
+		return Target{ID: "a", StartUnixMilli: 1, Address: "h:1", Service: "s", Slots: 1, Revision: revision, Created: created}
+	}
+	d := New()
+	assert.Assert(t, d.Put(now, entry(10, 10)))
+	assert.Assert(t, !d.Put(now, entry(11, 10)), "a heartbeat")
+	assert.Assert(t, !d.Put(now, entry(12, 0)), "a report of another router")
+	assert.Assert(t, d.Put(now, entry(14, 14)))
+	assert.Equal(t, d.KnownTargets()[0].Revision, uint64(14))
+}
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -294,7 +294,7 @@
 	if err != nil {
 		cs.unreadableEntries.observe(cs.g, r.Key, err)
 	}
-	t.Revision = uint64(r.Revision)
+	t.Revision, t.Created = uint64(r.Revision), uint64(r.Created)
 	if err == nil && !cs.directory.Knows(t.Holder()) {
 		cs.g.unreadStatements.report("entry", cs.g.opts.Adapter.UnreadEntryFields(r.Value))
 	}
--- a/gateway/clusterstate_test.go
+++ b/gateway/clusterstate_test.go
@@ -9,6 +9,7 @@
 
 	"tarragongw/core/directory"
 	"tarragongw/duty"
+	"tarragongw/internal/waittest"
 	"tarragongw/peer/feed"
 	"tarragongw/platform"
 )
@@ -46,3 +47,44 @@
 	cs.applyUpdate(&feed.Update{Targets: []directory.Target{{ID: "b", Revision: 9}}, TargetsRevision: 9})
 	assert.DeepEqual(t, ids(), []string{"a", "b"})
 }
+
+// Guards against targets that routers lose for good after an outage of the store in which entries lapse: a router that has
+// found them missing, and follows a leader for which they were never gone, is not told that they are back.
+func TestEntriesThatLapseInAnOutageAreBackAtAllRouters(t *testing.T) {
+	f := newFleet(t, 0, mixedConfig, mixedTargets()...)
+	f.proxied = true
+	for i := range 5 {
+		f.start(routerName(i))
+	}
+	f.awaitSubscribed()
+	f.awaitServed()
+	f.cutStore(true)
+	f.silenceFeeds(true)
+	time.Sleep(minOutage + 2*time.Second)
+	for _, target := range f.targets {
+		target.Unregister(f.store)
+	}
+	f.cutStore(false)
+	for _, g := range f.gateways {
+		waittest.Until(t, "all have found the entries missing", func() bool { return !g.gate.isShut() && g.stateAge.age() < time.Second })
+	}
+	f.silenceFeeds(false)
+	f.awaitSubscribed()
+	for _, target := range f.targets {
+		target.Register(f.store)
+	}
+	time.Sleep(directory.ReturnGrace)
+	for _, g := range f.gateways {
+		waittest.Until(t, g.opts.Name+" knows all targets", func() bool {
+			g.mu.RLock()
+			defer g.mu.RUnlock()
+			return len(g.targets) == len(f.targets)
+		})
+	}
+}
+
+func (f *fleet) silenceFeeds(silent bool) {
+	for _, proxy := range f.proxies {
+		proxy.setSilent(silent)
+	}
+}
--- a/gateway/latelonggrant_test.go
+++ b/gateway/latelonggrant_test.go
@@ -23,6 +23,7 @@
 	wall := func() time.Time { return start.Add(elapsed.Now() - time.Hour) }
 	var sentTTL, writeBefore time.Duration
 	g := &Gateway{log: slog.New(slog.DiscardHandler)}
+	g.rests = newRests(g)
 	g.routers.Store(5)
 	g.opts.Clock = elapsed
 	g.opts.Adapter.SendOrder = func(_ context.Context, o *assign.Order, deadline time.Duration) (assign.Outcome, string, error) {
--- a/kv/platform.go
+++ b/kv/platform.go
@@ -44,6 +44,8 @@
 	Key      string   `json:"key"`
 	Value    []byte   `json:"value"`
 	Revision Revision `json:"revision"`
+	// Created is the revision in which the key was created, which is another one if it was deleted since; zero if unknown.
+	Created Revision `json:"-"`
 	// Deleted is true for a key that a watch returns because it was deleted.
 	Deleted bool `json:"deleted,omitempty"`
 }
--- a/peer/feed/feed_test.go
+++ b/peer/feed/feed_test.go
@@ -441,3 +441,23 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, decodePermits(unpacked.GetPermits()), permits)
 }
+
+// Guards against followers that have found an entry missing, and are not told that it is back or are told an old revision of it.
+func TestEntryThatIsBackIsSentWithItsNewRevision(t *testing.T) {
+	s := NewSource()
+	s.SetTargetsComplete()
+	target := directory.Target{ID: "a", Service: "s", Revision: 10, Created: 10}
+	s.SetTargets([]directory.Target{target}, 10)
+	first, state := s.updateSince(sentState{}, false)
+	assert.Equal(t, first.GetTargets()[0].GetRevision(), uint64(10))
+	target.Revision = 12
+	s.SetTargets([]directory.Target{target}, 12)
+	heartbeat, state := s.updateSince(state, false)
+	assert.Equal(t, len(heartbeat.GetTargets()), 0)
+	whole, _ := s.updateSince(sentState{}, false)
+	assert.Equal(t, whole.GetTargets()[0].GetRevision(), uint64(12))
+	target.Revision, target.Created = 14, 14
+	s.SetTargets([]directory.Target{target}, 14)
+	back, _ := s.updateSince(state, false)
+	assert.Equal(t, back.GetTargets()[0].GetRevision(), uint64(14))
+}
--- a/peer/feed/source.go
+++ b/peer/feed/source.go
@@ -127,9 +127,11 @@
 	present := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		present[t.ID] = true
-		if old, known := s.targets[t.ID]; !known || !saysTheSame(old.target, t) {
-			s.targets[t.ID] = versionedTarget{t, s.version}
+		version := s.version
+		if old, known := s.targets[t.ID]; known && saysTheSame(old.target, t) {
+			version = old.version
 		}
+		s.targets[t.ID] = versionedTarget{t, version}
 		delete(s.gone, t.ID)
 	}
 	for id, t := range s.targets {
