Use a limited target for requests that others turn away, and try it now and then

What callers saw: 18 of 100 requests were refused while a target that stated 3.5 requests a second got none: each router believed that the others had room. Where a service has no status check, the end of a limit was not seen for 30 s, as the limit kept the requests away that would have shown it. Cause: a limited target was chosen only where this router knew of no other with room. Change: a request that was turned away, and one request in 3 s of each router that had sent it some, are placed there first if a permit is to be had. Why this works: permits bound what it gets, whoever asks.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -33,10 +33,13 @@
 // proportion to their speed, avoids those that fail or have just started, and chooses another data
 // centre if the longer network path costs less than the wait.
 func (s *Service) best(now time.Time, r *Request) *targetState {
+	if limited := s.limitedToTry(now, r); limited != nil {
+		return limited
+	}
 	var best *targetState
 	var lowest float64
 	for _, t := range s.sample() {
-		if !t.TakesNewWork() || t.inConnectBackoff(now) || t.ID == r.Avoid && len(s.targetList) > 1 || t.rests(now) || !s.permitted(now, t) || s.lacksPermit(now, t) {
+		if !s.eligible(now, r, t) {
 			continue
 		}
 		cost := s.cost(now, r, t)
@@ -47,6 +50,14 @@
 	return best
 }
 
+// eligible reports whether the request may be placed at the target now, be there room or not.
+func (s *Service) eligible(now time.Time, r *Request, t *targetState) bool {
+	if !t.TakesNewWork() || t.inConnectBackoff(now) || t.ID == r.Avoid && len(s.targetList) > 1 || t.rests(now) {
+		return false
+	}
+	return s.permitted(now, t) && !s.lacksPermit(now, t)
+}
+
 // cost returns the expected latency of the target's answer in seconds, plus the costs of crossing
 // data centres, of a new connection and of a target without room.
 func (s *Service) cost(now time.Time, r *Request, t *targetState) float64 {
--- a/core/dispatch/targetlimits.go
+++ b/core/dispatch/targetlimits.go
@@ -14,6 +14,9 @@
 	// permitRetryJitter is the share by which the advised wait for a permit is lengthened at random, so that callers that
 	// were refused at the same moment don't come back at the same moment.
 	permitRetryJitter = 0.5
+	// limitTrialInterval is after how long without a request a limited target gets one: that shows whether it still states the
+	// limit.
+	limitTrialInterval = 3 * time.Second
 )
 
 // SetTargetLimits sets the limits that targets state, in requests per second from all routers together. Requests to these
@@ -50,6 +53,26 @@
 	}
 }
 
+// limitedToTry returns a target that states a limit and is tried before those that state none, because the request was turned
+// away by another one, so that there is less room than this router believes, or because the target has long got none; nil if
+// there is no such target.
+func (s *Service) limitedToTry(now time.Time, r *Request) *targetState {
+	if len(s.targetLimits) == 0 {
+		return nil
+	}
+	for _, t := range s.choices {
+		if s.statesLimit(t) && (r.Avoid != "" || t.longUnused(now)) && s.eligible(now, r, t) && t.hasRoom(now) {
+			return t
+		}
+	}
+	return nil
+}
+
+// longUnused reports whether the target got requests of this router, and has not for limitTrialInterval.
+func (t *targetState) longUnused(now time.Time) bool {
+	return !t.usedAt.IsZero() && now.Sub(t.usedAt) >= limitTrialInterval
+}
+
 // overAllTargetLimits returns the block for a request that only targets without a permit could take; nil if there is no such
 // target.
 func (s *Service) overAllTargetLimits(now time.Time) *block {
--- a/gateway/statedlimits_test.go
+++ b/gateway/statedlimits_test.go
@@ -285,3 +285,51 @@
 		})
 	}
 }
+
+// Guards against a limited target that gets nothing while others turn requests away that each router believes they have room for.
+func TestLimitedTargetIsUsedWhereOthersTurnRequestsAway(t *testing.T) {
+	const limit = 8.0
+	f := newLimitFleet(t, 5)
+	id := f.busiest("any")
+	load := startLoad(f)
+	defer load.end()
+	f.stateLimit(id, "8", platformtest.AllAnswers)
+	f.awaitLimits(1)
+	for _, target := range f.targets {
+		if target.Service == "any" && target.ID != id {
+			target.SetServiceTime(100 * time.Millisecond)
+		}
+	}
+	time.Sleep(2 * time.Second)
+	before, refusedBefore := len(f.targets[id].Runs()), load.refused("/read/")
+	time.Sleep(limitWindow)
+	perSecond := float64(len(f.targets[id].Runs())-before) / limitWindow.Seconds()
+	assert.Assert(t, load.refused("/read/") == refusedBefore || perSecond > limit/2, "%.1f requests a second of %v while callers are refused", perSecond, limit)
+}
+
+// refused returns how many requests of a path were refused.
+func (l *callerLoad) refused(path string) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, try := range l.tries {
+		if try.path == path && try.status == http.StatusServiceUnavailable {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a limit whose end nobody sees, as the service has no status check and others take the work.
+func TestLimitEndsWithoutAStatusCheck(t *testing.T) {
+	f := newLimitFleet(t, 3)
+	load := startLoad(f)
+	defer load.end()
+	id := f.busiest("any")
+	f.stateLimit(id, "1", platformtest.AllAnswers)
+	f.awaitLimits(1)
+	time.Sleep(time.Second)
+	f.targets[id].StateLimit("", platformtest.AllAnswers)
+	ended := time.Now()
+	f.awaitLimits(0)
+	assert.Assert(t, time.Since(ended) < 8*time.Second, "%v", time.Since(ended))
+}
