--- a/cmd/tarragongw/evacuation_run_test.go
+++ b/cmd/tarragongw/evacuation_run_test.go
@@ -103,11 +103,7 @@
 // Guards against requests that reach an evacuated data centre late, or that overrun its targets when they come back cold,
 // while the leader and other routers are stopped again and again.
 func TestEvacuatedTargetsGetNoLateRequestsFromStoppedProcesses(t *testing.T) {
-	startBusy(t, *leavingBusy)
-	for i := range *leavingSeeds {
-		seed := *leavingSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runEvacuations(t, seed, *leavingFor) })
-	}
+	runSeeds(t, runEvacuations)
 }
 
 func runEvacuations(t *testing.T, seed uint64, length time.Duration) {
--- a/cmd/tarragongw/leaving_run_test.go
+++ b/cmd/tarragongw/leaving_run_test.go
@@ -252,16 +252,22 @@
 	}
 }
 
-// Guards against requests that reach a target later than the drain bound after its leaving was acknowledged, while the
-// leader and other routers are stopped again and again.
-func TestLeavingTargetsGetNoLateRequestsFromStoppedProcesses(t *testing.T) {
+// runSeeds runs something with each of the seeds that the flags say, beside busy processes.
+func runSeeds(t *testing.T, run func(t *testing.T, seed uint64, length time.Duration)) {
+	t.Helper()
 	startBusy(t, *leavingBusy)
 	for i := range *leavingSeeds {
 		seed := *leavingSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runLeaving(t, seed, *leavingFor) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { run(t, seed, *leavingFor) })
 	}
 }
 
+// Guards against requests that reach a target later than the drain bound after its leaving was acknowledged, while the
+// leader and other routers are stopped again and again.
+func TestLeavingTargetsGetNoLateRequestsFromStoppedProcesses(t *testing.T) {
+	runSeeds(t, runLeaving)
+}
+
 // callAndStop sends requests through all routers, and stops these again and again, until the run ends.
 func (r *leavingRun) callAndStop(seed uint64) {
 	for _, p := range r.routers {
--- a/cmd/tarragongw/limits_run_test.go
+++ b/cmd/tarragongw/limits_run_test.go
@@ -123,11 +123,7 @@
 // Guards against targets that get more than the limit that they state, while the leader and other routers are stopped,
 // restarted and killed again and again.
 func TestStatedLimitsAreKeptByStoppedProcesses(t *testing.T) {
-	startBusy(t, *leavingBusy)
-	for i := range *leavingSeeds {
-		seed := *leavingSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runLimits(t, seed, *leavingFor) })
-	}
+	runSeeds(t, runLimits)
 }
 
 func runLimits(t *testing.T, seed uint64, length time.Duration) {
--- a/cmd/tarragongw/statements_run_test.go
+++ b/cmd/tarragongw/statements_run_test.go
@@ -163,11 +163,7 @@
 // Guards against requests to targets that have said in answers that they leave, or have asked for a rest, while routers are
 // stopped, restarted and killed again and again.
 func TestStatementsOfTargetsHoldForStoppedProcesses(t *testing.T) {
-	startBusy(t, *leavingBusy)
-	for i := range *leavingSeeds {
-		seed := *leavingSeed + uint64(i)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runStatements(t, seed, *leavingFor) })
-	}
+	runSeeds(t, runStatements)
 }
 
 func runStatements(t *testing.T, seed uint64, length time.Duration) {
