--- a/cmd/tarragongw/statements_run_test.go
+++ b/cmd/tarragongw/statements_run_test.go
@@ -68,7 +68,7 @@
 // sayLeaving has a target of the service state that it leaves, in its answers only.
 func (r *leavingRun) sayLeaving(service string) {
 	r.mu.Lock()
-	target := r.pick(service)
+	target := r.pick(r.random, service)
 	delete(r.present, target.ID)
 	r.said = append(r.said, target.Target)
 	r.mu.Unlock()
@@ -89,7 +89,7 @@
 		return
 	}
 	r.mu.Lock()
-	target := r.pick(service)
+	target := r.pick(random, service)
 	r.mu.Unlock()
 	p := restPeriod{target: target.Target, rest: length, from: time.Now()}
 	target.AskRest(&platformtest.Rest{RetryAfter: []string{rest}, Unstated: random.IntN(3) == 0})
@@ -103,7 +103,7 @@
 }
 
 // pick returns a random target of the service that stays; the caller holds the lock.
-func (r *leavingRun) pick(service string) *livingTarget {
+func (r *leavingRun) pick(random *rand.Rand, service string) *livingTarget {
 	var ids []string
 	for id := range r.present {
 		if strings.HasPrefix(id, service) {
@@ -111,7 +111,7 @@
 		}
 	}
 	slices.Sort(ids)
-	return r.present[ids[r.random.IntN(len(ids))]]
+	return r.present[ids[random.IntN(len(ids))]]
 }
 
 // lateAtLeaving returns the requests that reached targets later than leavingDrain after their router had passed on that these
