--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -194,9 +194,7 @@
 
 // Pipelined requests on one connection are answered in order.
 func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
-	target := plainTarget("a")
-	target.Slots = 8 // for fewer slots than requests the router refuses one that would be late for its objective
-	f := newFleet(t, 1, plainConfig, target)
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
 	f.sendUntilServed(f.gateways[0], call{method: "GET", path: "/read/0", key: -1})
 	conn, err := net.Dial("tcp", f.gateways[0].callerListener.Addr().String())
 	assert.NilError(t, err)
