Refuse requests for moving keys of limited targets after 150 ms

What callers saw: refusals "the target takes 3.5 requests a second" after 0.56 to 0.79 s. Cause: a request for a key that moves waits up to 800 ms for the next holder. The leader lost the store 0.1 s after it had begun to move keys, the next one gave them to holders 1 s later, and those had no permit. Change: where all targets that take new work state limits, the wait ends after 150 ms, and the advised wait is that for the next permit. Why this works: the bound no longer depends on the leader. Measured: TestRequestsForMovingKeysOfLimitedTargetsWaitOnlyBriefly failed before (both requests still waited).

--- a/core/dispatch/service.go
+++ b/core/dispatch/service.go
@@ -14,9 +14,6 @@
 	initialService = 0.15
 	// meanGain is the weight of a new answer in the mean service time of the whole service.
 	meanGain = 0.02
-	// maxHandoverWait is how long a request waits for a key that is moving to another holder;
-	// requests for the key that are still running have to end first.
-	maxHandoverWait = 800 * time.Millisecond
 	// grantExpiryRetryAfter is the advised wait if a key's holder is lost and its grant has to
 	// expire before the key gets another one.
 	grantExpiryRetryAfter = 700 * time.Millisecond
@@ -423,10 +420,7 @@
 	}
 	segment := s.table.Find(*r.Key)
 	if segment.Moving {
-		if segment.HolderUnreachable {
-			return nil, &block{kind: fault.NoOwner, detail: "the grant of " + segment.Target + " has to lapse", wait: -1, retryAfter: grantExpiryRetryAfter}
-		}
-		return nil, &block{kind: fault.Moving, detail: "from " + segment.Target, maxWait: maxHandoverWait, retryAfter: minRetryAfter}
+		return nil, s.movingBlock(now, segment)
 	}
 	t := s.targetByID[segment.Target]
 	if t == nil || t.Holder() != segment.Holder {
--- a/core/dispatch/targetlimits_test.go
+++ b/core/dispatch/targetlimits_test.go
@@ -54,3 +54,21 @@
 	s.AwaitPermit(start, targets[0].Holder(), time.Second)
 	assert.Equal(t, s.Offer(start, Request{ID: 9}).Verdict, Wait)
 }
+
+// Guards against requests that wait for a key's handover for most of a second, to be refused for want of a permit of the next holder.
+func TestRequestsForMovingKeysOfLimitedTargetsWaitOnlyBriefly(t *testing.T) {
+	targets := []directory.Target{{ID: "a", Slots: 4, DataCentre: "here"}, {ID: "b", Slots: 4, DataCentre: "here"}}
+	s := newLimitedService(true, targets)
+	s.table.Segments[0].Moving = true
+	key := keyspace.Key(0)
+	assert.Equal(t, s.Offer(start, Request{ID: 1, Key: &key}).Verdict, Wait)
+	assert.Equal(t, len(s.Poll(at(400))), 0, "the other target states no limit")
+	s.SetTargetLimits(map[keyspace.Holder]float64{targets[0].Holder(): 3.5, targets[1].Holder(): 3.5})
+	s.AwaitPermit(start, targets[1].Holder(), 2*time.Second)
+	assert.Equal(t, s.Offer(at(100), Request{ID: 2, Key: &key}).Verdict, Wait)
+	decided := s.Poll(at(300))
+	for id := uint64(1); id <= 2; id++ {
+		assert.Assert(t, decided[id].Verdict == Refuse && decided[id].Fault == fault.Moving, "%d: %+v", id, decided[id])
+		assert.Assert(t, decided[id].RetryAfter >= 1700*time.Millisecond, "%v", decided[id].RetryAfter)
+	}
+}
