Refuse requests at once whose key was being moved as the store failed

What callers saw: each request for such a key waited 0.8 s and was refused as moving, for all of the outage: keys of a target that states that it leaves, too. Cause: a move is two writes; between them the old holder has released the keys. Routers held requests back for the second write, which the leader could not make, and had nothing that says so. Change: once the leader takes the store for unreachable, 1.1 s after its last renewal, the tables that it sends to routers mark segments that move as those that take seconds; a table is sent when that begins and ends. Why this works: the marks follow the leader's own state of the store. What the store has is unchanged, and a leader that takes over from a table of the feed doesn't read the marks.

--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -133,6 +133,10 @@
 	a.OrderDone(now, orders[0].ID, Accepted, "handover")
 	write := a.Step(now).Write
 	assert.Assert(t, a.MarkUnconfirmed(write.Table).Find(moved.From).Moving, "the new holder has not accepted yet")
+	a.SetStoreUnreachable(true)
+	assert.Assert(t, a.MarkUnconfirmed(actions.Write.Table).Find(moved.From).HolderUnreachable, "the new holder can't be written")
+	assert.Assert(t, !a.MarkUnconfirmed(write.Table).Find(moved.From).HolderUnreachable, "the new holder is written")
+	a.SetStoreUnreachable(false)
 	a.WriteDone(write.Generation, true)
 	orders = a.Step(now).Orders
 	assert.Equal(t, len(orders), 1)
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -60,11 +60,15 @@
 
 // MarkUnconfirmed returns a copy of a stored table in which the segments whose new holder has not
 // accepted them yet are marked as moving. The new holder would refuse requests sent before
-// that, and each refused request would cost a retry from the retry budget.
+// that, and each refused request would cost a retry from the retry budget. While the store is unreachable, requests for
+// moving segments don't wait either: their next holder can't be written.
 func (a *Assigner) MarkUnconfirmed(stored *keyspace.Table) *keyspace.Table {
 	t := stored.Clone()
 	for i := range t.Segments {
 		segment := &t.Segments[i]
+		if segment.Moving && a.storeUnreachable {
+			segment.HolderUnreachable = true
+		}
 		s := &a.spans[a.indexOf(segment.From)]
 		if s.newHolder && s.Token == segment.Token {
 			segment.Moving = true
--- a/core/dispatch/handover.go
+++ b/core/dispatch/handover.go
@@ -18,7 +18,7 @@
 // movingBlock returns the block of a request for a key that moves to another holder.
 func (s *Service) movingBlock(now time.Time, segment *keyspace.Segment) *block {
 	if segment.HolderUnreachable {
-		return &block{kind: fault.NoOwner, detail: "the grant of " + segment.Target + " has to lapse", wait: -1, retryAfter: grantExpiryRetryAfter}
+		return &block{kind: fault.NoOwner, detail: "the grant of " + segment.Target + " has to lapse, or the store to answer first", wait: -1, retryAfter: grantExpiryRetryAfter}
 	}
 	b := &block{kind: fault.Moving, detail: "from " + segment.Target, maxWait: maxHandoverWait, retryAfter: minRetryAfter}
 	if s.allStateLimits() {
--- a/core/keyspace/table.go
+++ b/core/keyspace/table.go
@@ -38,7 +38,8 @@
 	// back meanwhile.
 	Moving bool `json:"m,omitempty"`
 	// HolderUnreachable reports whether the holder of a moving segment is unreachable, so that its grant
-	// must expire first. That takes seconds, too long for a request to wait.
+	// must expire first. That takes seconds, too long for a request to wait. Tables that are sent to routers have it
+	// too where the store must be reached first.
 	HolderUnreachable bool `json:"x,omitempty"`
 }
 
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -44,6 +44,9 @@
 	suspected := t.leaseAge(bootTime) > storeSuspectAfter && t.quorum.reached(bootTime, l.g.recentRouters())
 	if suspected != l.storeSuspected {
 		l.storeSuspected = suspected
+		for _, assignment := range t.services {
+			assignment.unpublished = assignment.unpublished || assignment.stored != nil
+		}
 		l.g.log.Info("grant mode for store outages changed", "away", suspected, "lease_age", t.leaseAge(l.g.opts.Clock.Now()))
 	}
 	due := now.Add(leaderCheckInterval)
--- a/gateway/targetstatements_test.go
+++ b/gateway/targetstatements_test.go
@@ -298,3 +298,30 @@
 	assert.Check(t, load.share(began, "/read/", f.routerNames()) > 0.9)
 	load.checkPromises()
 }
+
+// movesKey reports whether a key is being moved by what a gateway knows.
+func (g *Gateway) movesKey(service string, key keyspace.Key) bool {
+	table, _ := g.service(service).currentTable()
+	return table != nil && table.Find(key).Moving
+}
+
+// Guards against requests that wait most of a second each to be refused, for all of an outage of the store, because their key was
+// being moved away from a leaving target as it began.
+func TestKeysInAMoveAreRefusedAtOnceWhileTheStoreIsDown(t *testing.T) {
+	f := newStatementFleet(t, 3)
+	holder := f.holder(100)
+	f.targets[holder].StateLeaving("1")
+	waittest.Until(t, "the key moves", func() bool { return f.leader().movesKey("keyed", 100) })
+	f.cutStore(true)
+	look := call{method: http.MethodGet, path: "/look/1", key: 100}
+	time.Sleep(storeSuspectAfter + time.Second)
+	for _, g := range f.gateways {
+		assert.Assert(t, g.movesKey("keyed", 100))
+		began := time.Now()
+		a := f.send(g, look)
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		assert.Assert(t, time.Since(began) < 200*time.Millisecond, "refused after %v", time.Since(began))
+	}
+	f.cutStore(false)
+	f.sendUntilServed(f.gateways[0], look)
+}
