--- a/lab/capacity/sweep.go
+++ b/lab/capacity/sweep.go
@@ -151,13 +151,17 @@
 // power returns p of the least-squares fit value = c * size^p, where smaller values count as
 // the least.
 func power(sizes []int, values []float64, least float64) float64 {
-	var x, y, xx, xy float64
-	n := float64(len(sizes))
+	var mean float64
+	for _, size := range sizes {
+		mean += math.Log(float64(size)) / float64(len(sizes))
+	}
+	// Relative to the first value, values that don't grow give exactly zero on all processors.
+	var xx, xy float64
 	for i, size := range sizes {
-		lx, ly := math.Log(float64(size)), math.Log(max(values[i], least))
-		x, y, xx, xy = x+lx, y+ly, xx+lx*lx, xy+lx*ly
+		x, y := math.Log(float64(size))-mean, math.Log(max(values[i], least)/max(values[0], least))
+		xx, xy = xx+x*x, xy+x*y
 	}
-	return (n*xy - x*y) / (n*xx - x*x)
+	return xy / xx
 }
 
 // carriedOn returns the value at a size from the last one of the sweep.
