Interrupt threads from their own processor in tests of the sequence

Cause: the test sends signals from another processor as fast as it can. They are pending at the end of each system call and delivered there; how many arrive within the five instructions of the sequence depends on the processor and on what else runs. Change: a thread on the same processor wakes up at random, sends the signal, and sleeps. It interrupts the other one wherever that is. The number of restarts, that of sends, and the comparison of the bytes are as before. On amd64 it was not run.

--- a/leasewrite/sequence_linux_test.go
+++ b/leasewrite/sequence_linux_test.go
@@ -5,6 +5,8 @@
 import (
 	"io"
 	"math"
+	"math/bits"
+	"math/rand/v2"
 	"os"
 	"os/exec"
 	"runtime"
@@ -128,20 +130,38 @@
 // interruptionTimeout is how long an interruption within the sequence may take to occur.
 const interruptionTimeout = 20 * time.Second
 
-// interruptThread sends signals to the thread, without pause, until stop is called. The signal is
-// the one by which the runtime interrupts threads.
+// maxInterruptPause bounds the random pauses between interruptions.
+const maxInterruptPause = 20 * time.Microsecond
+
+// interruptThread interrupts the thread until stop is called: another thread wakes up on its processor and sends it the
+// signal by which the runtime interrupts threads. A signal from another processor hardly ever arrives within the sequence.
 func interruptThread(t *testing.T, thread int) (stop func()) {
+	var all, one unix.CPUSet
+	assert.NilError(t, unix.SchedGetaffinity(thread, &all))
+	for cpu := range len(all) * bits.UintSize {
+		if all.IsSet(cpu) {
+			one.Zero()
+			one.Set(cpu)
+		}
+	}
+	assert.NilError(t, unix.SchedSetaffinity(thread, &one))
 	var stopped atomic.Bool
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
+		runtime.LockOSThread() // the thread ends with the goroutine
+		assert.Check(t, unix.SchedSetaffinity(0, &one))
+		assert.Check(t, unix.Prctl(unix.PR_SET_TIMERSLACK, 1, 0, 0, 0)) // nanosecond
 		for !stopped.Load() {
 			assert.Check(t, unix.Tgkill(unix.Getpid(), thread, unix.SIGURG))
+			pause := unix.NsecToTimespec(rand.Int64N(int64(maxInterruptPause)))
+			_ = unix.Nanosleep(&pause, nil) // a signal may end it
 		}
 	}()
 	return func() {
 		stopped.Store(true)
 		<-ended
+		assert.Check(t, unix.SchedSetaffinity(thread, &all))
 	}
 }
 
