Give the change of a leader's trust in the store a method of its own

Cause: step had grown by a loop whose reason wasn't said. Change: moved as it is, with a comment. Measured: TestKeysInAMoveAreRefusedAtOnceWhileTheStoreIsDown and TestRequestsAndGrantsContinueDuringAStoreOutage pass twice.

--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -43,11 +43,7 @@
 	bootTime := l.g.opts.Clock.Now()
 	suspected := t.leaseAge(bootTime) > storeSuspectAfter && t.quorum.reached(bootTime, l.g.recentRouters())
 	if suspected != l.storeSuspected {
-		l.storeSuspected = suspected
-		for _, assignment := range t.services {
-			assignment.unpublished = assignment.unpublished || assignment.stored != nil
-		}
-		l.g.log.Info("grant mode for store outages changed", "away", suspected, "lease_age", t.leaseAge(l.g.opts.Clock.Now()))
+		l.suspectStore(t, suspected)
 	}
 	due := now.Add(leaderCheckInterval)
 	for name, assignment := range t.services {
@@ -72,6 +68,16 @@
 	return due
 }
 
+// suspectStore records whether the store is taken for unreachable. Tables say which moves have to wait for it, so they are sent
+// again.
+func (l *leader) suspectStore(t *term, suspected bool) {
+	l.storeSuspected = suspected
+	for _, assignment := range t.services {
+		assignment.unpublished = assignment.unpublished || assignment.stored != nil
+	}
+	l.g.log.Info("grant mode for store outages changed", "away", suspected, "lease_age", t.leaseAge(l.g.opts.Clock.Now()))
+}
+
 // readMissingTables reads the key tables of services that have none in this term yet, once the
 // targets are known.
 //
