review: case 2, a superseded leader and an endpoint that starts again

Cause: keys that a holder has released count as free at once, although a leader that is superseded and turned away by the store may still renew them for up to 2 s at a holder that has started again and forgotten the release.

--- a/review/testdata/standin/endpoint.go
+++ b/review/testdata/standin/endpoint.go
@@ -49,6 +49,7 @@
 	keysBusy map[int]int
 	// holdEnd is when the last hold of each key runs out if it isn't released.
 	holdEnd [1 << 16]time.Time
+	conns   map[net.Conn]bool
 }
 
 type grant struct {
@@ -71,7 +72,7 @@
 	}
 	e.w, e.listener, e.born, e.state = w, l, time.Now().UnixMilli(), "ready"
 	e.freed = sync.NewCond(&e.mu)
-	e.keysBusy = map[int]int{}
+	e.keysBusy, e.conns = map[int]int{}, map[net.Conn]bool{}
 	go e.accept()
 	e.register()
 	w.jobs.Add(1)
@@ -114,7 +115,15 @@
 
 // serve serves the requests of a connection one after the other.
 func (e *endpoint) serve(conn net.Conn) {
-	defer conn.Close()
+	e.mu.Lock()
+	e.conns[conn] = true
+	e.mu.Unlock()
+	defer func() {
+		conn.Close()
+		e.mu.Lock()
+		delete(e.conns, conn)
+		e.mu.Unlock()
+	}()
 	reader := bufio.NewReader(conn)
 	var last *answered
 	for {
--- a/review/testdata/standin/world.go
+++ b/review/testdata/standin/world.go
@@ -142,6 +142,11 @@
 			return err
 		}
 	}
+	return w.awaitAll()
+}
+
+// awaitAll waits until all routers are ready.
+func (w *world) awaitAll() error {
 	for _, r := range w.routers {
 		if !w.awaitReady(r) {
 			return errors.New("a router is not ready")
