--- a/cmd/tarragongw/serve_pause_test.go
+++ b/cmd/tarragongw/serve_pause_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -41,6 +42,8 @@
 	routers []*process
 	// bounds are further lines of the routers' settings under terms.bounds.
 	bounds string
+	// storeAddress is where the next router reaches the store; empty for the store's own address.
+	storeAddress string
 }
 
 // newSystem starts the store, the targets and the routers.
@@ -89,6 +92,7 @@
 [platform.platform]
 address = %q
 ttl_min = "1000ms"
+history = "20s"
 [terms.bounds]
 drain = "2000ms"
 grace = "6s"
@@ -96,7 +100,7 @@
 budget_window = "10s"
 budget_min_retries = 64
 hold_max = "10000ms"
-%s`, name, first+2, first+3, address(0), address(1), s.store.Address(), s.bounds)
+%s`, name, first+2, first+3, address(0), address(1), cmp.Or(s.storeAddress, s.store.Address()), s.bounds)
 	assert.NilError(s.t, os.WriteFile(p.settingsPath, []byte(settings), 0o600))
 	cmd := exec.Command(filepath.Join(s.bin, "tarragongw"), "serve")
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath)
@@ -127,8 +131,11 @@
 
 // getStatus reads a key through the router and returns the status, or 0 without a complete
 // answer.
-func (s *system) getStatus(p *process, key uint16) int {
-	req, err := http.NewRequest(http.MethodGet, "http://"+p.caller+"/read/1", http.NoBody)
+func (s *system) getStatus(p *process, key uint16) int { return s.getPath(p, "/read/1", key) }
+
+// getPath reads a path through the router, with a key, and returns as getStatus does.
+func (s *system) getPath(p *process, path string, key uint16) int {
+	req, err := http.NewRequest(http.MethodGet, "http://"+p.caller+path, http.NoBody)
 	assert.NilError(s.t, err)
 	req.Host = servedHost
 	req.Header.Set(platform.HeaderRequestID, fmt.Sprintf("id-%d", time.Now().UnixNano()))
