--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -61,10 +62,12 @@
 // tick asks a duty to do what has become due.
 type tick struct{}
 
-// prefixMessage is a message of the watcher of one prefix.
+// prefixMessage is a message of the watcher of one prefix, or the same from another source.
 type prefixMessage struct {
 	prefix  string
 	message any
+	// toldBy is who told of it in log lines; empty for the store.
+	toldBy string
 }
 
 func newClusterState(g *Gateway) *clusterState {
@@ -104,7 +107,7 @@
 // applyUpdate applies an update of the leader.
 func (cs *clusterState) applyUpdate(u *feed.Update) {
 	if len(u.ConfigValue) > 0 {
-		cs.handleConfig(&change{records: []kv.Record{{Key: cs.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}})
+		cs.handleConfig(&change{records: []kv.Record{{Key: cs.g.opts.Adapter.ConfigKey, Value: u.ConfigValue}}}, cs.g.subscription.knownLeader().name)
 	}
 	if u.Evacuations != nil {
 		cs.adoptEvacuations(u.Evacuations, cs.g.subscription.knownLeader().name)
@@ -185,7 +188,7 @@
 	}
 	switch m.prefix {
 	case cs.g.opts.Adapter.ConfigPrefix:
-		cs.handleConfig(c)
+		cs.handleConfig(c, cmp.Or(m.toldBy, toldByStore))
 		cs.handleEvacuations(c)
 	case cs.g.opts.Adapter.TargetPrefix:
 		cs.handleTargets(c)
@@ -201,7 +204,7 @@
 
 // handleConfig applies a configuration unless a newer one is in force. A configuration that can't be
 // decoded is ignored.
-func (cs *clusterState) handleConfig(c *change) {
+func (cs *clusterState) handleConfig(c *change, toldBy string) {
 	for _, r := range c.records {
 		if r.Key != cs.g.opts.Adapter.ConfigKey || r.Deleted {
 			continue
@@ -221,7 +224,7 @@
 		cs.config = config
 		cs.g.unreadStatements.report("configuration", cs.g.opts.Adapter.UnreadConfigFields(r.Value))
 		cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
-			"routes", len(config.Routes), "services", len(config.Services), "confirmed", cs.g.configAge.age())
+			"routes", len(config.Routes), "services", len(config.Services), "told_by", toldBy, "confirmed", cs.g.configAge.age())
 		cs.g.subscription.source.SetConfig(config.Version, r.Value)
 		cs.applyConfig(config)
 	}
@@ -324,10 +327,10 @@
 	cs.timer = time.AfterFunc(max(time.Until(next), time.Millisecond), func() { cs.duty.Tell(tick{}) })
 }
 
-// toldByStore is who told of a target in log lines, if it was no leader.
+// toldByStore is who told in log lines, if it was no leader.
 const toldByStore = "store"
 
-// toldByRouter is who told of evacuations in log lines, if it was a router that was asked for its state.
+// toldByRouter is who told in log lines, if it was a router that was asked for its state.
 const toldByRouter = "another router"
 
 // logLeaving logs and counts what was learned about leaving targets, and from whom.
--- a/gateway/contacts.go
+++ b/gateway/contacts.go
@@ -125,7 +125,8 @@
 func (cs *clusterState) useState(m *peerState) {
 	s, a := m.state, &cs.g.opts.Adapter
 	if len(s.ConfigValue) > 0 {
-		cs.handleChange(&prefixMessage{a.ConfigPrefix, &change{records: []kv.Record{{Key: a.ConfigKey, Value: s.ConfigValue}}, at: time.Now()}})
+		told := &change{records: []kv.Record{{Key: a.ConfigKey, Value: s.ConfigValue}}, at: time.Now()}
+		cs.handleChange(&prefixMessage{prefix: a.ConfigPrefix, message: told, toldBy: toldByRouter})
 	}
 	if s.ConfigVersion > 0 {
 		cs.confirm(&stateConfirmed{config: true, version: s.ConfigVersion, at: m.askedAt - s.ConfigAge})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,6 +179,7 @@
 	g.subscription = newSubscription(g)
 	g.configAge.start(g.subscription.recheckConfig)
 	g.stateAge.start(g.subscription.recheckState)
+	g.subscription.exportWatchAges()
 	g.goRun(g.subscription.run)
 	if g.peerListener != nil {
 		g.goRun(g.serveFollowers)
--- a/gateway/storecalls.go
+++ b/gateway/storecalls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"tarragongw/kv"
@@ -23,7 +24,7 @@
 	if g.opts.Telemetry == nil {
 		return g.opts.Store
 	}
-	return &countedStore{store: g.opts.Store, observer: g.opts.Telemetry, purpose: purpose}
+	return &countedStore{store: g.opts.Store, observer: g.opts.Telemetry, log: g.log, purpose: purpose}
 }
 
 // purposeOf returns the purpose of a watch of the prefix.
@@ -42,17 +43,25 @@
 	}
 }
 
-// countedStore counts the calls to a store.
+// lateStoreCall is how long a call of the store that doesn't wait for changes may take before it is logged.
+const lateStoreCall = 500 * time.Millisecond
+
+// countedStore counts the calls to a store, and logs the late ones.
 type countedStore struct {
 	store    kv.TxnStore
 	observer kv.Observer
+	log      *slog.Logger
 	purpose  string
 }
 
 var _ kv.TxnStore = (*countedStore)(nil)
 
 func (s *countedStore) count(call string, began time.Time, err error) {
-	s.observer.StoreCall(call+"_"+s.purpose, kv.Code(err), time.Since(began))
+	took := time.Since(began)
+	s.observer.StoreCall(call+"_"+s.purpose, kv.Code(err), took)
+	if call != "watch" && took >= lateStoreCall {
+		s.log.Warn("late store call", "call", call, "for", s.purpose, "took", took, "err", err)
+	}
 }
 
 // Era implements kv.TxnStore.
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -23,7 +23,7 @@
 		gate: &sub.g.gate, probe: sub.g.membership.renewNow, answered: sub.confirmState,
 		notify: func(message any) {
 			if ctx.Err() == nil {
-				sub.g.state.duty.Tell(&prefixMessage{prefix, message})
+				sub.g.state.duty.Tell(&prefixMessage{prefix: prefix, message: message})
 			}
 		},
 	}}
@@ -115,6 +115,32 @@
 	}
 }
 
+// exportWatchAges exports how long ago each watch last showed that the store has nothing newer; -1 where it isn't running.
+func (sub *subscription) exportWatchAges() {
+	tel := sub.g.opts.Telemetry
+	if tel == nil {
+		return
+	}
+	for _, prefix := range []string{leaderPrefix, sub.g.opts.Adapter.ConfigPrefix, sub.g.opts.Adapter.TargetPrefix, routerPrefix, tablePrefix} {
+		tel.GaugeFunc("store_watch_age_seconds", map[string]string{"for": sub.g.purposeOf(prefix)}, func() float64 { return sub.watchAge(prefix) })
+	}
+}
+
+// watchAge returns how many seconds ago the watch of a prefix last showed that the store has nothing newer, -1 if never.
+func (sub *subscription) watchAge(prefix string) float64 {
+	sub.mu.Lock()
+	defer sub.mu.Unlock()
+	for _, w := range sub.runningWatches() {
+		if w.prefix != prefix {
+			continue
+		}
+		if at := w.confirmedAt.Load(); at != nil {
+			return time.Since(*at).Seconds()
+		}
+	}
+	return -1
+}
+
 // runningWatches returns the watches that run; the caller holds the lock.
 func (sub *subscription) runningWatches() []*watch {
 	all := slices.Clone(sub.otherWatches)
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -282,7 +282,7 @@
 		return err
 	}
 	read.at = time.Now()
-	sub.g.state.duty.Tell(&prefixMessage{a.ConfigPrefix, read})
+	sub.g.state.duty.Tell(&prefixMessage{prefix: a.ConfigPrefix, message: read})
 	sub.g.state.duty.Tell(&stateConfirmed{config: true, at: began, evacuations: read.listed})
 	return nil
 }
@@ -310,7 +310,7 @@
 		sub.g.membership.renewNow() // it shuts the gate if the store doesn't answer
 		return err
 	}
-	sub.g.state.duty.Tell(&prefixMessage{a.TargetPrefix, &change{listed: true, records: records, revision: revision, at: time.Now()}})
+	sub.g.state.duty.Tell(&prefixMessage{prefix: a.TargetPrefix, message: &change{listed: true, records: records, revision: revision, at: time.Now()}})
 	sub.g.state.duty.Tell(&stateConfirmed{at: began, targets: true})
 	return nil
 }
