Confirm the configuration by the answers to its own watch only

Callers got 404 on routes that had been added, and were served by routes that had been removed, for up to 12 s at all routers at once. The leader counted its configuration as the newest whenever the store answered its watch of the targets; its watch of the configuration waited up to 12 s (24 s where the store states no history) on a connection that may be silent.

Each watch proves its own records only. The one of the configuration waits 0.7 s on all deployments, as it did where data centres are evacuated, and when its answer is overdue the leader reads the store before its followers have to. The feed states the age of the older of both. The same for the other watches: the count of routers is used only while its own watch is answered, and the watches of the leader's record (while searching) and of the key tables wait 2 and 3 s.

--- a/gateway/feedserver.go
+++ b/gateway/feedserver.go
@@ -36,7 +36,7 @@
 
 // feedAge returns how long ago what the feed carries was last known to be the newest.
 func (g *Gateway) feedAge() time.Duration {
-	age := g.stateAge.age()
+	age := max(g.stateAge.age(), g.configAge.age())
 	if g.evacuates() {
 		age = max(age, g.sends.evacuations.age())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,8 @@
 	eraMu    sync.Mutex
 	eraState eraState
 
+	// leading is set while this router leads.
+	leading atomic.Bool
 	// synced is set once the configuration and the targets are known; firstSync is closed then.
 	// stopping is set when the router is asked to stop.
 	synced, stopping atomic.Bool
@@ -103,6 +105,7 @@
 	g := &Gateway{opts: opts, log: opts.Logger, services: map[string]*service{}, firstSync: make(chan struct{})}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.configAge, g.stateAge = newStateAge(g, "configuration", confirmReserve), newStateAge(g, "state", readReserve)
+	g.configAge.leaderReserve = confirmReserve + leaderHeadStart
 	g.sends = newSendLimits(g)
 	g.configFresh = newFreshness(g, "configuration", g.configAge.limit(), func() error { return g.subscription.fetchConfig() })
 	g.share = newRouterShare(g)
--- a/gateway/stateage.go
+++ b/gateway/stateage.go
@@ -14,6 +14,8 @@
 	confirmReserve = 400 * time.Millisecond
 	// readReserve is that part for state that the store alone confirms.
 	readReserve = 250 * time.Millisecond
+	// leaderHeadStart is how much earlier the leader reads what is overdue than its followers, so that they need not.
+	leaderHeadStart = 250 * time.Millisecond
 	// minRecheckInterval and maxRecheckInterval bound the pause between two attempts to have state confirmed.
 	minRecheckInterval = 300 * time.Millisecond
 	maxRecheckInterval = 1200 * time.Millisecond
@@ -27,6 +29,8 @@
 	name string
 	// reserve is the part of the limit that is left for learning of a change once the state is overdue.
 	reserve time.Duration
+	// leaderReserve is that part while this router leads; zero for the same.
+	leaderReserve time.Duration
 	// onOverdue is called while the state has not been confirmed for overdueAfter, with the number of calls before
 	// since it was.
 	onOverdue func(attempt int)
@@ -71,9 +75,19 @@
 
 // overdueAfter is how old the state may be before this router has to look for a newer one.
 func (a *stateAge) overdueAfter() time.Duration {
-	return max(a.limit()-a.reserve, a.limit()/2) - a.jitter
+	if a.g.leading.Load() {
+		return a.overdueWith(max(a.reserve, a.leaderReserve))
+	}
+	return a.overdueWith(a.reserve)
+}
+
+func (a *stateAge) overdueWith(reserve time.Duration) time.Duration {
+	return max(a.limit()-reserve, a.limit()/2) - a.jitter
 }
 
+// isOverdueAtFollowers reports whether routers that follow this one have to look for a newer state themselves.
+func (a *stateAge) isOverdueAtFollowers() bool { return a.age() >= a.overdueWith(a.reserve) }
+
 // age returns for how long this router's state may have been out of date.
 func (a *stateAge) age() time.Duration {
 	a.mu.Lock()
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -16,7 +16,7 @@
 }
 
 // startWatch starts to watch a prefix; the caller holds the lock.
-func (sub *subscription) startWatch(prefix string, pause func([]kv.Record) time.Duration, wait time.Duration) *watch {
+func (sub *subscription) startWatch(prefix string, pause func([]kv.Record) time.Duration, wait func() time.Duration) *watch {
 	ctx, cancel := context.WithCancel(sub.g.lifetime)
 	w := &watch{stop: cancel, watcher: &watcher{
 		store: sub.g.storeFor(sub.g.purposeOf(prefix)), log: sub.g.log, prefix: prefix, pause: pause, wait: wait, historyLost: sub.restartWatches,
@@ -31,42 +31,40 @@
 	return w
 }
 
-// confirmState records that the store has answered a watch: the state was the newest at the last answer
-// about the targets was given. The other watches are only answered at changes, but they must not be failing.
+// confirmState records what the answers to the watches prove. Each watch proves only its own records: its connection may be
+// silent while the store answers the others.
 func (sub *subscription) confirmState() {
 	sub.mu.Lock()
-	counted := len(sub.otherWatches) > 0 && sub.otherWatches[0].healthy.Load()
-	at := sub.lastConfirmation()
+	config, targets := sub.configWatch.confirmed(), sub.targetsWatch.confirmed()
+	counted := len(sub.otherWatches) > 0 && sub.otherWatches[0].provenWithin(countLag)
 	sub.mu.Unlock()
-	if at == nil {
-		return
+	if config != nil {
+		sub.g.state.duty.Tell(&stateConfirmed{config: true, at: sub.g.clockTime(*config), evacuations: true})
+	}
+	if targets != nil {
+		sub.g.state.duty.Tell(&stateConfirmed{targets: true, at: sub.g.clockTime(*targets)})
 	}
-	sub.g.state.duty.Tell(&stateConfirmed{config: true, at: sub.g.opts.Clock.Now() - time.Since(*at), targets: true, evacuations: true})
 	if counted {
 		sub.g.share.counted(sub.g.countedRouters())
 	}
 }
 
-// lastConfirmation returns when the watches last showed that the state is the newest, or nil if they
-// don't; the caller holds the lock.
-func (sub *subscription) lastConfirmation() *time.Time {
-	if sub.targetsWatch == nil || sub.configWatch == nil || !sub.configWatch.healthy.Load() {
+// clockTime converts a time to that of the clock that goes on during suspension.
+func (g *Gateway) clockTime(t time.Time) time.Duration { return g.opts.Clock.Now() - time.Since(t) }
+
+// confirmed returns when the answers to a watch last showed that its records are the newest; nil if they don't or if the watch
+// isn't running.
+func (w *watch) confirmed() *time.Time {
+	if w == nil || !w.healthy.Load() {
 		return nil
 	}
-	confirmed := sub.targetsWatch.confirmedAt.Load()
-	if own := sub.configWatch.confirmedAt.Load(); sub.g.evacuates() && confirmed != nil && own.Before(*confirmed) {
-		return own
-	}
-	return confirmed
+	return w.confirmedAt.Load()
 }
 
-// configWatchWait returns how long a watch for the configuration waits. Where data centres are evacuated, its own answers
-// have to show that it missed nothing: that another watch was answered doesn't, after a hold-up of this process.
-func (sub *subscription) configWatchWait() time.Duration {
-	if sub.g.evacuates() {
-		return evacuationsWatchWait
-	}
-	return sub.rareChangeWait()
+// provenWithin reports whether the answers to a watch have shown within a time that its records are the newest.
+func (w *watch) provenWithin(limit time.Duration) bool {
+	at := w.confirmed()
+	return at != nil && time.Since(*at) < limit
 }
 
 // constantPause returns a pause that doesn't depend on the changed records.
@@ -74,6 +72,9 @@
 	return func([]kv.Record) time.Duration { return pause }
 }
 
+// constantWait returns a wait that is always the same.
+func constantWait(wait time.Duration) func() time.Duration { return func() time.Duration { return wait } }
+
 // leaderWatchPause is the pause after a change of the leader record.
 func leaderWatchPause(changed []kv.Record) time.Duration {
 	for _, r := range changed {
@@ -84,7 +85,16 @@
 	return leaderFoundWatchPause
 }
 
-// rareChangeWait returns how long a watch for records that change rarely waits.
+// leaderWatchWait returns how long a watch for the leader's record waits. A router that leads learns by renewing its lease
+// whether it still does.
+func (sub *subscription) leaderWatchWait() time.Duration {
+	if sub.g.leading.Load() {
+		return sub.rareChangeWait()
+	}
+	return searchWatchWait
+}
+
+// rareChangeWait returns how long a watch for records that change rarely, and which nothing waits for, waits.
 func (sub *subscription) rareChangeWait() time.Duration {
 	wait := maxRareChangeWait
 	if history := sub.g.opts.StoreHistory; history > 0 {
@@ -157,7 +167,7 @@
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	if sub.leaderWatch == nil {
-		sub.leaderWatch = sub.startWatch(leaderPrefix, leaderWatchPause, sub.rareChangeWait())
+		sub.leaderWatch = sub.startWatch(leaderPrefix, leaderWatchPause, sub.leaderWatchWait)
 	}
 }
 
@@ -167,10 +177,10 @@
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	if sub.configWatch == nil {
-		sub.configWatch = sub.startWatch(sub.g.opts.Adapter.ConfigPrefix, constantPause(configWatchPause), sub.configWatchWait())
+		sub.configWatch = sub.startWatch(sub.g.opts.Adapter.ConfigPrefix, constantPause(configWatchPause), constantWait(configWatchWait))
 	}
 	if sub.targetsWatch == nil {
-		sub.targetsWatch = sub.startWatch(sub.g.opts.Adapter.TargetPrefix, constantPause(targetsWatchPause), targetsWatchWait)
+		sub.targetsWatch = sub.startWatch(sub.g.opts.Adapter.TargetPrefix, constantPause(targetsWatchPause), constantWait(targetsWatchWait))
 	}
 	if len(sub.otherWatches) > 0 && (len(sub.otherWatches) > 1 || !tables) {
 		return
@@ -178,9 +188,9 @@
 	for _, w := range sub.otherWatches {
 		w.stop()
 	}
-	sub.otherWatches = []*watch{sub.startWatch(routerPrefix, constantPause(routersWatchPause), sub.rareChangeWait())}
+	sub.otherWatches = []*watch{sub.startWatch(routerPrefix, constantPause(routersWatchPause), constantWait(routersWatchWait))}
 	if tables {
-		sub.otherWatches = append(sub.otherWatches, sub.startWatch(tablePrefix, constantPause(tablesWatchPause), sub.rareChangeWait()))
+		sub.otherWatches = append(sub.otherWatches, sub.startWatch(tablePrefix, constantPause(tablesWatchPause), constantWait(tablesWatchWait)))
 	}
 }
 
@@ -308,23 +318,29 @@
 	sub.leaderWatch, sub.configWatch, sub.targetsWatch, sub.otherWatches = nil, nil, nil, nil
 }
 
-// isFresh reports whether the store has confirmed this router's state within freshnessLimit.
+// isFresh reports whether the store has confirmed this router's state recently enough for its followers.
 func (sub *subscription) isFresh() bool {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
-	if sub.lastConfirmation() == nil {
+	if sub.targetsWatch == nil || sub.configWatch == nil || !sub.configWatch.healthy.Load() {
 		return false
 	}
 	last := sub.targetsWatch.lastContact.Load()
-	return time.Since(*last) < freshnessLimit && sub.g.stateAge.age() < sub.g.stateAge.overdueAfter()
+	return last != nil && time.Since(*last) < freshnessLimit && !sub.g.stateAge.isOverdueAtFollowers() && !sub.g.configAge.isOverdueAtFollowers()
 }
 
-// recheckConfig has this router's configuration confirmed, which is overdue: by the store while this router follows a
-// leader, and by other routers, as the store may not answer this one alone.
+// recheckConfig has this router's configuration confirmed, which is overdue: by the store where that is what tells it or its
+// leader of changes, and by other routers, as the store may not answer this one alone.
 func (sub *subscription) recheckConfig(int) {
-	if sub.isSubscribed() && !sub.g.gate.isShut() {
+	sub.mu.Lock()
+	watched, subscribed := sub.configWatch, sub.subscribed
+	sub.mu.Unlock()
+	if (subscribed || watched != nil) && !sub.g.gate.isShut() {
 		sub.g.goRun(sub.refreshConfig)
 	}
+	if watched != nil {
+		watched.restart()
+	}
 	sub.g.contacts.ask()
 }
 
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -41,8 +41,15 @@
 	// targetsWatchWait is the longest wait of a watch for targets. It is shorter, because the leader
 	// has to notice when the store no longer answers.
 	targetsWatchWait = 400 * time.Millisecond
-	// evacuationsWatchWait is the longest wait of a watch for the configuration where data centres are evacuated.
-	evacuationsWatchWait = 700 * time.Millisecond
+	// configWatchWait is the longest wait of a watch for the configuration and evacuations: half of a time limit for changes,
+	// less the time of slow calls.
+	configWatchWait = 700 * time.Millisecond
+	// searchWatchWait is the longest wait of a watch for the leader's record at a router that doesn't lead, and tablesWatchWait
+	// that of a watch for key tables: requests for keys that have moved are refused by their former holder meanwhile.
+	searchWatchWait = 2 * time.Second
+	tablesWatchWait = 3 * time.Second
+	// routersWatchWait is the longest wait of a watch for the routers' records, shorter than countLag by a lost call.
+	routersWatchWait = 2500 * time.Millisecond
 	// freshnessLimit is how long ago the last answer to a targets watch may be while the leader still
 	// counts as up to date: a pause, a wait, and the duration of a slow call.
 	freshnessLimit = targetsWatchPause + targetsWatchWait + 150*time.Millisecond
@@ -161,6 +168,7 @@
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	sub.term = t
+	sub.g.leading.Store(t != nil)
 	sub.signalChange()
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -62,8 +62,9 @@
 	pause func(changed []kv.Record) time.Duration
 	// notify is called with a *change or a *storeUnreachable.
 	notify func(message any)
-	// wait is how long a watch waits for a change; each watch costs a call.
-	wait time.Duration
+	// wait returns how long a watch waits for a change. Each watch costs a call, and its answer proves that this router knows
+	// the newest records; a connection that falls silent is noticed only by a wait that ends without an answer.
+	wait func() time.Duration
 	// gate holds watches back while the store doesn't answer.
 	gate *storeGate
 	// answered is called after each answer of the store.
@@ -108,7 +109,7 @@
 	w.mu.Lock()
 	w.cancelWatch = cancel
 	w.mu.Unlock()
-	wait := w.wait
+	wait := w.wait()
 	if !w.healthy.Load() {
 		wait = probeWait
 	}
@@ -199,7 +200,7 @@
 		return
 	}
 	w.healthy.Store(false)
-	if now := time.Now(); now.Sub(began) > w.wait+maxCallTime {
+	if now := time.Now(); now.Sub(began) > w.wait()+maxCallTime {
 		began = now
 	}
 	if w.failingSince.IsZero() {
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -40,7 +40,7 @@
 func newTestWatcher(store kv.TxnStore) *watcher {
 	nothing := func() {}
 	return &watcher{
-		store: store, log: slog.New(slog.DiscardHandler), prefix: "p/", pause: constantPause(0), wait: 100 * time.Millisecond,
+		store: store, log: slog.New(slog.DiscardHandler), prefix: "p/", pause: constantPause(0), wait: constantWait(100 * time.Millisecond),
 		notify: func(any) {}, answered: nothing, probe: nothing, historyLost: nothing, gate: &storeGate{},
 	}
 }
@@ -98,7 +98,7 @@
 			outages++
 		}
 	}
-	longest := w.wait + maxCallTime
+	longest := w.wait() + maxCallTime
 	w.failed(t.Context(), time.Now().Add(-minOutage-longest), kv.ErrUnavailable)
 	assert.Equal(t, outages, 0)
 	w.failingSince = time.Time{}
