Read what is overdue on a new connection to the store

A read of the configuration that is overdue was put on an idle connection. Where several had fallen silent, one call after the other waited 1.2 s in vain, longer than what is left of the time limit.

--- a/cmd/tarragongw/silent_conn_test.go
+++ b/cmd/tarragongw/silent_conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"testing"
@@ -13,6 +14,13 @@
 	"tarragongw/platform/platformtest"
 )
 
+// minLasting and maxLasting bound how old connections become before they are disturbed, and maxLate how late they deliver then.
+const (
+	minLasting = time.Second
+	maxLasting = 6 * time.Second
+	maxLate    = 5 * time.Second
+)
+
 // silentRouters is how many routers the tests of silent connections have.
 const silentRouters = 4
 
@@ -103,3 +111,43 @@
 		})
 	}
 }
+
+// Guards against routers that wait in vain for one call after the other where connections to the store don't last: each falls
+// silent, or delivers answers late, some time after it was opened.
+func TestChangesAreInForceInTimeWhileNoConnectionLasts(t *testing.T) {
+	const changes = 12
+	for name, disturb := range map[string]func(c *platformtest.ProxyConn, late time.Duration){
+		"silent to the router": func(c *platformtest.ProxyConn, _ time.Duration) { c.Silence(platformtest.ToClient) },
+		"late":                 func(c *platformtest.ProxyConn, late time.Duration) { c.Delay(platformtest.ToClient, late) },
+		"reset":                func(c *platformtest.ProxyConn, _ time.Duration) { c.Reset() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := startConfigRun(t)
+			for i, way := range r.stores {
+				random := rand.New(rand.NewPCG(uint64(i), 0))
+				r.jobs.Go(func() { r.wearOut(way, random, disturb) })
+			}
+			for i := range changes {
+				r.sleep(time.Duration(500+100*i) * time.Millisecond)
+				took := r.awaitChange()
+				assert.Check(t, took <= configApply, "change %d was in force after %v", i, took)
+			}
+		})
+	}
+}
+
+// wearOut disturbs each connection of a way once it is some seconds old, until the run ends.
+func (r *configRun) wearOut(way *platformtest.Proxy, random *rand.Rand, disturb func(c *platformtest.ProxyConn, late time.Duration)) {
+	lasts := map[*platformtest.ProxyConn]time.Duration{}
+	for r.ctx.Err() == nil {
+		for _, c := range way.Conns() {
+			if lasts[c] == 0 {
+				lasts[c] = minLasting + time.Duration(random.Int64N(int64(maxLasting-minLasting)))
+			}
+			if c.Age() > lasts[c] {
+				disturb(c, time.Duration(random.Int64N(int64(maxLate))))
+			}
+		}
+		r.sleep(probePause)
+	}
+}
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -73,7 +73,9 @@
 }
 
 // constantWait returns a wait that is always the same.
-func constantWait(wait time.Duration) func() time.Duration { return func() time.Duration { return wait } }
+func constantWait(wait time.Duration) func() time.Duration {
+	return func() time.Duration { return wait }
+}
 
 // leaderWatchPause is the pause after a change of the leader record.
 func leaderWatchPause(changed []kv.Record) time.Duration {
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -297,12 +297,12 @@
 
 // readConfig reads what fetchConfig needs from the store, by one call.
 func (sub *subscription) readConfig() (*change, error) {
-	a, store := &sub.g.opts.Adapter, sub.g.storeFor(purposeConfig)
+	a, store, ctx := &sub.g.opts.Adapter, sub.g.storeFor(purposeConfig), kv.NewConn(sub.g.lifetime)
 	if !sub.g.evacuates() {
-		r, err := store.Get(sub.g.lifetime, a.ConfigKey)
+		r, err := store.Get(ctx, a.ConfigKey)
 		return &change{records: []kv.Record{r}}, err
 	}
-	records, revision, err := store.List(sub.g.lifetime, a.ConfigPrefix)
+	records, revision, err := store.List(ctx, a.ConfigPrefix)
 	return &change{listed: true, records: records, revision: revision}, err
 }
 
@@ -312,7 +312,7 @@
 // fetchTargets reads the targets from the store, and has the state confirmed by them.
 func (sub *subscription) fetchTargets() error {
 	a, began := &sub.g.opts.Adapter, sub.g.opts.Clock.Now()
-	records, revision, err := sub.g.storeFor(purposeTargets).List(sub.g.lifetime, a.TargetPrefix)
+	records, revision, err := sub.g.storeFor(purposeTargets).List(kv.NewConn(sub.g.lifetime), a.TargetPrefix)
 	if err != nil {
 		sub.g.log.Warn("targets not read", "err", err)
 		sub.g.membership.renewNow() // it shuts the gate if the store doesn't answer
