Refuse configurations that lead nowhere, and keep the one in force

Whatever was JSON with a version was put in force: a version alone, routes without a place or a service, negative weights. All routers then refused what the configuration before allows, and a version of sixteen digits kept out every later one. routes.Config.Check decides what can be put in force, with a typed reason that is logged and counted; unknown fields and kinds are no error.

Not covered: a valid configuration whose version is far too high still keeps out later ones; the store refuses such a write.

--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"tarragongw/core/directory"
 	"tarragongw/core/evacuation"
 	"tarragongw/core/keyspace"
@@ -202,8 +204,8 @@
 	cs.markKnown(m.prefix)
 }
 
-// handleConfig applies a configuration unless a newer one is in force. A configuration that can't be
-// decoded is ignored.
+// handleConfig applies a configuration unless a newer one is in force. One that can't be decoded, or that can't be put in
+// force, is refused, and the one in force stays whole.
 func (cs *clusterState) handleConfig(c *change, toldBy string) {
 	for _, r := range c.records {
 		if r.Key != cs.g.opts.Adapter.ConfigKey || r.Deleted {
@@ -211,7 +213,7 @@
 		}
 		config, err := cs.g.opts.Adapter.DecodeConfig(r.Value)
 		if err != nil {
-			cs.g.log.Error("configuration not decoded", "revision", r.Revision, "err", err)
+			cs.refuseConfig(reasonMalformed, err, r.Revision, toldBy)
 			continue
 		}
 		if cs.config != nil && config.Version == cs.config.Version {
@@ -221,6 +223,11 @@
 			cs.g.log.Info("older configuration ignored", "version", config.Version, "in_force", cs.config.Version)
 			continue
 		}
+		var invalid *routes.CheckError
+		if errors.As(config.Check(), &invalid) {
+			cs.refuseConfig(invalid.Reason(), invalid, r.Revision, toldBy)
+			continue
+		}
 		cs.config = config
 		cs.g.unreadStatements.report("configuration", cs.g.opts.Adapter.UnreadConfigFields(r.Value))
 		cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
@@ -230,6 +237,21 @@
 	}
 }
 
+// reasonMalformed is why a configuration that can't be decoded is refused.
+const reasonMalformed = "malformed"
+
+// refuseConfig logs and counts a configuration that is not put in force.
+func (cs *clusterState) refuseConfig(reason string, err error, revision kv.Revision, toldBy string) {
+	inForce := uint64(0)
+	if cs.config != nil {
+		inForce = cs.config.Version
+	}
+	cs.g.log.Error("configuration refused", "reason", reason, "err", err, "revision", revision, "told_by", toldBy, "in_force", inForce)
+	if tel := cs.g.opts.Telemetry; tel != nil {
+		tel.Scope().Tagged(map[string]string{"reason": reason}).Counter("configurations_refused_total").Inc(1)
+	}
+}
+
 func (cs *clusterState) applyConfig(config *routes.Config) {
 	g := cs.g
 	g.setServices(config)
