Handle a request by the configuration that matched it

A request's route was found by the callers' model, and looked up again by its name in the view, which are set one after the other. A name that the next version uses for another place sent the request to that one's service. The request carries the version by which it was matched; the view before the one in force is kept for it. TestRequestIsHandledByTheConfigurationThatMatchedIt fails without the look at the version (the other service ran the request) and passes.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -125,6 +125,7 @@
 			return nil, f
 		}
 	}
+	x.meta.Model = rules.model
 	x.meta.CallerLabels = rules.callers[x.meta.Caller]
 	left, f := src.timeLeft(&rule.deadline, rule.service.Timeout)
 	if f != nil {
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -30,7 +30,7 @@
 		assert.Equal(t, got.Deadline, outcome.Began.Add(1500*time.Millisecond))
 		got.Deadline = time.Time{}
 		assert.DeepEqual(t, got, request.Meta{
-			ID: "id-1", Service: "faq-viewer", Key: "stall-7", Caller: "ramen-kai",
+			ID: "id-1", Service: "faq-viewer", Model: 1, Key: "stall-7", Caller: "ramen-kai",
 			CallerLabels: map[string]string{"tier": "gold"}, Class: request.Batch, Repeatable: true,
 		})
 		assert.Equal(t, outcome.Status, 200)
--- a/caller/rules.go
+++ b/caller/rules.go
@@ -12,6 +12,8 @@
 
 // ruleSet is a model compiled for the request path. It is immutable.
 type ruleSet struct {
+	// model is the revision of the model.
+	model   uint64
 	byHost  map[string][]*rule
 	anyHost []*rule
 	callers map[string]map[string]string
@@ -30,7 +32,7 @@
 }
 
 func compile(m *model.Model) *ruleSet {
-	set := &ruleSet{byHost: map[string][]*rule{}, callers: make(map[string]map[string]string, len(m.Callers))}
+	set := &ruleSet{model: m.Revision, byHost: map[string][]*rule{}, callers: make(map[string]map[string]string, len(m.Callers))}
 	for i := range m.Services {
 		set.add(newRule(&m.Services[i]))
 	}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -32,6 +32,9 @@
 	ID string
 	// Service is the name of the service that the request is for.
 	Service string
+	// Model is the revision of the model by which the service was found; zero if unknown. A later one may use the name for
+	// something else.
+	Model uint64
 	// Key is the key by which the request is routed; empty if the service doesn't divide its
 	// work by key.
 	Key string
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -255,6 +255,7 @@
 func (cs *clusterState) applyConfig(config *routes.Config) {
 	g := cs.g
 	g.setServices(config)
+	g.formerView.Store(g.view.Load())
 	g.view.Store(newView(config, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
 	g.handler.SetModel(callerModel(config, g.opts.Adapter.Headers))
 	for _, t := range cs.tables {
--- a/gateway/configloss_test.go
+++ b/gateway/configloss_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -10,7 +13,11 @@
 	"gotest.tools/v3/assert"
 
 	"tarragongw/core/directory"
+	"tarragongw/core/fault"
+	"tarragongw/core/request"
 	"tarragongw/internal/waittest"
+	"tarragongw/platform/platformtest"
+	"tarragongw/reqctx"
 )
 
 // configApply is the time within which a change of the configuration is in force at all routers.
@@ -264,3 +271,27 @@
 	now = now.Add(-freshnessLimit)
 	assert.Assert(t, !sub.isFresh())
 }
+
+// Guards against a request that is sent to another service, because the configuration changed right after its route was found
+// and the name of that route is used again.
+func TestRequestIsHandledByTheConfigurationThatMatchedIt(t *testing.T) {
+	const named = `"routes":[{"name":"r","host":"h.example","prefix":"/%s/","service":"%s"}],"services":[{"name":"any"},{"name":"other"}]`
+	f := newFleet(t, 1, fmt.Sprintf(named, "a", "any"), plainTarget("p0"), platformtest.NewTarget("p1", "other", "hall", false))
+	g := f.gateways[0]
+	matched := &request.Meta{ID: "late", Service: "r", Model: uint64(f.version), Deadline: time.Now().Add(time.Second)}
+	f.configure(fmt.Sprintf(named, "b", "other"))
+	f.awaitVersion(g, time.Now())
+	forward := func() *fault.Fault {
+		r := httptest.NewRequest(http.MethodGet, "http://h.example/a/1", http.NoBody)
+		return g.Forward(httptest.NewRecorder(), r.WithContext(reqctx.New(t.Context())), matched)
+	}
+	if fault := forward(); fault != nil {
+		t.Fatal(fault)
+	}
+	assert.Equal(t, len(f.targets["p1"].Runs()), 0)
+	assert.Equal(t, len(f.targets["p0"].Runs()), 1)
+	f.configure(fmt.Sprintf(named, "c", "other"))
+	f.awaitVersion(g, time.Now())
+	assert.Equal(t, forward().Kind, fault.NotReady)
+	assert.Equal(t, len(f.targets["p1"].Runs()), 0)
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -90,9 +90,9 @@
 
 // open finds the route and the service of the request.
 func (g *Gateway) open(w http.ResponseWriter, r *http.Request, meta *request.Meta) (*exchange, *fault.Fault) {
-	v := g.view.Load()
+	v := g.viewOf(meta.Model)
 	if v == nil {
-		return nil, fault.New(fault.NotReady, "no configuration yet")
+		return nil, fault.New(fault.NotReady, "no configuration yet, or it has changed meanwhile")
 	}
 	matched := v.routes[meta.Service]
 	if matched == nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,9 @@
 	system  *actor.ActorSystem
 	workers *duty.Workers
 
+	// view is the configuration in force, and formerView the one before, for requests that were matched by it.
 	view         atomic.Pointer[view]
+	formerView   atomic.Pointer[view]
 	handler      *caller.Handler
 	callers      *caller.Server
 	pools        *pools
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -41,6 +41,19 @@
 	return v
 }
 
+// viewOf returns the view of the configuration by which a request was matched; nil if that is no longer known.
+func (g *Gateway) viewOf(model uint64) *view {
+	current := g.view.Load()
+	if current == nil || model == 0 || current.config.Version == model {
+		return current
+	}
+	// A request may be matched before the change and get here after it, or the other way round.
+	if former := g.formerView.Load(); former != nil && former.config.Version == model {
+		return former
+	}
+	return nil
+}
+
 // callerModel returns the model by which package caller finds a request's route. It has a service for
 // each route.
 func callerModel(c *routes.Config, h Headers) *model.Model {
