List records anew where a reply of the store can't be read

Twelve entries of another writer, 1 MB each, made the changes that a watch asked for longer than any reply that is read. The watch asked for the same for ever: the leader knew no new target for as long as it led (60 s in the test), while followers that listed anew did. An unreadable reply to a read has an error of its own now, after which the next call is a listing, which comes in pages. TestChangesThatCantBeReadAtOnceAreListed failed before and passes.

--- a/gateway/oddentries_test.go
+++ b/gateway/oddentries_test.go
@@ -63,3 +63,19 @@
 		assert.Equal(t, f.send(g, call{method: "GET", path: "/read/1", key: -1}).status, http.StatusOK)
 	}
 }
+
+// Guards against a router that asks for the same changes for ever, because what another writer wrote makes the answer longer
+// than any that is read.
+func TestChangesThatCantBeReadAtOnceAreListed(t *testing.T) {
+	f := newFleet(t, 3, plainConfig, plainTarget("a"))
+	waittest.Until(t, "a router leads", func() bool { return f.leader() != nil })
+	for i := range 12 {
+		f.store.Put(fmt.Sprintf("%slong-%d", platform.TargetPrefix, i), []byte(strings.Repeat("x", 1<<20)))
+	}
+	f.add(plainTarget("b"))
+	began := time.Now()
+	for _, g := range f.gateways {
+		waittest.Until(t, "the next target is known", func() bool { return knows(g, "b") })
+	}
+	assert.Assert(t, time.Since(began) < 5*time.Second, "after %v", time.Since(began))
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -129,6 +129,10 @@
 			w.healthy.Store(false)
 			continue
 		}
+		if errors.Is(err, kv.ErrUnreadable) {
+			w.unreadable(ctx, err)
+			continue
+		}
 		if err != nil {
 			w.failed(ctx, began, err)
 			continue
@@ -195,6 +199,20 @@
 	return began
 }
 
+// unreadable makes the next call a listing, which comes in pages: the same changes would be unreadable again.
+func (w *watcher) unreadable(ctx context.Context, err error) {
+	w.log.Error("reply of the store not readable", "prefix", w.prefix, "since", w.since, "err", err)
+	w.healthy.Store(false)
+	w.listed = false
+	w.backOff(ctx)
+}
+
+// backOff pauses after a failed call, longer after each.
+func (w *watcher) backOff(ctx context.Context) {
+	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
+	duty.Sleep(ctx, time.Duration(float64(w.backoff)*(0.5+rand.Float64())))
+}
+
 func (w *watcher) failed(ctx context.Context, began time.Time, err error) {
 	if ctx.Err() != nil {
 		return
@@ -212,6 +230,5 @@
 	}
 	w.gate.shut()
 	w.probe()
-	w.backoff = min(max(2*w.backoff, minBackoff), maxBackoff)
-	duty.Sleep(ctx, time.Duration(float64(w.backoff)*(0.5+rand.Float64())))
+	w.backOff(ctx)
 }
--- a/kv/errors.go
+++ b/kv/errors.go
@@ -34,6 +34,7 @@
 	{ErrConflict, "conflict"},
 	{ErrUnavailable, "unavailable"},
 	{ErrUnknown, "unknown"},
+	{ErrUnreadable, "unreadable"},
 	{ErrNotFound, "not_found"},
 	{ErrLeaseLost, "lease_lost"},
 	{ErrOverBudget, "over_budget"},
--- a/kv/platform.go
+++ b/kv/platform.go
@@ -21,6 +21,8 @@
 	ErrUnavailable = errors.New("store: unavailable")
 	// ErrUnknown means that the reply was lost; a write may have taken effect.
 	ErrUnknown = errors.New("store: outcome unknown")
+	// ErrUnreadable means that the reply to a read has come and can't be read. The same read may fail in the same way again.
+	ErrUnreadable = errors.New("store: reply not readable")
 	// ErrNotFound means that the key does not exist.
 	ErrNotFound = errors.New("store: not found")
 	// ErrLeaseLost means that the lease has expired or is held by another client.
