--- a/Makefile
+++ b/Makefile
@@ -82,6 +82,12 @@
 soak-leaving:
 	$(GO) test ./cmd/tarragongw -run "TestLeavingTargets|TestEvacuatedTargets|TestStatementsOfTargets" -count=1 -timeout 120m -v -leaving.seeds=$(SEEDS)
 
+# soak-config runs real router processes whose connections are disturbed one by one while the configuration changes, with SEEDS
+# seeds.
+.PHONY: soak-config
+soak-config:
+	$(GO) test ./cmd/tarragongw -run TestChangesAreInForceInTimeBesideDisturbedConnections -count=1 -timeout 120m -v -config.seeds=$(SEEDS)
+
 # fuzz runs each fuzz target for FUZZTIME on FUZZERS workers.
 .PHONY: fuzz
 FUZZTIME ?= 10s
