--- a/cmd/tarragongw/config_run_test.go
+++ b/cmd/tarragongw/config_run_test.go
@@ -44,6 +44,8 @@
 	// keptRoutes is how many of the routes of the last versions a configuration has.
 	keptRoutes = 3
 	probePause = 25 * time.Millisecond
+	// stormLength is how many changes follow one another at once now and then.
+	stormLength = 4
 	// ackSlack is how much earlier than its recorded acknowledgement a version may be in the store.
 	ackSlack = 50 * time.Millisecond
 	// A route counts as not served if of minDueProbes or more less than one in minServedShare is.
@@ -70,6 +72,9 @@
 	mu sync.Mutex
 	// acked has when each version was acknowledged.
 	acked []time.Time
+	// blocks are the first ports of the routers, and lives how often each was started again.
+	blocks []int
+	lives  []int
 	// disturbances are the times at which a router or its connections were disturbed, by router.
 	disturbances [][]disturbance
 	probes       []probe
@@ -80,11 +85,11 @@
 	what     string
 }
 
-// probe is a request for a route that one version added.
+// probe is a request for a route that one version added, to one life of a router.
 type probe struct {
-	router, version int
-	sent, answered  time.Time
-	status          int
+	router, life, version int
+	sent, answered        time.Time
+	status                int
 }
 
 // versionConfig returns the configuration of a version, with the routes that the last versions added.
@@ -116,8 +121,8 @@
 		r.ways = append(r.ways, r.proxy(target.Address()))
 		proxied[target.Address()] = r.ways[i].Address()
 	}
-	blocks := freePortBlocks(t, routers)
-	for i, block := range blocks {
+	r.blocks, r.lives = freePortBlocks(t, routers), make([]int, routers)
+	for i, block := range r.blocks {
 		peer := net.JoinHostPort("127.0.0.1", strconv.Itoa(block+3))
 		r.peers = append(r.peers, r.proxy(peer))
 		proxied[peer] = r.peers[i].Address()
@@ -138,15 +143,26 @@
 			}
 		})
 	}
-	direct := r.store.Address()
-	for i, block := range blocks {
-		r.stores = append(r.stores, r.proxy(direct))
-		r.storeAddress = r.stores[i].Address()
-		r.start(fmt.Sprintf("edge-%d", i), block)
+	for i := range r.blocks {
+		r.stores = append(r.stores, r.proxy(r.store.Address()))
+		r.routers = append(r.routers, r.launch(i))
 	}
 	return r
 }
 
+// launch starts a router.
+func (r *configRun) launch(router int) *process {
+	r.storeAddress = r.stores[router].Address()
+	return r.launchRouter(fmt.Sprintf("edge-%d", router), r.blocks[router])
+}
+
+// life returns a router's process and how often it was started again.
+func (r *configRun) life(router int) (*process, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.routers[router], r.lives[router]
+}
+
 func (r *configRun) proxy(backend string) *platformtest.Proxy {
 	p, err := platformtest.NewProxy(backend)
 	assert.NilError(r.t, err)
@@ -181,7 +197,6 @@
 
 // probe sends requests for the routes of the last versions, the one that was just removed included, through a router.
 func (r *configRun) probe(router int) {
-	p := r.routers[router]
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}, Timeout: 4 * time.Second}
 	defer client.CloseIdleConnections()
 	for i := 0; r.ctx.Err() == nil; i++ {
@@ -190,12 +205,13 @@
 		if version < 0 {
 			continue
 		}
+		p, life := r.life(router)
 		req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/1", p.caller, version), http.NoBody)
 		assert.NilError(r.t, err)
 		req.Host = servedHost
 		req.Header.Set(platform.HeaderRequestID, fmt.Sprintf("%s-%d", p.name, i))
 		req.Header.Set(platform.HeaderDeadline, "1500")
-		sent := probe{router: router, version: version, sent: time.Now()}
+		sent := probe{router: router, life: life, version: version, sent: time.Now()}
 		if resp, err := client.Do(req); err == nil {
 			_, _ = io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
@@ -259,18 +275,36 @@
 	}
 }
 
-// signal sends a router a SIGHUP, or stops it for a while.
+// signal sends a router a SIGHUP, stops it for a while, or ends it and starts it again.
 func (r *configRun) signal(random *rand.Rand, router int) {
-	p := r.routers[router]
-	if random.IntN(2) == 0 {
+	p, _ := r.life(router)
+	switch random.IntN(4) {
+	case 0:
 		_ = p.cmd.Process.Signal(syscall.SIGHUP)
-		return
+	case 1:
+		end := r.disturbed(router, "stopped")
+		_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+		r.sleep(minStopped + time.Duration(random.Int64N(int64(maxStopped-minStopped))))
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		end()
+	case 2:
+		r.restart(router, syscall.SIGKILL)
+	case 3:
+		r.restart(router, syscall.SIGTERM)
 	}
-	end := r.disturbed(router, "stopped")
-	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
-	r.sleep(minStopped + time.Duration(random.Int64N(int64(maxStopped-minStopped))))
-	_ = p.cmd.Process.Signal(syscall.SIGCONT)
-	end()
+}
+
+// restart ends a router by a signal, and starts it again.
+func (r *configRun) restart(router int, how syscall.Signal) {
+	p, _ := r.life(router)
+	defer r.disturbed(router, "ended by %v", how)()
+	_ = p.cmd.Process.Signal(how)
+	p.exitCode(r.t)
+	next := r.launch(router)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.routers[router] = next
+	r.lives[router]++
 }
 
 // calm reports whether a router was undisturbed in the time before, and until the end of, a probe.
@@ -285,11 +319,11 @@
 
 // violations returns the probes that were handled by a version that was too old, and the versions whose route was hardly served.
 func (r *configRun) violations() (found []string) {
-	seen := map[[2]int]time.Time{} // when each router first served a version
-	served, due := map[[2]int]int{}, map[[2]int]int{}
+	seen := map[[3]int]time.Time{} // when each life of a router first served a version
+	served, due := map[[3]int]int{}, map[[3]int]int{}
 	for i := range r.probes {
 		p := &r.probes[i]
-		key := [2]int{p.router, p.version}
+		key := [3]int{p.router, p.life, p.version}
 		if p.status == http.StatusOK && seen[key].IsZero() {
 			seen[key] = p.answered
 		}
@@ -305,7 +339,7 @@
 	}
 	for key, n := range due {
 		if n >= minDueProbes && minServedShare*served[key] < n {
-			found = append(found, fmt.Sprintf("%s served /v%d/ %d times of %d", r.routers[key[0]].name, key[1], served[key], n))
+			found = append(found, fmt.Sprintf("%s served /v%d/ %d times of %d", r.routers[key[0]].name, key[2], served[key], n))
 		}
 	}
 	return found
@@ -380,14 +414,19 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	r := newConfigRun(ctx, t, seed, *configRouters)
-	for i, p := range r.routers {
+	for _, p := range r.routers {
 		eventually(t, p.name+" serves", func() bool { return r.getPath(p, "/v0/1", 0) == http.StatusOK })
+	}
+	for i := range r.routers {
 		r.jobs.Go(func() { r.probe(i) })
 	}
 	r.jobs.Go(func() { r.disturb(rand.New(rand.NewPCG(seed, 1))) })
 	for began := time.Now(); time.Since(began) < *configFor; {
-		r.change()
-		r.sleep(time.Duration(300+r.random.IntN(3500)) * time.Millisecond)
+		for range 1 + stormLength*(r.random.IntN(5)/4) {
+			r.change()
+			r.sleep(time.Duration(100+r.random.IntN(300)) * time.Millisecond)
+		}
+		r.sleep(time.Duration(r.random.IntN(3500)) * time.Millisecond)
 	}
 	r.sleep(configApply + stabilityWindow)
 	r.end(cancel, seed)
