--- a/cmd/tarragongw/config_run_test.go
+++ b/cmd/tarragongw/config_run_test.go
@@ -41,8 +41,9 @@
 	rollbackSlack = 250 * time.Millisecond
 	// stabilityWindow is how long a router must have been undisturbed for the bounds to hold for it.
 	stabilityWindow = 3 * time.Second
-	// keptRoutes is how many of the routes of the last versions a configuration has.
+	// keptRoutes is how many versions a configuration has the added routes of.
 	keptRoutes = 3
+	// probePause is the pause of one router's probes.
 	probePause = 25 * time.Millisecond
 	// stormLength is how many changes follow one another at once now and then.
 	stormLength = 4
@@ -68,13 +69,14 @@
 	stores []*platformtest.Proxy
 	peers  []*platformtest.Proxy
 	ways   []*platformtest.Proxy
+	// blocks are the first ports of the routers.
+	blocks []int
 
 	mu sync.Mutex
 	// acked has when each version was acknowledged.
 	acked []time.Time
-	// blocks are the first ports of the routers, and lives how often each was started again.
-	blocks []int
-	lives  []int
+	// lives is how often each router was started again.
+	lives []int
 	// disturbances are the times at which a router or its connections were disturbed, by router.
 	disturbances [][]disturbance
 	probes       []probe
