--- a/gateway/stateage.go
+++ b/gateway/stateage.go
@@ -81,6 +81,7 @@
 	return a.overdueWith(a.reserve)
 }
 
+// overdueWith is overdueAfter with a part of the limit that is left for learning of a change.
 func (a *stateAge) overdueWith(reserve time.Duration) time.Duration {
 	return max(a.limit()-reserve, a.limit()/2) - a.jitter
 }
