Log why keys leave their holders

Cause: in the cases of the review two targets held the same keys, and no line of the leader said on which evidence it had taken them from the first: released, ended, expired and never granted looked alike.

Change: core/assign reports the keys that were freed with each step, with the evidence, and the leader logs one line for each holder (keys freed) and counts keys_freed_total.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -222,6 +222,8 @@
 // Actions is the result of Step: what the caller of Step must do.
 type Actions struct {
 	Orders []Order
+	// Freed are the keys that have lost their holder since the last step.
+	Freed []Freed
 	// Write is nil if there is nothing to write or a write is in flight.
 	Write *Write
 	// Next is when Step must run again.
@@ -303,7 +305,9 @@
 	storeUnreachable bool
 
 	pendingOrders map[uint64]pendingOrder
-	lastOrderID   uint64
+	// freed are those of the next Actions.
+	freed       []Freed
+	lastOrderID uint64
 	// nextMergeAt is the earliest time of the next round of merging.
 	nextMergeAt time.Time
 
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -216,7 +216,7 @@
 		return // a new instance of the holder has started meanwhile
 	}
 	if outcome == Accepted {
-		a.markUnheld(s, handover)
+		a.markUnheld(s, Released, handover)
 		return
 	}
 	if outcome != NotSent {
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -21,7 +21,7 @@
 	a.freeUngranted(now)
 	a.placeUnheld(now)
 	a.merge(now)
-	actions := Actions{Next: now.Add(a.cfg.RenewInterval / 2)}
+	actions := Actions{Next: now.Add(a.cfg.RenewInterval / 2), Freed: a.takeFreed()}
 	a.sendDueOrders(now, &actions)
 	a.sortByDemand(now, actions.Orders)
 	a.sendProbes(now, &actions)
@@ -158,19 +158,17 @@
 			delete(a.pendingOrders, s.orderID)
 			s.orderInFlight, s.unreleasedBy = false, s.Target
 		}
-		if !s.orderInFlight {
-			a.markUnheld(s, "")
+		if s.orderInFlight {
+			continue
+		}
+		evidence := Expired
+		if a.endedHolders[s.Holder] {
+			evidence = Ended
 		}
+		a.markUnheld(s, evidence, "")
 	}
 }
 
-// markUnheld records that nobody holds the keys.
-func (a *Assigner) markUnheld(s *span, handover string) {
-	s.Holder, s.Token = keyspace.Holder{}, 0
-	s.Moving, s.HolderUnreachable, s.acked, s.handover = false, false, false, handover
-	s.inherited, s.expiry, s.oldLeaderExpiry = false, time.Time{}, time.Time{}
-}
-
 // placeUnheld assigns the keys that nobody holds to targets.
 func (a *Assigner) placeUnheld(now time.Time) {
 	if now.Before(a.noPlacementBefore) || !a.anyUnheld() || a.awaitingTargets(now) {
--- a/core/assign/unheld.go
+++ b/core/assign/unheld.go
@@ -18,7 +18,7 @@
 	for i := range a.spans {
 		s := &a.spans[i]
 		if c := a.candidates[s.Target]; c != nil && c.failures >= minUngrantedFailures && s.ungranted(now) {
-			a.markUnheld(s, s.handover)
+			a.markUnheld(s, Ungranted, s.handover)
 		}
 	}
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -144,6 +144,7 @@
 }
 
 func (l *leader) carryOut(t *term, service string, assignment *serviceAssignment, actions assign.Actions, now time.Time) {
+	l.logFreed(service, actions.Freed)
 	for _, o := range actions.Orders {
 		if o.Kind == assign.Probe {
 			o.HealthPath = l.g.healthPath(service)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -6,8 +6,10 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/core/assign"
 	"tarragongw/core/dispatch"
 	"tarragongw/core/fault"
+	"tarragongw/core/keyspace"
 	"tarragongw/core/lead"
 	"tarragongw/operator"
 	"tarragongw/target"
@@ -66,6 +68,29 @@
 	}
 }
 
+// lostKeys identifies keys that a holder has lost, by what shows that it doesn't hold them.
+type lostKeys struct {
+	holder   keyspace.Holder
+	evidence assign.Evidence
+}
+
+// logFreed logs and counts keys that have lost their holders, one line for each holder and kind of evidence.
+func (l *leader) logFreed(service string, freed []assign.Freed) {
+	ranges, keys := map[lostKeys]int{}, map[lostKeys]int{}
+	for _, f := range freed {
+		of := lostKeys{f.Holder, f.Evidence}
+		ranges[of]++
+		keys[of] += int(f.To) - int(f.From) + 1
+	}
+	for of, n := range keys {
+		l.g.log.Info("keys freed", "service", service, "target", of.holder.Target, "born", of.holder.StartUnixMilli,
+			"evidence", of.evidence, "ranges", ranges[of], "keys", n)
+		if tel := l.g.opts.Telemetry; tel != nil {
+			tel.Scope().Tagged(map[string]string{"service": service, "evidence": of.evidence.String()}).Counter("keys_freed_total").Inc(int64(n))
+		}
+	}
+}
+
 // logReach logs that the targets to which this router can open connections have become none, some or
 // all of a service's.
 func (g *Gateway) logReach(service string, r dispatch.Reach) {
