Take no entry for a proof that a target has ended

Cause: a departed target counted as ended as soon as any later entry named its address, and its keys were given to others without a release. An entry is a claim that others than targets can write. The lines "keys freed" show evidence=ended in the millisecond in which the target's own entry is gone.

Change: no entry proves an end. A holder has ended when another target answers an order at its address (421 with that target's id, on a connection opened for the order), and the holder has answered there as itself before. A claim on the address has the holder asked at once. Status checks are answered by whoever has the address, whomever they name; such an answer no longer counts as the target's own.

Why it works: a live holder releases its keys when it is asked, and never answers an order with another target's id; who has the address of an ended target does.

Tests: TestEntryAtTheAddressOfATargetDoesNotEndIt failed before in two of four cases. Tests that set the ended targets now have the orders answered; TestOrderForAnotherTargetIsRejected expects the new outcome. The stand-in target names itself in 421, as the users' targets do, and answers status checks that name another.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -6,8 +6,10 @@
 // A key never has two holders, because:
 //
 //   - A key leaves its holder only when the holder has acknowledged a release, when a new
-//     instance of the holder, which holds nothing, has started, when the holder is known to
-//     have ended, or when every grant that may have reached the holder has expired.
+//     instance of the holder, which holds nothing, has started, when another target has
+//     answered at the holder's address, so that the holder has ended, or when every grant
+//     that may have reached the holder has expired. Entries of targets in the store show
+//     none of these: others may write them.
 //   - A release carries a higher token than the grant, so that an older renewal that arrives
 //     after it is refused. The next grant carries a higher token than the release.
 //   - A new leader first grants all keys again, to the same holders under new tokens. Once a
@@ -184,6 +186,9 @@
 	Broken
 	// Unanswered orders timed out. They may have been carried out, or may still arrive.
 	Unanswered
+	// AddressTaken orders were answered by another target, which has the holder's address. A target gets the address of
+	// another one only after that has ended.
+	AddressTaken
 )
 
 // answered reports whether the target answered.
@@ -208,6 +213,8 @@
 		return "not-sent"
 	case Broken:
 		return "broken"
+	case AddressTaken:
+		return "address-taken"
 	default:
 		return "unanswered"
 	}
@@ -288,9 +295,9 @@
 	candidates map[string]*candidate
 	// departed are the holders that are no longer known.
 	departed map[keyspace.Holder]*candidate
-	// endedHolders are the target instances that are known to have ended.
-	endedHolders map[keyspace.Holder]bool
-	loadTracker  *LoadTracker
+	// ended are the holders whose address is another target's.
+	ended       map[keyspace.Holder]bool
+	loadTracker *LoadTracker
 	// keyLimits are the hot keys of which only part of the requests is served.
 	keyLimits map[keyspace.Key]keyLimit
 
@@ -326,7 +333,7 @@
 func TakeOver(now time.Time, cfg Config, service string, table *keyspace.Table) *Assigner {
 	a := &Assigner{
 		cfg: cfg.withDefaults(), service: service, candidates: map[string]*candidate{}, departed: map[keyspace.Holder]*candidate{}, loadTracker: NewLoadTracker(),
-		pendingOrders: map[uint64]pendingOrder{},
+		pendingOrders: map[uint64]pendingOrder{}, ended: map[keyspace.Holder]bool{},
 	}
 	if table == nil {
 		table = keyspace.New(service)
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -57,6 +58,9 @@
 		}
 	}
 	a.departed = departed
+	maps.DeleteFunc(a.ended, func(h keyspace.Holder, _ bool) bool {
+		return !slices.ContainsFunc(a.spans, func(s span) bool { return s.Holder == h })
+	})
 }
 
 // SetDeparted sets targets that are no longer known, as far as this router remembers them: a new leader has not known the
@@ -77,11 +81,23 @@
 	return a.departed[s.Holder]
 }
 
-// SetEnded sets the target instances that are known to have ended and hold no keys any more.
-func (a *Assigner) SetEnded(holders []keyspace.Holder) {
-	a.endedHolders = make(map[keyspace.Holder]bool, len(holders))
-	for _, h := range holders {
-		a.endedHolders[h] = true
+// recordEnd records whether a holder is known to have ended, by the outcome of an order to it.
+func (a *Assigner) recordEnd(h keyspace.Holder, outcome Outcome) {
+	switch {
+	case outcome == AddressTaken:
+		a.ended[h] = true
+	case outcome.answered():
+		delete(a.ended, h)
+	}
+}
+
+// AskAgain sends the holders that are being moved their next release at once. Another target claims their addresses, so that
+// the answer may show that they have ended.
+func (a *Assigner) AskAgain(holders []keyspace.Holder) {
+	for i := range a.spans {
+		if s := &a.spans[i]; s.Moving && slices.Contains(holders, s.Holder) {
+			s.nextOrderAt = time.Time{}
+		}
 	}
 }
 
@@ -143,6 +159,9 @@
 		return
 	}
 	c.failures++
+	if outcome == AddressTaken {
+		c.unreachable = true
+	}
 	if c.unreachable || c.failures < minFailures {
 		return
 	}
@@ -203,7 +222,7 @@
 			inFlight++
 			c.probing = true
 			a.lastOrderID++
-			a.pendingOrders[a.lastOrderID] = pendingOrder{kind: Probe, target: c.target.ID}
+			a.pendingOrders[a.lastOrderID] = pendingOrder{kind: Probe, holder: c.target.Holder()}
 			actions.Orders = append(actions.Orders, Order{ID: a.lastOrderID, Kind: Probe, Holder: c.target.Holder(), Address: c.target.Address})
 		}
 	}
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -13,8 +13,8 @@
 	token uint64
 	kind  Kind
 	ttl   time.Duration
-	// target is the target of a probe.
-	target string
+	// holder is the target that the order was sent to.
+	holder keyspace.Holder
 }
 
 // sendDueOrders adds the orders to send now, as far as the store has what they rest on and Config.OrderBudget allows.
@@ -170,7 +170,7 @@
 	a.lastOrderID++
 	o.ID = a.lastOrderID
 	s.orderInFlight, s.orderID = true, o.ID
-	a.pendingOrders[o.ID] = pendingOrder{from: s.From, token: s.Token, kind: o.Kind, ttl: o.TTL}
+	a.pendingOrders[o.ID] = pendingOrder{from: s.From, token: s.Token, kind: o.Kind, ttl: o.TTL, holder: o.Holder}
 	actions.Orders = append(actions.Orders, o)
 }
 
@@ -187,9 +187,10 @@
 		return
 	}
 	if p.kind == Probe {
-		a.probeDone(now, p.target, outcome)
+		a.probeDone(now, p.holder.Target, outcome)
 		return
 	}
+	a.recordEnd(p.holder, outcome)
 	i := a.indexOf(p.from)
 	s := &a.spans[i]
 	s.orderInFlight = false
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -151,7 +151,7 @@
 func (a *Assigner) freeExpired(now time.Time) {
 	for i := range a.spans {
 		s := &a.spans[i]
-		if !s.Moving || !a.endedHolders[s.Holder] && s.lastExpiry().After(now) {
+		if !s.Moving || !a.ended[s.Holder] && s.lastExpiry().After(now) {
 			continue
 		}
 		if a.releaseInFlight(s) {
@@ -162,7 +162,7 @@
 			continue
 		}
 		evidence := Expired
-		if a.endedHolders[s.Holder] {
+		if a.ended[s.Holder] {
 			evidence = Ended
 		}
 		a.markUnheld(s, evidence, "")
@@ -189,6 +189,7 @@
 		}
 		p.addLoad(receiver, s.From, s.To)
 		s.Holder, s.nextTarget, s.newHolder, s.unreleasedBy = receiver.target.Holder(), "", true, ""
+		delete(a.ended, s.Holder)
 		a.renewToken(s)
 	}
 }
--- a/core/directory/departed.go
+++ b/core/directory/departed.go
@@ -52,15 +52,10 @@
 	return all
 }
 
-// Ended returns the target instances that are known to have ended: departed instances whose
-// address now belongs to another target that was first seen after their last report. An
-// address is given to another target only after the one that had it has ended.
-//
-// A target that has merely departed may still run, cut off from the store, and hold its keys.
-// They have to wait until its last grant has expired, which takes up to sixteen seconds after
-// a change of the leader. This shows in refusals whose detail says so, and in orders to the
-// target that are answered with status 400 or 421.
-func (d *Directory) Ended() []keyspace.Holder {
+// Claimed returns the departed instances whose address another target claims, by an entry that was first seen after their last
+// report. That is a hint that they may have ended and no proof of it: others than targets may write entries. Who has the
+// address can be asked there.
+func (d *Directory) Claimed() []keyspace.Holder {
 	if len(d.departed) == 0 {
 		return nil
 	}
@@ -70,13 +65,13 @@
 			latest[e.target.Address] = e
 		}
 	}
-	var ended []keyspace.Holder
+	var claimed []keyspace.Holder
 	for _, departed := range d.departed {
 		if e := latest[departed.target.Address]; e != nil && departed.succeededBy(e) {
-			ended = append(ended, departed.target.Holder())
+			claimed = append(claimed, departed.target.Holder())
 		}
 	}
-	return ended
+	return claimed
 }
 
 // knownToStay returns when a target that is leaving or gone was last known to stay.
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -91,7 +91,7 @@
 // Directory is this router's view of all targets. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*entry
-	// departed are the targets that were removed, see Ended.
+	// departed are the targets that were removed, see Departed and Claimed.
 	departed map[string]departedTarget
 	// stated are the instances that have stated in answers that they leave, and since when that is known.
 	stated map[keyspace.Holder]time.Time
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -337,7 +337,9 @@
 		cs.g.sends.setLeaving(cs.directory.LeavingOrGone())
 		cs.g.sends.setEvacuated(targets)
 		cs.g.setTargets(targets)
-		cs.g.leader.duty.Tell(&targetStatus{targets, cs.directory.Ended(), cs.directory.Departed()})
+		departed := cs.directory.Departed()
+		cs.g.identities.retain(targets, departed)
+		cs.g.leader.duty.Tell(&targetStatus{targets, cs.directory.Claimed(), departed})
 		cs.g.log.Info("targets changed", "known", len(targets))
 	}
 	next := cs.directory.Next()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	callerAges          callerAges
 	guard               *crashguard.Guard
 	statements          *statements
+	identities          identities
 	rests               *rests
 	statedLeaving       *statedLeaving
 	statedLimits        *statedLimits
--- a/gateway/leadcost.go
+++ b/gateway/leadcost.go
@@ -12,7 +12,7 @@
 const leadCostInterval = 2 * time.Second
 
 // orderOutcomes is the number of outcomes of orders.
-const orderOutcomes = int(assign.Unanswered) + 1
+const orderOutcomes = int(assign.AddressTaken) + 1
 
 // leadCost counts what this router sends and gets because it leads. It is safe for concurrent use.
 type leadCost struct {
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -168,8 +168,8 @@
 // targetStatus is what the store knows about the targets.
 type targetStatus struct {
 	targets []directory.Target
-	// endedInstances are instances of targets that have certainly ended.
-	endedInstances []keyspace.Holder
+	// claimed are departed instances of targets whose address another target claims.
+	claimed []keyspace.Holder
 	// departed are the last reports of targets that have no entry any more.
 	departed []directory.Target
 }
@@ -177,8 +177,8 @@
 // apply passes the status on to an assigner.
 func (s *targetStatus) apply(assigner *assign.Assigner) {
 	assigner.SetTargets(time.Now(), s.targets)
-	assigner.SetEnded(s.endedInstances)
 	assigner.SetDeparted(s.departed)
+	assigner.AskAgain(s.claimed)
 }
 
 // term is a period during which this router leads.
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -31,6 +31,7 @@
 
 // observeAnswer records what the answer of a target to a request that was sent at a time states.
 func (g *Gateway) observeAnswer(t *directory.Target, resp *http.Response, sentAt time.Time) {
+	g.identities.observe(t, resp)
 	said := g.opts.Adapter.DecodeAnswer(resp)
 	g.statements.observe(t, &said)
 	g.statedLimits.observe(t, &said, resp.StatusCode < http.StatusMultipleChoices, sentAt)
