End a leader's right to give orders with its lease

Cause: a leader that the store turned away gave orders for 2 s, its lease lasted 1.2 s, and its successor counted keys as free as soon as they were released. A release ends what a holder knows; a holder that starts again, unseen by the store, knows no token and takes a renewal of the former leader.

Change: without a quorum of followers a leader gives orders until 50 ms before the end of its lease as the store granted it. With a quorum it goes on, and the successor, which learns from its followers' promises until when, frees nothing by a release sent before that, and begins no move that can wait. Grants that a former leader may still give are reckoned with at holders that have accepted a newer one. Campaigns after a restore wait for the former leader's lease time.

Why it works: leadership is taken only when the former lease has ended in the store, which runs from the arrival of a renewal; the leader counts from before it sent it, on the clock that counts suspension, at each write.

TestNewLeaderHasDepartedHoldersReleaseTheirKeys says that older leaders have stopped, which it took for granted.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -13,9 +13,10 @@
 //   - A release carries a higher token than the grant, so that an older renewal that arrives
 //     after it is refused. The next grant carries a higher token than the release.
 //   - A new leader first grants all keys again, to the same holders under new tokens. Once a
-//     holder has accepted, it refuses whatever the old leader still sends. A holder that
-//     doesn't answer may be renewed by the old leader until that leader must stop sending
-//     renewals; only then do its grants start to expire.
+//     holder has accepted, it refuses whatever the old leader still sends, until it starts
+//     again. A holder that doesn't answer, or that has started again, may be renewed by the old
+//     leader until that leader must stop sending orders; only then do its grants start to
+//     expire, and only a release that is sent after that frees keys.
 //
 // The package is deterministic: Step takes the time as a parameter, messages arrive as method
 // calls, and orders and writes are returned as values.
@@ -95,8 +96,7 @@
 	GrantTTL, OutageGrantTTL time.Duration
 	// RenewInterval is the time between two renewals of a grant.
 	RenewInterval time.Duration
-	// OldLeaderBound bounds how long after the loss of its lease another leader may still send
-	// renewals.
+	// OldLeaderBound bounds for how long after the takeover another leader may still send orders.
 	OldLeaderBound time.Duration
 	// Era is the store era, see Assigner.StoreRestored.
 	Era uint32
@@ -318,6 +318,9 @@
 	// nextMergeAt is the earliest time of the next round of merging.
 	nextMergeAt time.Time
 
+	// oldLeaderUntil is until when former leaders may send orders. A target that starts again before that knows no token by
+	// which to refuse them, whatever it has accepted or released before.
+	oldLeaderUntil time.Time
 	// noPlacementBefore is when all grants of a former leader whose table was lost have
 	// expired.
 	noPlacementBefore time.Time
@@ -346,6 +349,9 @@
 	if cfg.TableOutdated {
 		a.noPlacementBefore = now.Add(a.cfg.OldLeaderBound + expiresAfter(a.cfg.OutageGrantTTL))
 	}
+	if !a.neverPlaced {
+		a.oldLeaderUntil = now.Add(a.cfg.OldLeaderBound)
+	}
 	oldLeaderExpiry := now.Add(a.cfg.OldLeaderBound + expiresAfter(a.cfg.OutageGrantTTL))
 	token := a.takeToken()
 	for _, segment := range table.Segments {
--- a/core/assign/candidates.go
+++ b/core/assign/candidates.go
@@ -101,20 +101,25 @@
 	}
 }
 
-// BoundOldLeaderGrants sets the latest times at which a grant with the usual TTL, and one with the
-// long TTL, of a former leader may arrive. Targets that don't answer this leader need not be
-// waited for longer than those grants last, and targets that answer it only for long grants
-// that they accepted earlier.
-func (a *Assigner) BoundOldLeaderGrants(lastGrant, lastLongGrant time.Time) {
-	longExpiry := lastLongGrant.Add(expiresAfter(a.cfg.OutageGrantTTL))
-	expiry := laterOf(lastGrant.Add(expiresAfter(a.grantTimes.inherited)), longExpiry)
+// OldLeaderBound is until when former leaders act at the latest.
+type OldLeaderBound struct {
+	// Until is until when they may send orders.
+	Until time.Time
+	// LastGrant and LastLongGrant are when a grant of theirs with the usual TTL, and one with Config.OutageGrantTTL, may arrive.
+	LastGrant, LastLongGrant time.Time
+}
+
+// BoundOldLeader sets until when former leaders act. Targets need not be waited for longer than grants of that time last, and
+// what they release from then on is free.
+func (a *Assigner) BoundOldLeader(b OldLeaderBound) {
+	a.oldLeaderUntil = earlierOf(a.oldLeaderUntil, b.Until)
+	expiry := laterOf(b.LastGrant.Add(expiresAfter(a.grantTimes.inherited)), b.LastLongGrant.Add(expiresAfter(a.cfg.OutageGrantTTL)))
 	a.noPlacementBefore = earlierOf(a.noPlacementBefore, expiry)
 	for i := range a.spans {
 		s := &a.spans[i]
-		if s.inherited {
-			s.oldLeaderExpiry = earlierOf(s.oldLeaderExpiry, expiry)
-		} else {
-			s.oldLeaderExpiry = earlierOf(s.oldLeaderExpiry, longExpiry)
+		s.oldLeaderExpiry = earlierOf(s.oldLeaderExpiry, expiry)
+		if s.Moving && a.oldLeaderUntil.Before(s.nextOrderAt) {
+			s.nextOrderAt = a.oldLeaderUntil
 		}
 	}
 }
--- a/core/assign/ended_test.go
+++ b/core/assign/ended_test.go
@@ -73,6 +73,36 @@
 	a := TakeOver(now, Config{OutageGrantTTL: 6 * time.Second, OldLeaderBound: 10 * time.Second}, "s", old.Table())
 	a.SetTargets(now, testTargets("b"))
 	a.SetDeparted(testTargets("a"))
+	a.BoundOldLeader(OldLeaderBound{Until: now, LastGrant: now, LastLongGrant: now})
 	runUntilIdle(a, now)
 	assert.DeepEqual(t, keysPerTarget(a), map[string]int{"b": 1 << 16})
 }
+
+// Guards against keys with two holders: a holder that has released its keys to a new leader starts again and is granted them by the
+// leader before.
+func TestReleaseCountsOnceFormerLeadersHaveStopped(t *testing.T) {
+	p := takeOverBesideLostTarget(t)
+	stop := p.now.Add(3 * time.Second)
+	p.run(time.Second)
+	assert.Assert(t, keysPerTarget(p.a)["a"] > 0, "the holder may have started again since its release")
+	p.a.BoundOldLeader(OldLeaderBound{Until: stop, LastGrant: stop, LastLongGrant: stop})
+	for ; p.now.Before(stop); p.run(100 * time.Millisecond) {
+		assert.Assert(t, keysPerTarget(p.a)["a"] > 0, "%v before former leaders stop", stop.Sub(p.now))
+	}
+	p.run(100 * time.Millisecond)
+	assert.DeepEqual(t, keysPerTarget(p.a), map[string]int{"b": 1 << 16})
+}
+
+// Guards against keys that nobody serves while they can't be moved yet, because their holder has begun to leave.
+func TestKeysStayServedUntilFormerLeadersHaveStopped(t *testing.T) {
+	old := newSettled(t, "a", "b", "c", "d")
+	now := after(placementQuietPeriod + time.Second)
+	p := newLeaderPath(TakeOver(now, Config{OldLeaderBound: 2 * time.Second}, "s", old.Table()), now)
+	p.a.SetTargets(now, draining("a"))
+	p.run(1900 * time.Millisecond)
+	for i := range p.a.spans {
+		assert.Assert(t, p.a.spans[i].acked && !p.a.spans[i].Moving, "%+v", p.a.spans[i])
+	}
+	p.run(300 * time.Millisecond)
+	assert.Equal(t, keysPerTarget(p.a)["a"], 0)
+}
--- a/core/assign/leasetime_test.go
+++ b/core/assign/leasetime_test.go
@@ -48,7 +48,7 @@
 	now := after(10 * time.Second)
 	a := TakeOver(now, Config{OutageGrantTTL: 6 * time.Second, OldLeaderBound: 10 * time.Second}, "s", former.Table())
 	a.SetTargets(now, testTargets("a", "b"))
-	a.BoundOldLeaderGrants(now, time.Time{})
+	a.BoundOldLeader(OldLeaderBound{Until: now, LastGrant: now})
 	for i := range a.spans {
 		assert.Equal(t, a.spans[i].lastExpiry(), now.Add(expiresAfter(4*time.Second)))
 	}
--- a/core/assign/orders.go
+++ b/core/assign/orders.go
@@ -13,8 +13,9 @@
 	token uint64
 	kind  Kind
 	ttl   time.Duration
-	// holder is the target that the order was sent to.
+	// holder is the target that the order was sent to, and sentAt when.
 	holder keyspace.Holder
+	sentAt time.Time
 }
 
 // sendDueOrders adds the orders to send now, as far as the store has what they rest on and Config.OrderBudget allows.
@@ -30,7 +31,7 @@
 		}
 		s := &a.spans[i]
 		if a.isReleasing(s) {
-			a.sendRelease(s, actions)
+			a.sendRelease(now, s, actions)
 		} else {
 			a.sendGrant(now, s, actions)
 		}
@@ -110,16 +111,16 @@
 	return s.Moving && !s.releaseSent && s.generation <= a.writtenGeneration
 }
 
-func (a *Assigner) sendRelease(s *span, actions *Actions) {
+func (a *Assigner) sendRelease(now time.Time, s *span, actions *Actions) {
 	c := a.holderOfSpan(s)
 	s.releaseSent = true
-	a.addOrder(s, actions, Order{Kind: Release, Holder: s.Holder, Address: c.target.Address, From: s.From, To: s.To, Token: s.releaseToken})
+	a.addOrder(now, s, actions, Order{Kind: Release, Holder: s.Holder, Address: c.target.Address, From: s.From, To: s.To, Token: s.releaseToken})
 }
 
 func (a *Assigner) sendGrant(now time.Time, s *span, actions *Actions) {
 	c := a.candidates[s.Target]
 	ttl := a.grantTTL(now, s, c)
-	a.addOrder(s, actions, Order{
+	a.addOrder(now, s, actions, Order{
 		Kind: Grant, Holder: s.Holder, Address: c.target.Address, From: s.From, To: s.To, Token: s.Token,
 		TTL: ttl, Handover: s.handover, First: !s.grantSent, ForOutage: ttl > a.grantTimes.stored,
 	})
@@ -166,11 +167,11 @@
 	minFirstTTL = time.Second
 )
 
-func (a *Assigner) addOrder(s *span, actions *Actions, o Order) {
+func (a *Assigner) addOrder(now time.Time, s *span, actions *Actions, o Order) {
 	a.lastOrderID++
 	o.ID = a.lastOrderID
 	s.orderInFlight, s.orderID = true, o.ID
-	a.pendingOrders[o.ID] = pendingOrder{from: s.From, token: s.Token, kind: o.Kind, ttl: o.TTL, holder: o.Holder}
+	a.pendingOrders[o.ID] = pendingOrder{from: s.From, token: s.Token, kind: o.Kind, ttl: o.TTL, holder: o.Holder, sentAt: now}
 	actions.Orders = append(actions.Orders, o)
 }
 
@@ -196,7 +197,7 @@
 	s.orderInFlight = false
 	a.recordOutcome(now, s.Target, outcome)
 	if p.kind == Release {
-		a.releaseDone(now, s, outcome, handover)
+		a.releaseDone(now, s, p, outcome, handover)
 		return
 	}
 	a.grantDone(now, s, p, outcome)
@@ -212,11 +213,16 @@
 	return len(a.spans) - 1
 }
 
-func (a *Assigner) releaseDone(now time.Time, s *span, outcome Outcome, handover string) {
+func (a *Assigner) releaseDone(now time.Time, s *span, p pendingOrder, outcome Outcome, handover string) {
 	if !s.Moving {
 		return // a new instance of the holder has started meanwhile
 	}
 	if outcome == Accepted {
+		if p.sentAt.Before(a.oldLeaderUntil) {
+			// The holder may start again and be granted the keys by a former leader.
+			s.nextOrderAt = laterOf(now, a.oldLeaderUntil)
+			return
+		}
 		a.markUnheld(s, Released, handover)
 		return
 	}
@@ -242,9 +248,10 @@
 	switch outcome {
 	case Accepted:
 		if s.inherited {
-			// From now on the target refuses what an older leader sends, but the last grant
-			// that it accepted from one may have been a long one.
-			s.inherited, s.oldLeaderExpiry = false, earlierOf(s.oldLeaderExpiry, now.Add(expiresAfter(a.cfg.OutageGrantTTL)))
+			// From now on the target refuses what an older leader sends, unless it starts again, but the
+			// last grant that it accepted from one may have been a long one.
+			s.inherited = false
+			s.oldLeaderExpiry = earlierOf(s.oldLeaderExpiry, laterOf(now, a.oldLeaderUntil).Add(expiresAfter(a.cfg.OutageGrantTTL)))
 		}
 		s.expiry = laterOf(s.expiry, now.Add(expiresAfter(p.ttl)))
 		s.nextOrderAt = now.Add(a.renewalPause(s))
--- a/core/assign/ranges.go
+++ b/core/assign/ranges.go
@@ -43,7 +43,7 @@
 func (a *Assigner) StartMove(now time.Time, m Move) bool {
 	i := a.indexOf(m.From)
 	s := &a.spans[i]
-	if a.storeUnreachable || s.Moving || s.orderInFlight || s.Target == "" || s.Target == m.Target || m.To > s.To || !a.candidates[m.Target].acceptsKeys() {
+	if now.Before(a.oldLeaderUntil) || a.storeUnreachable || s.Moving || s.orderInFlight || s.Target == "" || s.Target == m.Target || m.To > s.To || !a.candidates[m.Target].acceptsKeys() {
 		return false
 	}
 	a.splitOut(i, m.From, m.To)
--- a/core/assign/simulation_test.go
+++ b/core/assign/simulation_test.go
@@ -39,6 +39,8 @@
 	// registered reports whether its entry is in the store, and running whether its process
 	// runs.
 	registered, running, draining bool
+	// cutOff targets don't reach the store, so that a restart of theirs is not reported.
+	cutOff bool
 	// unreachableFrom has the numbers of the leaders whose orders don't reach the target.
 	unreachableFrom map[int]bool
 	// linkFullUntil is until when orders to the target time out before they arrive, and still
@@ -168,6 +170,8 @@
 	// limits has targets state limits at random; limited are those that do.
 	limits  bool
 	limited map[string]bool
+	// restartsAtOrders has targets cut off from the store at random, and restart at random moments around the orders that they carry out.
+	restartsAtOrders bool
 	// longRuns has leaders learn at random that runs take long; none gives grants for outages of the store then.
 	longRuns bool
 	// rngState is the state of the random number generator, initially the seed of the run.
@@ -330,7 +334,7 @@
 	if sim.mutant == "low release token" && o.Kind == Release {
 		o.Token = 0
 	}
-	if t := sim.target(l, o.Holder); t != nil && sim.now < t.linkFullUntil { // queued on a full link: times out before it arrives
+	if t := sim.target(o.Holder); t != nil && sim.now < t.linkFullUntil { // queued on a full link: times out before it arrives
 		sim.schedule(orderTimeout, func() { sim.timeOutOrder(l, o) })
 		sim.schedule(orderTimeout+time.Duration(sim.random(simMaxLateMs))*time.Millisecond, func() { sim.deliverLate(l, o) })
 		return
@@ -349,19 +353,22 @@
 
 // deliverLate carries out an order after its timeout.
 func (sim *simulation) deliverLate(l *simLeader, o *Order) {
-	if t := sim.target(l, o.Holder); t != nil && t.running && !t.unreachableFrom[l.number] {
+	if t := sim.target(o.Holder); t != nil && t.running && !t.unreachableFrom[l.number] {
 		t.execute(o, sim.now)
 	}
 }
 
 func (sim *simulation) deliverOrder(l *simLeader, o *Order) {
-	t := sim.target(l, o.Holder)
+	t := sim.target(o.Holder)
 	unanswered := func() { l.assigner.OrderDone(sim.clock(), o.ID, Unanswered, "") }
 	if t == nil || !t.running || t.unreachableFrom[l.number] {
 		sim.schedule(orderTimeout, unanswered)
 		return
 	}
 	arrived := sim.now
+	if sim.restartsAtOrders && o.Kind != Probe && sim.chance(2) {
+		sim.schedule(time.Duration(sim.random(500))*time.Millisecond, func() { sim.restartTarget(t) })
+	}
 	mayLose := !sim.lossless && !(sim.spacedLosses && sim.now-t.lastLoss < simTTL)
 	if mayLose && sim.chance(8) { // executed seconds later, without an answer
 		t.lastLoss = sim.now
@@ -383,12 +390,11 @@
 	sim.schedule(time.Duration(sim.random(40))*time.Millisecond, func() { l.assigner.OrderDone(sim.clock(), o.ID, outcome, "h") })
 }
 
-// target returns the target that orders of a leader to a holder reach: also a later instance of it, at the same address.
-// What a superseded leader sends to a former instance isn't played: a later one knows no token by which to refuse it.
-func (sim *simulation) target(l *simLeader, h keyspace.Holder) *simTarget {
-	current := l == sim.leaders[len(sim.leaders)-1]
+// target returns the target that orders to a holder reach: also a later instance of it, at the same address, which knows no
+// token by which to refuse them.
+func (sim *simulation) target(h keyspace.Holder) *simTarget {
 	for _, t := range sim.targets {
-		if t.id == h.Target && (current || t.instance == h.StartUnixMilli) {
+		if t.id == h.Target {
 			return t
 		}
 	}
@@ -402,7 +408,11 @@
 	}
 	t := sim.targets[sim.random(len(sim.targets))]
 	l := sim.leaders[len(sim.leaders)-1]
-	switch sim.random(9) {
+	faults := 9
+	if sim.restartsAtOrders {
+		faults = 10
+	}
+	switch sim.random(faults) {
 	case 0: // the target ends without deregistering; a new instance starts later
 		t.running = false
 		sim.schedule(time.Duration(sim.random(4000))*time.Millisecond, func() { t.registered = false })
@@ -426,6 +436,10 @@
 		sim.schedule(time.Duration(sim.random(3000))*time.Millisecond, func() { l.cutOff = false })
 	case 7:
 		sim.restartTarget(t)
+	case 9: // the target doesn't reach the store, and its entry lapses
+		t.cutOff = true
+		sim.schedule(time.Duration(sim.random(1500))*time.Millisecond, func() { t.registered = t.registered && !t.cutOff })
+		sim.schedule(time.Duration(1500+sim.random(6000))*time.Millisecond, func() { sim.reconnectTarget(t) })
 	case 8: // the target's link is full, then cut
 		t.linkFullUntil = sim.now + time.Duration(sim.random(1000))*time.Millisecond
 		sim.schedule(t.linkFullUntil-sim.now, func() { t.unreachableFrom[l.number] = true })
@@ -451,12 +465,20 @@
 	t.grants, t.seenTokens = nil, nil
 	instance := t.instance
 	sim.schedule(simEntryLag, func() {
-		if t.instance == instance {
+		if t.instance == instance && !t.cutOff {
 			t.reported, t.registered, t.draining = instance, true, false
 		}
 	})
 }
 
+// reconnectTarget has a target reach the store again, and write its entry.
+func (sim *simulation) reconnectTarget(t *simTarget) {
+	t.cutOff = false
+	if t.running {
+		t.reported, t.registered, t.draining = t.instance, true, false
+	}
+}
+
 // scheduleSuccessor has another leader take over once the old one's lease has expired.
 func (sim *simulation) scheduleSuccessor(old *simLeader, cutOff bool) {
 	old.cutOff = old.cutOff || cutOff
@@ -484,6 +506,9 @@
 		cfg.OldLeaderBound, cfg.OutageGrantTTL = -simOldLeaderBound, simTTL
 	}
 	l := &simLeader{assigner: TakeOver(sim.clock(), cfg, "s", table), number: len(sim.leaders), leaseRenewed: sim.now, era: sim.era}
+	if sim.mutant == "count every release" {
+		l.assigner.oldLeaderUntil = time.Time{}
+	}
 	if sim.mutant == "ignore old grants" {
 		l.assigner.cfg.GrantTTL, l.assigner.cfg.OutageGrantTTL = simTTL, simLongTTL
 		for i := range l.assigner.spans {
@@ -498,15 +523,15 @@
 
 // limitOldLeader passes to a leader when the last grants of the one before it may arrive.
 func (sim *simulation) limitOldLeader(l, old *simLeader) {
-	last := sim.clock().Add(old.leaseRenewed + simOldLeaderBound + LateArrivalBound - sim.now)
+	until := sim.clock().Add(old.leaseRenewed + simOldLeaderBound - sim.now)
+	bound := OldLeaderBound{Until: until, LastGrant: until.Add(LateArrivalBound), LastLongGrant: until.Add(LateArrivalBound)}
+	if sim.longRuns || sim.mutant == "ignore long grants" {
+		bound.LastLongGrant = time.Time{}
+	}
 	switch {
 	case l.stopped:
-	case sim.longRuns:
-		l.assigner.BoundOldLeaderGrants(last, time.Time{})
-	case sim.mutant == "":
-		l.assigner.BoundOldLeaderGrants(last, last)
-	case sim.mutant == "ignore long grants":
-		l.assigner.BoundOldLeaderGrants(last, time.Time{})
+	case sim.mutant == "", sim.longRuns, sim.mutant == "ignore long grants", sim.mutant == "count every release":
+		l.assigner.BoundOldLeader(bound)
 	}
 }
 
@@ -568,8 +593,10 @@
 
 // heal ends all faults and gives the assignment time to settle.
 func (sim *simulation) heal() {
+	sim.restartsAtOrders = false
 	sim.run(sim.now+13*time.Second, false)
 	for _, t := range sim.targets {
+		t.cutOff = false
 		sim.restartTarget(t)
 		t.unreachableFrom = map[int]bool{}
 	}
--- a/core/assign/step.go
+++ b/core/assign/step.go
@@ -104,6 +104,8 @@
 			a.beginMove(now, s, "", true)
 		case c.unreachable:
 			a.beginMove(now, s, "", true)
+		case now.Before(a.oldLeaderUntil):
+			// Nothing that the holder releases would be free yet, and until then it serves its keys.
 		case c.target.Draining:
 			a.beginMove(now, s, "", false)
 		case c.target.Evacuated && !s.Moving && evacuations > 0:
--- a/core/assign/two_holders_test.go
+++ b/core/assign/two_holders_test.go
@@ -64,6 +64,22 @@
 	assertOneHolder(t, firstSeeds(40), 4*time.Second, func(sim *simulation) { sim.limits = true })
 }
 
+// Guards against keys with two holders because a former leader's order reaches a holder that has started again, unseen by the store,
+// since it released the keys or took them from the next leader.
+func TestNoKeyHasTwoHoldersWhereTargetsRestartUnseen(t *testing.T) {
+	assertOneHolder(t, firstSeeds(60), 4*time.Second, func(sim *simulation) { sim.restartsAtOrders = true })
+}
+
+// The same across restores of the store.
+func TestNoKeyHasTwoHoldersWhereTargetsRestartUnseenAcrossRestores(t *testing.T) {
+	assertOneHolder(t, firstSeeds(60), 13*time.Second, func(sim *simulation) { sim.restartsAtOrders, sim.restores = true, true })
+}
+
+// Where releases count while a former leader may still send orders, the simulation finds two holders.
+func TestSimulationFindsReleasesThatCountTooSoon(t *testing.T) {
+	assertMutantFound(t, "count every release", func(sim *simulation) { sim.restartsAtOrders = true })
+}
+
 // Guards against keys with two holders while the TTL of grants follows the work, beside all other faults.
 func TestNoKeyHasTwoHoldersWhereGrantsGrowLonger(t *testing.T) {
 	assertOneHolder(t, firstSeeds(40), 6*time.Second, func(sim *simulation) { sim.longRuns = true })
--- a/gateway/latelonggrant_test.go
+++ b/gateway/latelonggrant_test.go
@@ -70,8 +70,7 @@
 	table := keyspace.New("s")
 	table.Segments[0].Holder = keyspace.Holder{Target: "a"}
 	next := assign.TakeOver(leadsAt, assign.Config{OutageGrantTTL: outageGrantTTL, OldLeaderBound: orderLimitWithQuorum}, "s", table)
-	deadlines := oldLeaderDeadlinesAt(leadsAt, promisesEnd-leads)
-	next.BoundOldLeaderGrants(deadlines.normal, deadlines.outage)
+	next.BoundOldLeader(oldLeaderBoundAt(leadsAt, promisesEnd-leads))
 	for at := leads; at < grantEnds; at += 10 * time.Millisecond {
 		next.Step(start.Add(at - time.Hour))
 		assert.Equal(t, next.Table().Find(0).Target, "a",
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -24,10 +24,9 @@
 	// enough for the next leader to renew all grants before they expire.
 	leaderTTL           = 1200 * time.Millisecond
 	leaderRenewInterval = 400 * time.Millisecond
-	// orderLimitWithoutQuorum is how long after the last renewal of its lease a leader may send
-	// orders without a quorum of followers, see quorum. It leaves the followers enough time to
-	// notice that the store is unreachable and to send their promises.
-	orderLimitWithoutQuorum = 2 * time.Second
+	// leaseSafety is how long before the end of its lease a leader without a quorum of followers, see quorum, stops sending
+	// orders: its clock and the store's may differ by as much within the lease.
+	leaseSafety = 50 * time.Millisecond
 	// orderLimitWithQuorum is how long after the last renewal of its lease a leader with a
 	// quorum may send orders, and so the longest store outage that the grants survive. A new
 	// leader that too few routers follow waits this long where a target may still be reachable
@@ -195,8 +194,8 @@
 	services map[string]*serviceAssignment
 	// quorum records this leader's followers and their promises.
 	quorum *quorum
-	// oldLeaderDeadlines is when the last grants of older leaders may arrive; nil if unknown.
-	oldLeaderDeadlines *grantDeadlines
+	// oldLeaders is until when older leaders act; nil if unknown.
+	oldLeaders *assign.OldLeaderBound
 	// handover decides whether another router should lead.
 	handover *lead.Handover
 }
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -128,8 +128,8 @@
 	table := l.newestTable(m, &cfg)
 	assigner := assign.TakeOver(time.Now(), cfg, m.service, table)
 	l.targets.apply(assigner)
-	if m.term.oldLeaderDeadlines != nil {
-		assigner.BoundOldLeaderGrants(m.term.oldLeaderDeadlines.normal, m.term.oldLeaderDeadlines.outage)
+	if m.term.oldLeaders != nil {
+		assigner.BoundOldLeader(*m.term.oldLeaders)
 	}
 	m.term.services[m.service] = &serviceAssignment{assigner: assigner, revision: m.revision, pace: l.tablePace()}
 	l.g.log.Info("assigns keys", "service", m.service, "table_revision", m.revision)
@@ -195,11 +195,12 @@
 // however young the lease is: the next leader counts on that.
 func (l *leader) orderTimeLeft(t *term, now time.Duration, forOutage bool) (time.Duration, error) {
 	age := t.leaseAge(now)
+	alone := t.leadership.Load().ttl - leaseSafety
 	switch {
 	case age >= orderLimitWithQuorum:
 		return 0, errors.Errorf("the lease was renewed %v ago", age)
-	case age < orderLimitWithoutQuorum && !forOutage:
-		return orderLimitWithoutQuorum - age, nil
+	case age < alone && !forOutage:
+		return alone - age, nil
 	}
 	left := t.quorum.reachedFor(now, l.g.recentRouters())
 	if left <= 0 {
@@ -245,37 +246,37 @@
 		return
 	}
 	t := l.term
-	deadlines := oldLeaderDeadlinesAt(time.Now(), promised)
-	if t.oldLeaderDeadlines != nil {
-		deadlines.normal = t.oldLeaderDeadlines.normal // doesn't change after the first time
+	bound := oldLeaderBoundAt(time.Now(), promised)
+	if t.oldLeaders != nil && !bound.LastLongGrant.Before(t.oldLeaders.LastLongGrant) { // more followers may give an earlier bound
+		return
 	}
-	if t.oldLeaderDeadlines == nil || deadlines.outage.Before(t.oldLeaderDeadlines.outage) { // more followers may give an earlier bound
-		t.oldLeaderDeadlines = deadlines
-		l.g.log.Info("old leader stops", "alone_in", time.Until(t.oldLeaderDeadlines.normal), "backed_in", promised, "term", t.revision())
+	if t.oldLeaders != nil { // what was known before holds on
+		bound.Until, bound.LastGrant = earlier(bound.Until, t.oldLeaders.Until), earlier(bound.LastGrant, t.oldLeaders.LastGrant)
 	}
+	t.oldLeaders = &bound
+	l.g.log.Info("old leaders stop", "in", time.Until(bound.Until), "backed_in", promised, "term", t.revision())
 	for _, assignment := range t.services {
 		if assignment.assigner != nil {
-			assignment.assigner.BoundOldLeaderGrants(t.oldLeaderDeadlines.normal, t.oldLeaderDeadlines.outage)
+			assignment.assigner.BoundOldLeader(bound)
 		}
 	}
 }
 
-// grantDeadlines is when the last grants of older leaders may arrive.
-type grantDeadlines struct {
-	// normal is for grants with the normal TTL, outage for those with outageGrantTTL.
-	normal, outage time.Time
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
-// oldLeaderDeadlinesAt returns when the last grants of older leaders may arrive, given for how long
-// the last promise to one of them still holds; negative is how long ago it ended. A leader without
-// a quorum stops within orderLimitWithoutQuorum from now. One with a quorum, which may give grants
-// with outageGrantTTL, stops when the last promise ends.
-//
-// The delay of an order on the wire is added to the second bound only. The first one contains it
-// already: the old lease has expired, so its last renewal is older than the bound assumes by more
-// than that delay.
-func oldLeaderDeadlinesAt(now time.Time, promised time.Duration) *grantDeadlines {
-	return &grantDeadlines{normal: now.Add(max(orderLimitWithoutQuorum, promised)), outage: now.Add(promised + assign.LateArrivalBound)}
+// oldLeaderBoundAt returns until when older leaders act, given for how long the last promise to one of them still holds; negative
+// is how long ago it ended. A leader without a quorum has stopped: its lease has ended, as this router has one. One with a quorum,
+// which may give grants with outageGrantTTL, stops when the last promise ends.
+func oldLeaderBoundAt(now time.Time, promised time.Duration) assign.OldLeaderBound {
+	until := now.Add(max(promised, 0))
+	return assign.OldLeaderBound{
+		Until: until, LastGrant: until.Add(assign.LateArrivalBound), LastLongGrant: now.Add(promised + assign.LateArrivalBound),
+	}
 }
 
 func (l *leader) handleOrderDone(m *orderDone) {
--- a/gateway/quorum.go
+++ b/gateway/quorum.go
@@ -16,8 +16,8 @@
 // quorum decides for how long a leader may renew grants without the store, and for how long a new
 // leader has to wait for grants that the old one may still renew.
 //
-// By itself, a leader may renew grants for orderLimitWithoutQuorum after the last renewal of its lease.
-// After that it may only do so while a quorum of routers can't reach the store either: each of them
+// By itself, a leader may renew grants until shortly before its lease may end, so that it has stopped when another router
+// leads. After that it may only do so while a quorum of routers can't reach the store either: each of them
 // promises to follow no other leader until some time. A new leader that a quorum of routers follows
 // learns from their promises when the old one stops at the latest. Without promises, each time a
 // leader loses its connection to the store, the keys of targets that the new leader doesn't reach
--- a/gateway/quorum_test.go
+++ b/gateway/quorum_test.go
@@ -94,7 +94,7 @@
 	now := time.Unix(1000, 0)
 	for _, promised := range []time.Duration{-time.Second, 0, 300 * time.Millisecond, 3 * time.Second} {
 		a := takeOverTable(now)
-		a.BoundOldLeaderGrants(oldLeaderDeadlinesAt(now, promised).normal, oldLeaderDeadlinesAt(now, promised).outage)
+		a.BoundOldLeader(oldLeaderBoundAt(now, promised))
 		assertHolderUntil(t, a, now, now.Add(promised+assign.LateArrivalBound+outageGrantTTL))
 	}
 }
@@ -118,10 +118,9 @@
 func TestNormalGrantsAreNotWaitedOutAsOutageGrants(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := takeOverTable(now)
-	deadlines := oldLeaderDeadlinesAt(now, -time.Minute)
-	a.BoundOldLeaderGrants(deadlines.normal, deadlines.outage)
-	assertHolderUntil(t, a, now, now.Add(orderLimitWithoutQuorum+assign.DefaultGrantTTL))
-	a.Step(now.Add(orderLimitWithoutQuorum + assign.DefaultGrantTTL + 200*time.Millisecond))
+	a.BoundOldLeader(oldLeaderBoundAt(now, -time.Minute))
+	assertHolderUntil(t, a, now, now.Add(assign.LateArrivalBound+assign.DefaultGrantTTL))
+	a.Step(now.Add(assign.LateArrivalBound + assign.DefaultGrantTTL + 200*time.Millisecond))
 	assert.Equal(t, a.Table().Find(0).Target, "")
 }
 
--- a/gateway/restore.go
+++ b/gateway/restore.go
@@ -18,8 +18,8 @@
 const (
 	// previousLeaderHeadStart is how long after the store was restored a router does not campaign, so
 	// that the previous leader can take leadership again: only that router knows for certain which
-	// targets hold which keys.
-	previousLeaderHeadStart = time.Second
+	// targets hold which keys. Its lease is lost with the restore, but it may send orders until that would have ended.
+	previousLeaderHeadStart = leaderTTL
 	// resumeTimeout bounds the calls that take leadership again.
 	resumeTimeout = 2 * time.Second
 	// termKeyPrefix is the prefix of a key that is unique to each term, see leadership.
@@ -35,6 +35,8 @@
 type leadership struct {
 	revision kv.Revision
 	lease    kv.LeaseID
+	// ttl is how long the store keeps the lease after a renewal.
+	ttl time.Duration
 	// key is unique to the term; empty for a store that doesn't count its eras.
 	key string
 	// previous is the term's leadership before the store was restored; nil for the first one.
@@ -54,11 +56,11 @@
 // must be no record.
 func (l *leader) takeLeadership(ctx context.Context, revision kv.Revision) (*leadership, error) {
 	store := l.g.storeFor(purposeLead)
-	lease, _, err := store.NewLease(ctx, l.leaseTTL())
+	lease, ttl, err := store.NewLease(ctx, max(leaderTTL, l.g.opts.LeaseMin))
 	if err != nil {
 		return nil, err
 	}
-	acquired := &leadership{lease: lease}
+	acquired := &leadership{lease: lease, ttl: ttl}
 	puts := []kv.Put{{Key: leaderKey, Value: []byte(l.g.opts.Name + leaderSeparator + l.g.opts.PeerAddress), Lease: lease}}
 	if _, counts := store.Era(); counts {
 		acquired.key = termKeyPrefix + rand.Text()
@@ -71,9 +73,6 @@
 	return acquired, nil
 }
 
-// leaseTTL is the TTL of the leader's lease.
-func (l *leader) leaseTTL() time.Duration { return max(leaderTTL, l.g.opts.LeaseMin) }
-
 // termResumed reports the result of an attempt to resume a term.
 type termResumed struct {
 	term       *term
@@ -95,7 +94,7 @@
 		return
 	}
 	t := l.term
-	if age := t.leaseAge(l.g.opts.Clock.Now()); age >= l.leaseTTL() {
+	if age := t.leaseAge(l.g.opts.Clock.Now()); age >= t.leadership.Load().ttl {
 		l.g.log.Warn("leadership not kept in the restored store", "lease_age", age)
 		l.endTerm("the lease may have ended before the store was restored")
 		l.observed.present = false
