Give no orders from the call on that ends the leader's lease

Two targets could hold the same keys after a planned stop or a hand-over whose lease end was not answered.

Cause: the leader took a missing answer for a proof that its lease had not ended, and gave orders for up to 2 s more while another router led.

Change: it renews the lease first, so that it still goes on in an outage; then lets no order begin, cancels those under way and waits for their end; then ends the lease, and the term whatever is answered, since the store may carry the call out later.

Test: TestLeaderWhoseLeaseEndIsNotAnsweredGivesNoOrders failed before (a target that had released its keys to the next leader and had started again unseen was granted them), and passes.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -85,10 +86,12 @@
 	// tablesHeldUp holds writes of key tables up until they are cancelled, as in a leader that makes no progress but
 	// renews its lease.
 	tablesHeldUp atomic.Bool
+	// leaseOnly cuts the connection except for renewals and the end of a lease, whose answer is lost as is all after it.
+	leaseOnly atomic.Bool
 }
 
 func (w *storeLink) errIfCut() error {
-	if w.cut.Load() {
+	if w.cut.Load() || w.leaseOnly.Load() {
 		return kv.ErrUnavailable
 	}
 	return nil
@@ -144,16 +147,20 @@
 
 // EndLease implements kv.TxnStore.
 func (w *storeLink) EndLease(ctx context.Context, id kv.LeaseID) error {
-	if err := w.errIfCut(); err != nil {
-		return err
+	if w.cut.Load() {
+		return kv.ErrUnavailable
 	}
-	return w.TxnStore.EndLease(ctx, id)
+	err := w.TxnStore.EndLease(ctx, id)
+	if w.leaseOnly.Load() {
+		w.cut.Store(true)
+	}
+	return errors.Join(err, w.errIfCut())
 }
 
 // RenewLease implements kv.TxnStore.
 func (w *storeLink) RenewLease(ctx context.Context, id kv.LeaseID) error {
-	if err := w.errIfCut(); err != nil {
-		return err
+	if w.cut.Load() {
+		return kv.ErrUnavailable
 	}
 	return w.TxnStore.RenewLease(ctx, id)
 }
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -194,6 +194,8 @@
 	services map[string]*serviceAssignment
 	// quorum records this leader's followers and their promises.
 	quorum *quorum
+	// orders are those under way; they end before the term's lease is ended.
+	orders orderGate
 	// oldLeaders is until when older leaders act; nil if unknown.
 	oldLeaders *assign.OldLeaderBound
 	// handover decides whether another router should lead.
@@ -466,6 +468,7 @@
 	t.leadership.Store(acquired)
 	t.renewedAt.Store(int64(sent))
 	t.ctx, t.cancel = context.WithCancel(ctx)
+	t.orders.open(t.ctx)
 	return t, nil
 }
 
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -172,14 +172,19 @@
 		return m
 	}
 	now := l.g.opts.Clock.Now()
-	left, err := l.orderTimeLeft(t, now, o.ForOutage)
+	orders, done, err := t.orders.enter()
+	defer done()
+	var left time.Duration
+	if err == nil {
+		left, err = l.orderTimeLeft(t, now, o.ForOutage)
+	}
 	if err != nil {
 		m.err, m.outcome = err, assign.NotSent
-		duty.Sleep(t.ctx, leaderRenewInterval)
+		duty.Sleep(orders, leaderRenewInterval)
 		return m
 	}
 	// An order that is started in time must not be sent late.
-	ctx, cancel := context.WithTimeout(t.ctx, left)
+	ctx, cancel := context.WithTimeout(orders, left)
 	defer cancel()
 	deadline := clock.BootTime(l.g.opts.Clock, now+left)
 	began := time.Now()
@@ -467,7 +472,7 @@
 	request *stepDown
 }
 
-// handleStepDown ends the lease in the store, and keeps leading until the store has answered: while
+// handleStepDown ends the lease in the store, and keeps leading until the store answers: while
 // the store is unreachable no other router can lead, and without renewals all grants would expire.
 func (l *leader) handleStepDown(m *stepDown) {
 	l.stopping = true
@@ -491,10 +496,21 @@
 	})
 }
 
+// endLease ends the lease of a term that is to end, if the store answers a renewal of it; else the term goes on. No order is
+// given from before the call that ends the lease on: the store may carry it out whether it answers or not, also seconds later,
+// and another router leads then.
 func (l *leader) endLease(t *term) error {
 	ctx, cancel := context.WithTimeout(l.g.lifetime, leaderTTL)
 	defer cancel()
-	return l.g.storeFor(purposeLead).EndLease(ctx, t.leadership.Load().lease)
+	lease := t.leadership.Load().lease
+	if err := l.g.storeFor(purposeLead).RenewLease(ctx, lease); err != nil {
+		return err
+	}
+	t.orders.shut()
+	if err := l.g.storeFor(purposeLead).EndLease(ctx, lease); err != nil {
+		l.g.log.Warn("lease may not have ended; it lapses", "err", err)
+	}
+	return nil
 }
 
 func (l *leader) handleLeaseEnded(m *leaseEnded) {
--- a/gateway/supersededleader_test.go
+++ b/gateway/supersededleader_test.go
@@ -52,3 +52,14 @@
 		f.restartReleasedTarget(t, old, holder)
 	}
 }
+
+// Guards against the same after a planned stop: the store ends the lease of the leader that stops, and its answer is lost.
+func TestLeaderWhoseLeaseEndIsNotAnsweredGivesNoOrders(t *testing.T) {
+	for range 3 {
+		f, old, holder := newSupersededFleet(t)
+		f.links[old.opts.Name].leaseOnly.Store(true)
+		holder.Unregister(f.store)
+		go old.Stop()
+		f.restartReleasedTarget(t, old, holder)
+	}
+}
