Reckon with the promise that a router made before its start

Cause: a follower that has started again tells the next leader that its promise to a former leader ended with its start. It may have made one right before, and the former leader counts on it for up to a second. The next leader took it for a proof that nobody else gives orders.

Change: such a promise counts as made at the start, and ends feed.BackedFor later.

Test: TestPromisesMadeBeforeTheStartAreUnknown asks for that second (found by reading; it failed before).

--- a/gateway/quorum_test.go
+++ b/gateway/quorum_test.go
@@ -11,6 +11,7 @@
 	"tarragongw/core/directory"
 	"tarragongw/core/keyspace"
 	"tarragongw/internal/waittest"
+	"tarragongw/peer/feed"
 )
 
 const expiredLongAgo = -time.Hour
@@ -124,17 +125,19 @@
 	assert.Equal(t, a.Table().Find(0).Target, "")
 }
 
-// A router that has just started may have made a promise in its previous instance.
+// Guards against a leader that is taken for superseded while it still counts on the promise of a router that has restarted: the
+// router may have made one right before its start.
 func TestPromisesMadeBeforeTheStartAreUnknown(t *testing.T) {
 	sub := &subscription{started: time.Now().Add(-3 * time.Second)}
+	const madeBefore = -3*time.Second + feed.BackedFor
 	assertAbout := func(got, want time.Duration) {
 		t.Helper()
 		assert.Assert(t, got > want-time.Second && got <= want, "%v", got)
 	}
-	assertAbout(sub.promisedToOther(leaderStatus{revision: 7}), -3*time.Second)
+	assertAbout(sub.promisedToOther(leaderStatus{revision: 7}), madeBefore)
 	sub.recordPromise(leaderStatus{revision: 6}, time.Now().Add(time.Second))
 	assertAbout(sub.promisedToOther(leaderStatus{revision: 7}), time.Second)
-	assertAbout(sub.promisedToOther(leaderStatus{revision: 6}), -3*time.Second)
+	assertAbout(sub.promisedToOther(leaderStatus{revision: 6}), madeBefore)
 	sub.recordPromise(leaderStatus{revision: 6}, time.Now().Add(-time.Second))
 	assertAbout(sub.promisedToOther(leaderStatus{revision: 7}), -time.Second)
 }
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -331,13 +331,14 @@
 }
 
 // promisedToOther returns for how long this router's promise to another leader still holds; if
-// negative, how long ago it ended. This router doesn't know what it promised before its start, so any
-// such promise counts as having ended at the start.
+// negative, how long ago it ended. This router doesn't know what it promised before its start, so it counts as
+// having promised something right before that.
 func (sub *subscription) promisedToOther(leader leaderStatus) time.Duration {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
-	if sub.promisedTerm == leader.revision || sub.promisedUntil.Before(sub.started) {
-		return time.Until(sub.started)
+	before := sub.started.Add(feed.BackedFor)
+	if sub.promisedTerm == leader.revision || sub.promisedUntil.Before(before) {
+		return time.Until(before)
 	}
 	return time.Until(sub.promisedUntil)
 }
