Send no request again over a connection that has carried it

Cause: an endpoint may send an answer once more where the next one is expected, and the id tells to which request it belongs. A request that an endpoint has refused went to the same endpoint again, under the same id and over the connection that was used last: that of its first send. The repeated refusal passed for the answer to the second send, which ran.

Change: a request remembers the connections over which it was sent and uses none of them again, whatever the reason it is sent again and through whichever router. A connection remembers the last requests refused on it, for callers that send one again under its id. An answer without an id counts on the first request of a connection only; the refusal of a router on the way bears the id. The load report of an extra answer is not used.

Why it works: an answer to the first send can only come on its connection, so that what bears the id on another one answers the send that went over it.

Tests: TestRepeatedRefusalDoesNotAnswerTheNextSend (a request ran twice) and TestRepeatedRefusalDoesNotAnswerTheCallersNextAttempt (503 for one that had run) failed before, and pass.

--- a/gateway/deliver.go
+++ b/gateway/deliver.go
@@ -32,7 +32,7 @@
 		return nil, fault.Wrap(fault.TargetUnreachable, err, "")
 	}
 	opts := target.AttemptOptions{
-		BeforeRequest: func() *fault.Fault { return x.beforeRequest(d) }, LeaseExpiry: pool.sendLimit, Fresh: path == reach.Fresh,
+		BeforeRequest: func() *fault.Fault { return x.beforeRequest(d) }, LeaseExpiry: pool.sendLimit, Fresh: path == reach.Fresh, Sends: &x.sent,
 	}
 	if x.route.Repeat == routes.Idempotent {
 		opts.Aborter = &x.aborters[x.sends-1]
@@ -58,6 +58,7 @@
 	opts := target.AttemptOptions{
 		BeforeRequest: func() *fault.Fault { return x.beforeRequest(d) },
 		LeaseExpiry:   pool.sendLimit,
+		Sends:         &x.sent,
 		GotConn: func(raw net.Conn) {
 			if conn, ok := raw.(*relay.Conn); ok {
 				x.g.log.Info("relayed", "id", x.meta.ID, "target", d.Target.ID, "connection", conn.ID)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -44,9 +44,10 @@
 	began   time.Time
 	// age is how long the caller has already waited in its earlier attempts.
 	age time.Duration
-	// sends counts how often the request was sent, and targets has the targets it was sent to. avoid
-	// is the last of them.
+	// sends counts how often the request was sent, sent remembers over which connections, and targets has the targets it was
+	// sent to. avoid is the last of them.
 	sends   int
+	sent    target.Sends
 	targets map[string]bool
 	avoid   string
 	// table is the key table by which the request was last placed.
--- a/gateway/limitedconn.go
+++ b/gateway/limitedconn.go
@@ -80,7 +80,7 @@
 		}
 		if f := c.g.rests.check(&c.target); f != nil {
 			c.log(f)
-			c.refuse()
+			c.refuse(b)
 		}
 	}
 	if c.isRefused() {
@@ -104,12 +104,12 @@
 	return begins
 }
 
-// refuse answers the request in the target's place. The target gets nothing of it.
-func (c *limitedConn) refuse() {
+// refuse answers the request with the head in the target's place. The target gets nothing of it.
+func (c *limitedConn) refuse(head []byte) {
 	left, _ := c.g.rests.left(c.target.Holder())
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.refusal = bytes.NewReader(c.g.opts.Adapter.EncodeRefusal(left))
+	c.refusal = bytes.NewReader(c.g.opts.Adapter.EncodeRefusal(head, left))
 	// The one who reads goes on at once, and finds the refusal.
 	_ = c.Conn.SetReadDeadline(time.Now())
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -47,8 +47,8 @@
 	TargetID     func(key string) string
 	// DecodeAnswer returns what a target's response states of the target.
 	DecodeAnswer func(resp *http.Response) statement.Answer
-	// EncodeRefusal returns the response of a target that turns a request away and asks for a rest, as it is sent.
-	EncodeRefusal func(rest time.Duration) []byte
+	// EncodeRefusal returns the response of a target that turns a request with the head away and asks for a rest, as it is sent.
+	EncodeRefusal func(head []byte, rest time.Duration) []byte
 	// UnreadHeaders, UnreadConfigFields and UnreadEntryFields return the names of what a target's answer, a stored
 	// configuration and a target's entry state and no code reads.
 	UnreadHeaders                         func(h http.Header) []string
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -33,6 +33,9 @@
 func (g *Gateway) observeAnswer(t *directory.Target, resp *http.Response, sentAt time.Time) {
 	g.identities.observe(t, resp)
 	said := g.opts.Adapter.DecodeAnswer(resp)
+	if sentAt.IsZero() {
+		said.Load = nil // the answer was due to an earlier request
+	}
 	g.statements.observe(t, &said)
 	g.statedLimits.observe(t, &said, resp.StatusCode < http.StatusMultipleChoices, sentAt)
 	g.unreadStatements.observeAnswer(resp.Header)
--- a/target/acquire.go
+++ b/target/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tarragongw/core/fault"
@@ -13,28 +14,44 @@
 	ready chan *conn
 }
 
-// acquire returns a connection that is ready for an exchange. If fresh is set, it takes no idle one, and
-// closes one where the limit leaves no room for another.
-func (p *Pool) acquire(ctx context.Context, fresh bool) (*conn, *fault.Fault) {
+// wanted is which connections an exchange may use.
+type wanted struct {
+	// fresh exchanges use no idle connection, sends are those of the request before, and requestID is its id.
+	fresh     bool
+	sends     *Sends
+	requestID string
+}
+
+// mayReuse reports whether the exchange may use a connection that has carried others.
+func (w *wanted) mayReuse(c *conn) bool { return !w.sends.used(c) && !c.refused.has(w.requestID) }
+
+// acquire returns a connection that is ready for an exchange. Where the limit leaves no room for another one, it closes an idle
+// one that the exchange may not use.
+func (p *Pool) acquire(ctx context.Context, want *wanted) (*conn, *fault.Fault) {
 	for {
 		p.mu.Lock()
 		if p.closed {
 			p.mu.Unlock()
 			return nil, notRun(fault.TargetUnreachable, nil, "the pool is closed")
 		}
-		if !fresh || p.open >= p.maxWorkConns {
-			if c := p.popIdle(); c != nil {
-				p.mu.Unlock()
-				if fresh {
-					p.closeInUse(c, &p.counts.Stale, OpenedStale)
-				} else if p.checkReuse(c) {
-					return c, nil
-				}
-				continue
+		if c := p.takeIdle(want); c != nil {
+			p.mu.Unlock()
+			if p.checkReuse(c) {
+				return c, nil
 			}
+			continue
+		}
+		if p.open >= p.maxWorkConns && len(p.idle) > 0 {
+			c := p.popIdle(0)
+			p.mu.Unlock()
+			p.closeInUse(c, &p.counts.Stale, OpenedStale)
+			continue
 		}
 		if p.open < p.maxWorkConns {
 			cause := p.openCause()
+			if !want.fresh && len(p.idle) > 0 {
+				cause = OpenedAgain
+			}
 			p.open++
 			p.inUse++
 			p.mu.Unlock()
@@ -57,6 +74,8 @@
 			return nil, f
 		case dial:
 			return p.dial(ctx)
+		case c != nil && !want.mayReuse(c):
+			p.closeInUse(c, &p.counts.Stale, OpenedAgain)
 		case c != nil && p.checkReuse(c):
 			return c, nil
 		}
@@ -77,16 +96,20 @@
 	}
 }
 
-// popIdle takes the most recently used idle connection and counts it as in use, or returns
-// nil. The caller holds mu.
-func (p *Pool) popIdle() *conn {
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+// takeIdle takes the most recently used idle connection that the exchange may use, or returns nil. The caller holds mu.
+func (p *Pool) takeIdle(want *wanted) *conn {
+	for i := len(p.idle) - 1; i >= 0 && !want.fresh; i-- {
+		if want.mayReuse(p.idle[i]) {
+			return p.popIdle(i)
+		}
 	}
-	c := p.idle[n-1]
-	p.idle[n-1] = nil
-	p.idle = p.idle[:n-1]
+	return nil
+}
+
+// popIdle takes an idle connection and counts it as in use. The caller holds mu.
+func (p *Pool) popIdle(i int) *conn {
+	c := p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
 	p.inUse++
 	return c
 }
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -36,8 +36,9 @@
 	upload           *upload
 	body             io.ReadCloser
 
-	// sentBefore is the connection's count of sent bytes before the request.
+	// sentBefore is the connection's count of sent bytes before the request, which is its first one if first is set.
 	sentBefore int64
+	first      bool
 	// malformed is set if net/http refused to write the request.
 	malformed bool
 	// unframed is set if the response has neither a length nor chunked encoding.
@@ -99,6 +100,8 @@
 	// Fresh opens a new connection although one may be idle, because those that are open may be dead.
 	// If every connection is in use, the attempt still waits for one of them.
 	Fresh bool
+	// Sends are the attempts at the same request before this one, which uses none of their connections.
+	Sends *Sends
 	// GotConn is called with the connection that the attempt uses, before anything is written to it.
 	GotConn func(raw net.Conn)
 }
@@ -108,7 +111,8 @@
 	if ctx.Err() != nil {
 		return nil, contextFault(ctx, fault.NotRun)
 	}
-	c, f := p.acquire(ctx, opts.Fresh)
+	want := wanted{fresh: opts.Fresh, sends: opts.Sends, requestID: p.cfg.Dialect.requestID(r)}
+	c, f := p.acquire(ctx, &want)
 	if f != nil {
 		return nil, f
 	}
@@ -121,17 +125,23 @@
 			return nil, f
 		}
 	}
+	opts.Sends.add(c)
 	c.attachBuffers()
 	c.setOptions(opts)
-	x := &exchange{pool: p, conn: c, ctx: ctx, aborter: opts.Aborter, sentBefore: c.sent.Load()}
+	x := &exchange{pool: p, conn: c, ctx: ctx, aborter: opts.Aborter, sentBefore: c.sent.Load(), first: !c.carried}
+	c.carried = true
 	sentAt := time.Now()
 	x.watch()
 	resp, err := x.roundTrip(r)
+	if errors.Is(err, errUnidentified) {
+		return nil, x.failInvalid(err)
+	}
 	if err != nil {
 		return nil, x.fail(err)
 	}
 	p.observe(resp, sentAt)
 	if f := p.cfg.Dialect.refusal(resp); f != nil {
+		c.refused.add(want.requestID)
 		x.finishRefused(resp)
 		return nil, f
 	}
@@ -195,8 +205,14 @@
 		if !x.conn.wrote(x.sentBefore) {
 			return nil, errEarlyResponse
 		}
+		owner := ownAnswer
+		if resp.StatusCode >= http.StatusOK {
+			owner = x.pool.cfg.Dialect.ownerOf(r, resp, x.first)
+		}
 		switch {
-		case resp.StatusCode >= http.StatusOK && x.pool.cfg.Dialect.forOtherRequest(r, resp):
+		case owner == unknownAnswer:
+			return nil, errUnidentified
+		case owner == othersAnswer:
 			if staleResponses++; staleResponses > maxStaleResponses || !skipResponse(resp) {
 				return nil, errStaleResponse
 			}
--- a/target/conn.go
+++ b/target/conn.go
@@ -66,6 +66,10 @@
 	// skipRawRead makes Read return "would block" without reading; see noBufferedTLSData.
 	skipRawRead bool
 
+	// carried is set once the connection has carried a request, and refused are requests that were refused on it.
+	carried bool
+	refused refusals
+
 	writeMu      sync.Mutex
 	writesClosed bool
 	// opts are those of the current exchange; started is set once bytes of its request have
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -21,7 +21,8 @@
 	// was sent to the wrong target. They are checked only if NotRun is set.
 	NotRunStatuses []int
 	// RequestID is the header field in which responses echo the request's id; empty means
-	// that they don't. A response with a different id belongs to an earlier request.
+	// that they don't. A response with a different id belongs to an earlier request. One without an
+	// id belongs to no request that can be told, unless the connection has carried no other.
 	RequestID string
 	// Signature is a header field that every successful response from the target itself has;
 	// empty means that there is none.
@@ -38,21 +39,49 @@
 var (
 	errStaleResponse = errors.New("target: the response belongs to an earlier request")
 	errUnsigned      = errors.New("target: a successful response lacks the target's signature")
+	errUnidentified  = errors.New("target: the response lacks the request's id, on a connection that has carried other requests")
 )
 
-// forOtherRequest reports whether the response belongs to a request other than r.
+// answerOwner says to which request a response belongs.
+type answerOwner uint8
+
+const (
+	ownAnswer answerOwner = iota
+	othersAnswer
+	unknownAnswer
+)
+
+// requestID returns the request's id; empty if it has none.
+func (d *Dialect) requestID(r *http.Request) string {
+	if d.RequestID == "" {
+		return ""
+	}
+	return r.Header.Get(d.RequestID)
+}
+
+// ownerOf returns whether the response belongs to r, which is the first request of its connection if first is set.
 //
 // If a target responds twice to a request, the second time late, the second response arrives
 // where the next request's response is expected. Without this check, one caller would get
 // another caller's response.
-func (d *Dialect) forOtherRequest(r *http.Request, resp *http.Response) bool {
-	if d.RequestID == "" {
-		return false
+func (d *Dialect) ownerOf(r *http.Request, resp *http.Response, first bool) answerOwner {
+	id := d.requestID(r)
+	if id == "" || first && d.requestIDOf(resp) == "" {
+		return ownAnswer
+	}
+	switch d.requestIDOf(resp) {
+	case id:
+		return ownAnswer
+	case "":
+		return unknownAnswer
+	default:
+		return othersAnswer
 	}
-	echoed := resp.Header.Get(d.RequestID)
-	return echoed != "" && echoed != r.Header.Get(d.RequestID)
 }
 
+// requestIDOf returns the id that the response echoes; empty if it has none.
+func (d *Dialect) requestIDOf(resp *http.Response) string { return resp.Header.Get(d.RequestID) }
+
 // check returns an error for a response that can't come from the target itself.
 func (d *Dialect) check(resp *http.Response) error {
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
--- a/target/pool.go
+++ b/target/pool.go
@@ -60,6 +60,8 @@
 	OpenedEnded     OpenCause = "ended"
 	OpenedBroken    OpenCause = "broken"
 	OpenedCancelled OpenCause = "cancelled"
+	// OpenedAgain is a connection for a request that was sent or refused before on those that are idle.
+	OpenedAgain OpenCause = "sent-again"
 )
 
 // Counts are the running totals of a pool.
