--- a/gateway/clusterstate_test.go
+++ b/gateway/clusterstate_test.go
@@ -21,7 +21,7 @@
 	g.opts.Adapter.TargetPrefix, g.opts.Mailbox = platform.TargetPrefix, defaultMailbox
 	g.workers, g.system = duty.NewWorkers(g.lifetime), duty.NewSystem(g.log)
 	g.paths = newPaths(g)
-	g.pools = newPools(g.opts.Adapter.Dialect, nil, nil)
+	g.pools = newPools(g.opts.Adapter.Dialect, nil, nil, nil)
 	g.subscription = newSubscription(g)
 	g.leader = newLeader(g)
 	g.firstSync = make(chan struct{})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,7 +115,7 @@
 	g.contacts = newContacts(g)
 	g.workers = duty.NewWorkers(g.lifetime)
 	g.system = duty.NewSystem(g.log)
-	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.countOpened)
+	g.pools = newPools(opts.Adapter.Dialect, g.observeAnswer, g.identities.confirm, g.countOpened)
 	g.pools.sendLimit = g.sends.writeUntil
 	g.paths = newPaths(g)
 	g.pools.dialDirect, g.pools.dialRelayed = g.paths.directDialer, g.paths.relayedDialer
--- a/gateway/identities.go
+++ b/gateway/identities.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"sync"
 
 	"tarragongw/core/assign"
@@ -18,13 +17,9 @@
 // targetAddress is a target at an address.
 type targetAddress struct{ id, address string }
 
-// observe records an answer to a request that named the target. A success shows that it has the address: any other target
-// refuses such a request.
-func (i *identities) observe(t *directory.Target, resp *http.Response) {
-	at := targetAddress{t.ID, t.Address}
-	if _, known := i.confirmed.Load(at); !known && resp.StatusCode < http.StatusMultipleChoices {
-		i.confirmed.Store(at, struct{}{})
-	}
+// confirm records that a target has served a request that named it. Any other target at its address would have refused that.
+func (i *identities) confirm(t *directory.Target) {
+	i.confirmed.Store(targetAddress{t.ID, t.Address}, struct{}{})
 }
 
 // judge records what the outcome of an order says of the target's address, and returns the outcome that holds. If the target
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,6 +42,8 @@
 	dialDirect, dialRelayed func(t *directory.Target) dialFunc
 	// observeAnswer is called with the header of each answer of a target, and with when the request was sent.
 	observeAnswer answerObserver
+	// confirm is called once for each pool whose target has answered a request with a success.
+	confirm func(t *directory.Target)
 	// connOpening is called for each connection that is opened, with the cause.
 	connOpening func(service string, cause target.OpenCause)
 
@@ -70,9 +73,9 @@
 }
 
 func newPools(
-	dialect target.Dialect, observeAnswer answerObserver, connOpening func(string, target.OpenCause),
+	dialect target.Dialect, observeAnswer answerObserver, confirm func(*directory.Target), connOpening func(string, target.OpenCause),
 ) *pools {
-	return &pools{dialect: dialect, observeAnswer: observeAnswer, connOpening: connOpening, all: map[poolID]*targetPool{}}
+	return &pools{dialect: dialect, observeAnswer: observeAnswer, confirm: confirm, connOpening: connOpening, all: map[poolID]*targetPool{}}
 }
 
 // poolKey returns the identity of one instance of a target at one address.
@@ -89,7 +92,14 @@
 		return pool, nil
 	}
 	dialect := p.dialect
-	dialect.Observe = func(resp *http.Response, sentAt time.Time) { p.observeAnswer(&id.target, resp, sentAt) }
+	var confirmed atomic.Bool
+	dialect.Observe = func(resp *http.Response, sentAt time.Time) {
+		if resp.StatusCode < http.StatusMultipleChoices && !confirmed.Load() {
+			confirmed.Store(true)
+			p.confirm(&id.target)
+		}
+		p.observeAnswer(&id.target, resp, sentAt)
+	}
 	dial := p.dialDirect
 	if relayed {
 		dial, maxConns = p.dialRelayed, maxConns/relayedConnDivisor
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -31,7 +31,6 @@
 
 // observeAnswer records what the answer of a target to a request that was sent at a time states.
 func (g *Gateway) observeAnswer(t *directory.Target, resp *http.Response, sentAt time.Time) {
-	g.identities.observe(t, resp)
 	said := g.opts.Adapter.DecodeAnswer(resp)
 	if sentAt.IsZero() {
 		said.Load = nil // the answer was due to an earlier request
