Attribute what an answer states to the target that it names

A refusal (421) or a status check that another target answers states that one's leaving, limit, rest and load; they counted as the statements of the target that was asked, which then got no work.

Change: the adapter says who answers, and statements of another target than the one that was asked are left out, in answers to requests, orders and status checks alike.

Test: TestStatementsOfTheTargetThatHasAnAddressNowAreItsOwn failed before.

--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -26,6 +26,8 @@
 
 // Answer is what one answer of a target states. A statement that can't be read is among Unreadable and nowhere else.
 type Answer struct {
+	// By is the target that answers; empty if it doesn't name itself.
+	By string
 	// Load is the load report; nil if there is none.
 	Load *dispatch.Report
 	// Limited says that the target states a limit, and Limit is that, in requests per second from all routers together.
@@ -44,6 +46,9 @@
 	Err  error
 }
 
+// IsOf reports whether what the answer states is of the target that was asked: another one may have its address.
+func (a *Answer) IsOf(target string) bool { return a.By == "" || a.By == target }
+
 // IsUnreadable reports whether the answer has a statement of the kind that can't be read.
 func (a *Answer) IsUnreadable(kind Kind) bool {
 	for i := range a.Unreadable {
--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -32,6 +32,9 @@
 // observeAnswer records what the answer of a target to a request that was sent at a time states.
 func (g *Gateway) observeAnswer(t *directory.Target, resp *http.Response, sentAt time.Time) {
 	said := g.opts.Adapter.DecodeAnswer(resp)
+	if !said.IsOf(t.ID) {
+		return
+	}
 	if sentAt.IsZero() {
 		said.Load = nil // the answer was due to an earlier request
 	}
@@ -45,6 +48,9 @@
 
 // observe records what concerns this router, whatever was answered.
 func (s *statements) observe(t *directory.Target, said *statement.Answer) {
+	if !said.IsOf(t.ID) {
+		return
+	}
 	for i := range said.Unreadable {
 		s.unreadable[said.Unreadable[i].Kind].observe(t, said.Unreadable[i].Err)
 	}
--- a/gateway/targetstatements_test.go
+++ b/gateway/targetstatements_test.go
@@ -325,3 +325,20 @@
 	f.cutStore(false)
 	f.sendUntilServed(f.gateways[0], look)
 }
+
+// Guards against a target that gets no more work for what another target has stated that has its address now.
+func TestStatementsOfTheTargetThatHasAnAddressNowAreItsOwn(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	f.awaitTarget("a")
+	g := f.gateways[0]
+	a, known := g.targetOf(keyspace.Holder{Target: "a", StartUnixMilli: 1})
+	assert.Assert(t, known)
+	for _, by := range []string{"b", "a"} {
+		h := http.Header{"Tarragongw-Instance-Id": {by}, "Server-Leaving": {"1"}, "Server-Limit": {"3"}, "Retry-After": {"9"}}
+		g.observeAnswer(&a, &http.Response{StatusCode: http.StatusServiceUnavailable, Header: h}, time.Now())
+		_, resting := g.rests.left(a.Holder())
+		assert.Equal(t, len(g.statedLeaving.all()) > 0, by == "a")
+		assert.Equal(t, len(g.statedLimits.current()) > 0, by == "a")
+		assert.Equal(t, resting, by == "a")
+	}
+}
