--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -300,6 +300,7 @@
 		Number: x.sends, After: began.Sub(x.began), Took: time.Since(began), Target: d.Target.ID, Fault: f,
 	}
 	x.meta.AddAttempt(a)
+	x.g.countBound(f)
 	if f.Ran != fault.NotRun {
 		x.mayHaveRun = f
 	}
--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -190,6 +190,7 @@
 	began := time.Now()
 	m.outcome, m.handover, m.err = l.g.opts.Adapter.SendOrder(ctx, &o, deadline)
 	m.took = time.Since(began)
+	l.g.countBound(m.err)
 	m.outcome = l.g.identities.judge(&o, m.outcome)
 	l.g.leadCost.countOrder(m.outcome)
 	return m
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -24,6 +24,8 @@
 	progressTimeout = 60 * time.Second
 	// maxIdle is how long a connection may be idle; most targets would close it later.
 	maxIdle = dispatch.IdleConnTimeout
+	// maxAnswerHeadBytes bounds the head of a target's answer. Parsed header lines take many times their length.
+	maxAnswerHeadBytes = 64 << 10
 	// connShare is the share of a target's connections that is divided among the routers. The rest
 	// is for grants, health checks, and changes of the number of routers.
 	connShare = 0.8
@@ -107,7 +109,8 @@
 	pool, err := target.New(target.PoolConfig{
 		Address: t.Address, MaxConns: max(maxConns, minConns), ControlConns: -1, MaxIdle: maxIdle,
 		DialTimeout: dialTimeout, ProgressTimeout: progressTimeout, Dialect: dialect, Wait: -1, Dial: dial(&id.target),
-		OnDial: func(cause target.OpenCause) { p.connOpening(id.target.Service, cause) },
+		MaxHeaderBytes: maxAnswerHeadBytes,
+		OnDial:         func(cause target.OpenCause) { p.connOpening(id.target.Service, cause) },
 	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "connections to target %s", t.ID)
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -237,15 +237,18 @@
 	return nil, errTooManyInformational
 }
 
+// maxSkippedBytes bounds the body of a response that is skipped.
+const maxSkippedBytes = 1 << 20
+
 // skipResponse reads a response to an earlier request to its end, so that the expected one can
-// be read next. It reports false if that fails or if the end can't be determined, because the
-// response has neither a length nor chunked encoding.
+// be read next. It reports false if that fails, if the body is longer than maxSkippedBytes or if the end can't be
+// determined, because the response has neither a length nor chunked encoding.
 func skipResponse(resp *http.Response) bool {
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return false
 	}
-	_, err := io.Copy(io.Discard, resp.Body)
-	return err == nil
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+	return err == nil && n <= maxSkippedBytes
 }
 
 // trace1xx reports an informational response to the context's httptrace.ClientTrace.
--- a/target/conn.go
+++ b/target/conn.go
@@ -17,11 +17,18 @@
 )
 
 var (
-	errWritesClosed   = errors.New("target: connection closed for writing")
-	errLeaseExpired   = errors.New("target: the lease to send has expired")
-	errHeaderTooLarge = errors.New("target: the response header is too large")
+	errWritesClosed = errors.New("target: connection closed for writing")
+	errLeaseExpired = errors.New("target: the lease to send has expired")
 )
 
+// headTooLongError ends an exchange whose response head exceeds PoolConfig.MaxHeaderBytes.
+type headTooLongError struct{}
+
+func (headTooLongError) Error() string { return "target: the response header is too large" }
+
+// Bound names the bound that was exceeded.
+func (headTooLongError) Bound() string { return "answer_head" }
+
 // deadlineSlack is the divisor for the extra time, as a fraction of the progress timeout, by
 // which a deadline is set later than needed, so that most reads and writes needn't set a new
 // one.
@@ -107,7 +114,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	if c.headerLeft == 0 {
-		return 0, errHeaderTooLarge
+		return 0, headTooLongError{}
 	}
 	if c.headerLeft > 0 && int64(len(b)) > c.headerLeft {
 		b = b[:c.headerLeft]
