End answers soon after their route's timeout

Cause: the deadline of a request ended with the first byte passed on.

Test: TestEndlessBodyEndsAfterTheRoutesTimeout failed before (5.1 s where the route's timeout is 1 s), and passes.

--- a/caller/config.go
+++ b/caller/config.go
@@ -71,6 +71,10 @@
 	// it pipelined behind the late one. It does not apply to a request with less than twice
 	// this time left.
 	DeadlineMargin time.Duration
+	// LimitAnswers has an answer that has begun end AnswerGrace after the request's deadline, so that the caller sees
+	// that it is incomplete. Otherwise an answer may go on for as long as it makes progress.
+	LimitAnswers bool
+	AnswerGrace  time.Duration
 	// MaxPipelined is the number of pipelined requests of one clear-text connection that are
 	// served before their turn, see pipeline. Zero serves the requests of a connection one
 	// after the other.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -139,6 +139,9 @@
 	}
 	x.attachContext()
 	if left > 0 {
+		if x.handler.cfg.LimitAnswers {
+			x.ctx.LimitAnswer(x.handler.cfg.AnswerGrace)
+		}
 		x.ctx.SetAnswerDeadline(x.meta.Deadline, left)
 	}
 	out := r.WithContext(x.ctx)
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -93,3 +93,19 @@
 		})
 	}
 }
+
+// Guards against an answer without end that is passed on past its route's timeout, for as long as the caller reads it.
+func TestEndlessBodyEndsAfterTheRoutesTimeout(t *testing.T) {
+	const timeout = time.Second // that of the route
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	closed := writeEndlessly(f.targets["a"], func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nTransfer-Encoding: chunked\r\n\r\n", platform.HeaderRequestID, id, platform.HeaderStamp)
+	}, "1\r\nz\r\n")
+	began := time.Now()
+	got := f.send(f.gateways[0], call{method: http.MethodGet, path: "/read/1", key: -1})
+	assert.Assert(t, got.err != nil, "the answer looks whole")
+	assert.Assert(t, got.status == http.StatusOK && len(got.body) > 0, "%d", got.status)
+	took := time.Since(began)
+	assert.Assert(t, took > timeout-answerMargin && took < timeout+500*time.Millisecond, "after %v", took)
+	assertClosed(t, closed)
+}
--- a/reqctx/reqctx.go
+++ b/reqctx/reqctx.go
@@ -26,10 +26,12 @@
 
 	mu             sync.Mutex
 	answerDeadline time.Time
-	timer          *time.Timer
-	answerBegan    bool
-	err            error
-	done           chan struct{}
+	// answerGrace is for how long after its deadline an answer that has begun may go on; negative means for good.
+	answerGrace time.Duration
+	timer       *time.Timer
+	answerBegan bool
+	err         error
+	done        chan struct{}
 	// listeners are called when the context ends, each in a goroutine of its own. inline is
 	// their initial storage.
 	listeners []listener
@@ -44,7 +46,7 @@
 
 // New returns a context without an answer deadline. End must be called.
 func New(parent context.Context) *Context {
-	c := &Context{parent: parent}
+	c := &Context{parent: parent, answerGrace: -1}
 	c.stopParentWatch = context.AfterFunc(parent, c.parentEnded)
 	return c
 }
@@ -54,7 +56,7 @@
 // itself and calls Cancel. This saves the callback on the parent, a quarter of the allocations
 // of New. End must be called.
 func NewDetached(parent context.Context) *Context {
-	return &Context{parent: parent, stopParentWatch: never}
+	return &Context{parent: parent, stopParentWatch: never, answerGrace: -1}
 }
 
 // parentEnded ends the context because its parent ended.
@@ -79,23 +81,31 @@
 	c.timer = time.AfterFunc(left, c.Expire)
 }
 
-// Expire ends the context as its answer deadline does, unless the answer began.
+// LimitAnswer has the context end at the latest when a time has passed after the answer deadline, even if the answer began before.
+// It must be called before SetAnswerDeadline.
+func (c *Context) LimitAnswer(grace time.Duration) { c.answerGrace = grace }
+
+// Expire ends the context as its answer deadline does, unless the answer began and may go on.
 func (c *Context) Expire() {
 	c.mu.Lock()
-	began := c.answerBegan
+	goesOn := c.answerBegan && (c.answerGrace < 0 || time.Until(c.answerDeadline)+c.answerGrace > 0)
 	c.mu.Unlock()
-	if !began {
+	if !goesOn {
 		c.cancel(context.DeadlineExceeded)
 	}
 }
 
-// AnswerBegan removes the answer deadline because the answer began.
+// AnswerBegan removes the answer deadline because the answer began, or puts it off as LimitAnswer says.
 func (c *Context) AnswerBegan() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answerBegan = true
-	if c.timer != nil {
+	switch {
+	case c.timer == nil:
+	case c.answerGrace < 0:
 		c.timer.Stop()
+	case c.err == nil:
+		c.timer.Reset(time.Until(c.answerDeadline) + c.answerGrace)
 	}
 }
 
--- a/reqctx/reqctx_test.go
+++ b/reqctx/reqctx_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -117,3 +118,17 @@
 	cancel()
 	<-called
 }
+
+func TestAnswerThatHasBegunEndsAfterItsGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(context.Background())
+		defer c.End()
+		c.LimitAnswer(time.Second)
+		c.SetAnswerDeadline(time.Now().Add(time.Minute), time.Minute)
+		c.AnswerBegan()
+		time.Sleep(time.Minute + time.Second - time.Millisecond)
+		assert.NilError(t, c.Err())
+		time.Sleep(2 * time.Millisecond)
+		assert.Equal(t, c.Err(), context.DeadlineExceeded)
+	})
+}
