Let orders that come too late wait outside of the gate of their term

An order that found the gate shut returned at once and was tried again at once, and one that had come too late kept a leader that stops waiting. Names of options read as elsewhere in the package.

--- a/gateway/leaderstep.go
+++ b/gateway/leaderstep.go
@@ -173,16 +173,17 @@
 	}
 	now := l.g.opts.Clock.Now()
 	orders, done, err := t.orders.enter()
-	defer done()
 	var left time.Duration
 	if err == nil {
 		left, err = l.orderTimeLeft(t, now, o.ForOutage)
 	}
 	if err != nil {
+		done()
 		m.err, m.outcome = err, assign.NotSent
-		duty.Sleep(orders, leaderRenewInterval)
+		duty.Sleep(t.ctx, leaderRenewInterval)
 		return m
 	}
+	defer done()
 	// An order that is started in time must not be sent late.
 	ctx, cancel := context.WithTimeout(orders, left)
 	defer cancel()
--- a/target/acquire.go
+++ b/target/acquire.go
@@ -14,8 +14,8 @@
 	ready chan *conn
 }
 
-// wanted is which connections an exchange may use.
-type wanted struct {
+// acquireOptions say which connections an exchange may use.
+type acquireOptions struct {
 	// fresh exchanges use no idle connection, sends are those of the request before, and requestID is its id.
 	fresh     bool
 	sends     *Sends
@@ -23,18 +23,20 @@
 }
 
 // mayReuse reports whether the exchange may use a connection that has carried others.
-func (w *wanted) mayReuse(c *conn) bool { return !w.sends.used(c) && !c.refused.has(w.requestID) }
+func (o *acquireOptions) mayReuse(c *conn) bool {
+	return !o.sends.used(c) && !c.refused.has(o.requestID)
+}
 
 // acquire returns a connection that is ready for an exchange. Where the limit leaves no room for another one, it closes an idle
 // one that the exchange may not use.
-func (p *Pool) acquire(ctx context.Context, want *wanted) (*conn, *fault.Fault) {
+func (p *Pool) acquire(ctx context.Context, opts *acquireOptions) (*conn, *fault.Fault) {
 	for {
 		p.mu.Lock()
 		if p.closed {
 			p.mu.Unlock()
 			return nil, notRun(fault.TargetUnreachable, nil, "the pool is closed")
 		}
-		if c := p.takeIdle(want); c != nil {
+		if c := p.takeIdle(opts); c != nil {
 			p.mu.Unlock()
 			if p.checkReuse(c) {
 				return c, nil
@@ -49,7 +51,7 @@
 		}
 		if p.open < p.maxWorkConns {
 			cause := p.openCause()
-			if !want.fresh && len(p.idle) > 0 {
+			if !opts.fresh && len(p.idle) > 0 {
 				cause = OpenedAgain
 			}
 			p.open++
@@ -74,7 +76,7 @@
 			return nil, f
 		case dial:
 			return p.dial(ctx)
-		case c != nil && !want.mayReuse(c):
+		case c != nil && !opts.mayReuse(c):
 			p.closeInUse(c, &p.counts.Stale, OpenedAgain)
 		case c != nil && p.checkReuse(c):
 			return c, nil
@@ -97,9 +99,9 @@
 }
 
 // takeIdle takes the most recently used idle connection that the exchange may use, or returns nil. The caller holds mu.
-func (p *Pool) takeIdle(want *wanted) *conn {
-	for i := len(p.idle) - 1; i >= 0 && !want.fresh; i-- {
-		if want.mayReuse(p.idle[i]) {
+func (p *Pool) takeIdle(opts *acquireOptions) *conn {
+	for i := len(p.idle) - 1; i >= 0 && !opts.fresh; i-- {
+		if opts.mayReuse(p.idle[i]) {
 			return p.popIdle(i)
 		}
 	}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -111,8 +111,8 @@
 	if ctx.Err() != nil {
 		return nil, contextFault(ctx, fault.NotRun)
 	}
-	want := wanted{fresh: opts.Fresh, sends: opts.Sends, requestID: p.cfg.Dialect.requestID(r)}
-	c, f := p.acquire(ctx, &want)
+	needs := acquireOptions{fresh: opts.Fresh, sends: opts.Sends, requestID: p.cfg.Dialect.requestID(r)}
+	c, f := p.acquire(ctx, &needs)
 	if f != nil {
 		return nil, f
 	}
@@ -141,7 +141,7 @@
 	}
 	p.observe(resp, sentAt)
 	if f := p.cfg.Dialect.refusal(resp); f != nil {
-		c.refused.add(want.requestID)
+		c.refused.add(needs.requestID)
 		x.finishRefused(resp)
 		return nil, f
 	}
--- a/target/conn_test.go
+++ b/target/conn_test.go
@@ -189,7 +189,7 @@
 func TestAbandonedWaitPassesOnItsConnection(t *testing.T) {
 	s := startTarget(t, respondAlways(okResponse))
 	p := newPool(t, s.addr(), nil)
-	c, f := p.acquire(background, &wanted{})
+	c, f := p.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil)
 	w := &waiter{ready: make(chan *conn, 1)}
 	w.ready <- c
@@ -197,7 +197,7 @@
 	assert.Equal(t, p.Stats().Idle, 1)
 	assert.Equal(t, p.Stats().InUse, 0)
 
-	_, f = p.acquire(background, &wanted{})
+	_, f = p.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil)
 	w.ready <- nil // the connection is closed, its slot is passed on
 	p.abandonWait(w, false)
@@ -208,13 +208,13 @@
 func TestMostRecentlyUsedConnectionIsReusedFirst(t *testing.T) {
 	s := startTarget(t, respondAlways(okResponse))
 	p := newPool(t, s.addr(), nil)
-	first, f := p.acquire(background, &wanted{})
+	first, f := p.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil)
-	second, f := p.acquire(background, &wanted{})
+	second, f := p.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil)
 	p.release(first)
 	p.release(second)
-	got, f := p.acquire(background, &wanted{})
+	got, f := p.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil)
 	assert.Assert(t, got == second)
 	p.release(got)
@@ -224,20 +224,20 @@
 func TestFreshAttemptTakesNoIdleConnection(t *testing.T) {
 	s := startTarget(t, respondAlways(okResponse))
 	p := newPool(t, s.addr(), nil)
-	idle, f := p.acquire(background, &wanted{})
+	idle, f := p.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil)
 	p.release(idle)
-	fresh, f := p.acquire(background, &wanted{fresh: true})
+	fresh, f := p.acquire(background, &acquireOptions{fresh: true})
 	assert.Assert(t, f == nil)
 	assert.Assert(t, fresh != idle)
 	assert.Equal(t, p.Stats().Open, 2)
 	p.release(fresh)
 
 	full := newPool(t, s.addr(), func(cfg *PoolConfig) { cfg.MaxConns, cfg.ControlConns = 1, -1 })
-	idle, f = full.acquire(background, &wanted{})
+	idle, f = full.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil)
 	full.release(idle)
-	fresh, f = full.acquire(background, &wanted{fresh: true})
+	fresh, f = full.acquire(background, &acquireOptions{fresh: true})
 	assert.Assert(t, f == nil)
 	assert.Assert(t, fresh != idle)
 	assert.Equal(t, full.Stats().Open, 1, "an idle one makes room")
--- a/target/sends_test.go
+++ b/target/sends_test.go
@@ -76,7 +76,7 @@
 	p := newPoolWithIDs(t, 1)
 	var sends Sends
 	first, _ := attemptWithID(t, p, "a", &sends)
-	c, f := p.acquire(background, &wanted{})
+	c, f := p.acquire(background, &acquireOptions{})
 	assert.Assert(t, f == nil && c.raw == first)
 	again := make(chan net.Conn)
 	go func() {
