--- a/gateway/latelonggrant_test.go
+++ b/gateway/latelonggrant_test.go
@@ -34,6 +34,8 @@
 	old := &term{quorum: newQuorum("a", expiredLongAgo)}
 	old.ctx, old.cancel = context.WithCancel(context.Background())
 	defer old.cancel()
+	old.leadership.Store(&leadership{ttl: leaderTTL})
+	old.orders.open(old.ctx)
 	old.renewedAt.Store(int64(elapsed.Now()))
 	l.term = old
 
