Log when requests arrived, and answers that end after their time

Change: the bytes of all requests are read while those before them are served, and their arrival is kept with them. Lines of requests have the wait for their turn and the time that they had; an answer that ends 0.25 s past that has a line of its own and a count, by what it waited for. No decision changes.

--- a/caller/conns.go
+++ b/caller/conns.go
@@ -36,9 +36,10 @@
 	requestCtx  atomic.Pointer[reqctx.Context]
 	closeOnce   sync.Once
 	certificate certificateState
-	// pipeline starts pipelined requests before their turn; nil if Config.MaxPipelined is zero
-	// or the connection uses TLS.
+	// pipeline reads ahead of the request in flight; nil if the connection uses TLS.
 	pipeline *pipeline
+	// arrivedAt is when the request in flight arrived; zero if unknown.
+	arrivedAt time.Time
 }
 
 // Read implements net.Conn.
@@ -94,6 +95,17 @@
 	return c.served.Add(1)
 }
 
+// arrivalOf returns when the request that is served now arrived, as far as that is known; else now.
+func arrivalOf(w http.ResponseWriter, r *http.Request, now time.Time) time.Time {
+	if a, pipelined := w.(*pipelinedAnswer); pipelined {
+		return a.arrivedAt
+	}
+	if c := connOf(r); c != nil && r.ProtoMajor == 1 && !c.arrivedAt.IsZero() {
+		return c.arrivedAt
+	}
+	return now
+}
+
 // detach undoes attach when the handler of the request returns.
 func (c *callerConn) detach() { c.requestCtx.Store(nil) }
 
@@ -119,7 +131,7 @@
 // Its lock is taken when a connection opens or closes, not for each request.
 type connLimits struct {
 	maxConns, maxPerIP int
-	// newPipeline creates the pipeline of a connection; nil if no requests are started early.
+	// newPipeline creates the pipeline of a connection; nil if connections use TLS.
 	newPipeline func(c *callerConn) *pipeline
 	refused     atomic.Int64
 	// recheckRound counts the calls of Server.Recheck. It starts at one, so that the
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -33,6 +33,9 @@
 	// outcome is passed to the observer.
 	outcome Outcome
 	began   time.Time
+	// turnWait is how long the request waited in its connection before began, and limit the time that it has for its answer,
+	// of its service and its caller; zero means no limit.
+	turnWait, limit time.Duration
 	// requestNumber is the request's number on its connection, see Outcome.RequestNumber.
 	requestNumber int64
 	// expectsContinue means that the caller waits for a 100 Continue before it sends its body.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -47,6 +47,7 @@
 	x := &exchange{
 		handler: h, w: w, r: r, ctl: *http.NewResponseController(w), declared: -1, began: time.Now(),
 	}
+	x.turnWait = x.began.Sub(arrivalOf(w, r, x.began))
 	if a := takePipelined(r); a != nil && a.deliver(x) {
 		return
 	}
@@ -64,6 +65,7 @@
 	x.writeTimeout.close()
 	x.boundFinalFlush()
 	h.inFlight.Add(-1)
+	x.reportLate(&x.outcome)
 	if aborted {
 		x.flushPartial()
 		abort(r)
@@ -131,6 +133,7 @@
 	if f != nil {
 		return nil, f
 	}
+	x.limit = left
 	if margin := x.handler.cfg.DeadlineMargin; left > 2*margin {
 		left -= margin
 	}
@@ -305,6 +308,10 @@
 	x.outcome = Outcome{
 		Meta: &x.meta, Method: x.r.Method, Status: x.status, Fault: f, Aborted: aborted,
 		Began: x.began, Duration: time.Since(x.began), RequestNumber: x.requestNumber, BytesOut: x.written,
+		TurnWait: x.turnWait, Limit: x.limit,
+	}
+	if a, pipelined := x.w.(*pipelinedAnswer); pipelined {
+		a.outcome = x.outcome
 	}
 	o := &x.outcome
 	if f == nil || f.Ran == fault.RanFully {
--- a/caller/pipeline.go
+++ b/caller/pipeline.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
 )
 
 const (
@@ -16,6 +17,8 @@
 	pipelineBufferBytes = 16 * kibibyte
 	// pipelineReadBytes is the size of a single read.
 	pipelineReadBytes = 4 * kibibyte
+	// immediateRead is how long a read takes at most if its bytes were there before.
+	immediateRead = time.Millisecond
 )
 
 // pipeline starts the pipelined requests of an HTTP/1.1 connection, that is, those that the
@@ -32,10 +35,14 @@
 // request itself in its turn; pipeline only hands it the bytes of one request at a time, and
 // disables itself for the rest of the connection at the first request that it cannot delimit
 // with certainty.
+//
+// It also knows when the bytes of each request arrived, whether the request is started early or
+// not. They are read while the requests before it are served, up to pipelineBufferBytes; what
+// a caller sends beyond that counts as arrived when the reading paused.
 type pipeline struct {
 	conn *callerConn
 	// start starts a request before its turn, or returns nil if the request must wait for it.
-	start      func(ctx context.Context, r *http.Request) *pipelinedAnswer
+	start      func(ctx context.Context, r *http.Request, arrivedAt time.Time) *pipelinedAnswer
 	maxStarted int
 	// ctx is cancelled when the connection ends.
 	ctx    context.Context
@@ -46,14 +53,21 @@
 
 	// buffered holds bytes that were read from the connection and not yet returned to the
 	// server; the first currentLeft of them belong to the request that is being returned.
-	buffered    []byte
+	buffered    readBuffer
 	currentLeft int
+	// arrivedAt is when the bytes arrived that were returned last.
+	arrivedAt time.Time
+	// pausedAt is when reading paused because the buffer was full; zero if it has not.
+	pausedAt time.Time
 	// scanned is the number of bytes in buffered that precede the next request to start.
 	// blocked means that this request must wait for its turn.
 	scanned int
 	blocked bool
-	// disabled means that no more requests are started early.
-	disabled bool
+	// disabled means that requests can't be delimited any more, so that no more of them are
+	// started early; raw means that the connection isn't one of HTTP/1.
+	disabled, raw bool
+	// serving means that the server has read a request and not answered it yet.
+	serving bool
 
 	// mu guards started, the answers of the requests in buffered that were started, and
 	// handedOut, the answers of the requests that were returned to the server and whose
@@ -63,7 +77,7 @@
 	handedOut []*pipelinedAnswer
 }
 
-func newPipeline(c *callerConn, base context.Context, maxStarted int, start func(context.Context, *http.Request) *pipelinedAnswer) *pipeline {
+func newPipeline(c *callerConn, base context.Context, maxStarted int, start func(context.Context, *http.Request, time.Time) *pipelinedAnswer) *pipeline {
 	p := &pipeline{conn: c, start: start, maxStarted: maxStarted}
 	p.ctx, p.cancel = context.WithCancel(base)
 	return p
@@ -73,40 +87,48 @@
 // a single byte to detect that the caller closed the connection; pipeline uses that read to
 // start further requests.
 func (p *pipeline) Read(dst []byte) (int, error) {
-	if len(dst) == 1 && p.currentLeft == 0 && !p.disabled {
+	if len(dst) == 1 && p.serving && !p.raw && (p.disabled || p.currentLeft == 0) {
 		return p.readAhead(dst)
 	}
 	return p.readCurrent(dst)
 }
 
-// readCurrent returns bytes of at most one request.
+// readCurrent returns bytes of at most one request, or of one read of the connection.
 func (p *pipeline) readCurrent(dst []byte) (int, error) {
-	if p.disabled && len(p.buffered) == 0 {
-		return p.conn.Conn.Read(dst)
+	if p.disabled && len(p.buffered.unused()) == 0 {
+		n, arrivedAt, err := p.readConn(dst)
+		p.arrivedAt = arrivedAt
+		return n, err
 	}
 	if p.currentLeft == 0 {
 		if err := p.advance(); err != nil {
 			return 0, err
 		}
 	}
-	n := copy(dst, p.buffered[:p.currentLeft])
-	p.buffered = p.buffered[n:]
+	n := p.buffered.take(dst[:min(len(dst), p.currentLeft)])
 	p.currentLeft -= n
 	return n, nil
 }
 
-// advance makes the next request the current one, whose bytes are returned to the server.
+// advance makes the next request the current one, whose bytes are returned to the server; or
+// those of the next read if requests can't be delimited.
 func (p *pipeline) advance() error {
-	if len(p.buffered) == 0 {
+	if len(p.buffered.unused()) == 0 {
 		if err := p.readMore(); err != nil {
 			return err
 		}
 	}
-	p.currentLeft = simpleRequestLength(p.buffered)
-	if p.disabled = p.disabled || p.currentLeft == 0; p.disabled {
-		p.currentLeft = len(p.buffered)
+	if !p.disabled {
+		p.currentLeft = simpleRequestLength(p.buffered.unused())
+		p.disabled = p.currentLeft == 0
+		p.raw = bytes.HasPrefix(p.buffered.unused(), http2Preface)
+	}
+	if p.disabled {
+		p.currentLeft = p.buffered.ofOneRead()
+		p.arrivedAt = p.buffered.arrivalOf(p.currentLeft)
 		return nil
 	}
+	p.arrivedAt = p.buffered.arrivalOf(p.currentLeft)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var answer *pipelinedAnswer
@@ -119,22 +141,36 @@
 	return nil
 }
 
+// readMore reads from the connection into the buffer.
 func (p *pipeline) readMore() error {
 	var b [pipelineReadBytes]byte
-	n, err := p.conn.Conn.Read(b[:])
-	p.buffered = append(p.buffered, b[:n]...)
+	n, arrivedAt, err := p.readConn(b[:])
+	p.buffered.add(b[:n], arrivedAt)
 	if n > 0 {
 		return nil
 	}
 	return err
 }
 
+// readConn reads from the connection and returns when the bytes arrived.
+func (p *pipeline) readConn(dst []byte) (n int, arrivedAt time.Time, err error) {
+	began := time.Now()
+	n, err = p.conn.Conn.Read(dst)
+	arrivedAt = time.Now()
+	if !p.pausedAt.IsZero() && arrivedAt.Sub(began) < immediateRead {
+		arrivedAt = p.pausedAt
+	}
+	p.pausedAt = time.Time{}
+	return n, arrivedAt, err
+}
+
 // readAhead starts the requests that arrive behind the one being served, until the caller
 // closes the connection or the server interrupts the read by setting a deadline in the past.
 func (p *pipeline) readAhead(dst []byte) (int, error) {
 	for {
 		p.startBuffered()
-		if len(p.buffered) >= pipelineBufferBytes {
+		if len(p.buffered.unused()) >= pipelineBufferBytes {
+			p.pausedAt = time.Now()
 			return p.readCurrent(dst) // the server does not read again before the end of the request
 		}
 		if err := p.readMore(); err != nil {
@@ -149,17 +185,17 @@
 // startBuffered starts the complete requests in the buffer.
 func (p *pipeline) startBuffered() {
 	for !p.blocked && !p.disabled {
-		length := simpleRequestLength(p.buffered[p.scanned:])
+		length := simpleRequestLength(p.buffered.unused()[p.scanned:])
 		if length == 0 || p.outstanding() >= p.maxStarted {
 			return
 		}
-		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(p.buffered[p.scanned : p.scanned+length])))
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(p.buffered.unused()[p.scanned : p.scanned+length])))
 		if err != nil {
 			p.blocked = true
 			return
 		}
 		r.RemoteAddr = p.conn.RemoteAddr().String()
-		if !p.startRequest(r) {
+		if !p.startRequest(r, p.buffered.arrivalOf(p.scanned+length)) {
 			p.blocked = true
 			return
 		}
@@ -170,10 +206,10 @@
 // startRequest starts a request and reports whether it did. It holds the lock throughout:
 // otherwise a shutdown that begins meanwhile would find no outstanding request and announce
 // the end of the connection, which would cut this request off.
-func (p *pipeline) startRequest(r *http.Request) bool {
+func (p *pipeline) startRequest(r *http.Request, arrivedAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answer := p.start(p.ctx, r)
+	answer := p.start(p.ctx, r, arrivedAt)
 	if answer == nil {
 		return false
 	}
@@ -213,6 +249,8 @@
 
 var (
 	requestEnd = []byte("\r\n\r\n")
+	// http2Preface is how a connection of HTTP/2 begins.
+	http2Preface = []byte("PRI * HTTP/2")
 	// excludedHeaders are the beginnings of header lines, in lower case, that keep a request
 	// from being started early: it has a body, gets interim answers, or is the last one on its
 	// connection.
--- a/caller/pipelined.go
+++ b/caller/pipelined.go
@@ -23,6 +23,7 @@
 type pipelinedAnswer struct {
 	method, uri, id string
 	idHeader        string
+	arrivedAt       time.Time
 	cancel          context.CancelFunc
 
 	header http.Header
@@ -44,18 +45,20 @@
 	// refused means that the request was refused before its turn and is to be served again in
 	// its turn.
 	refused bool
+	// outcome is that of the request, once ended is set.
+	outcome Outcome
 }
 
 // startPipelined serves a request before its turn. It returns nil if the request may run at
 // most once, or if this router is closing connections.
-func (h *Handler) startPipelined(ctx context.Context, r *http.Request) *pipelinedAnswer {
+func (h *Handler) startPipelined(ctx context.Context, r *http.Request, arrivedAt time.Time) *pipelinedAnswer {
 	if h.closing() || !h.repeatable(r) {
 		return nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	a := &pipelinedAnswer{
 		method: r.Method, uri: r.RequestURI, idHeader: h.cfg.RequestIDHeader, id: r.Header.Get(h.cfg.RequestIDHeader),
-		cancel: cancel, header: http.Header{},
+		arrivedAt: arrivedAt, cancel: cancel, header: http.Header{},
 	}
 	a.changed = sync.NewCond(&a.mu)
 	// Without this, a write that blocks for buffer space would block for ever after the caller
@@ -160,6 +163,11 @@
 	if status == 0 {
 		abort(x.r) // the caller closed the connection, or the handler wrote no answer
 	}
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		x.reportLate(&a.outcome)
+	}()
 	x.direct = true
 	maps.Copy(x.Header(), a.sentHeader)
 	x.WriteHeader(status)
--- a/caller/server.go
+++ b/caller/server.go
@@ -46,7 +46,7 @@
 	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
 	base, cancelBase := context.WithCancelCause(context.Background())
 	s.cancelBase = cancelBase
-	if cfg.MaxPipelined > 0 && tlsConfig == nil {
+	if tlsConfig == nil {
 		s.limits.newPipeline = func(c *callerConn) *pipeline { return newPipeline(c, base, cfg.MaxPipelined, handler.startPipelined) }
 	}
 	s.http = &http.Server{
--- a/caller/shutdown.go
+++ b/caller/shutdown.go
@@ -117,8 +117,12 @@
 	}
 }
 
-// noteState records since when the connection has been idle.
+// noteState records since when the connection has been idle, and when the request arrived that is served next.
 func (c *callerConn) noteState(state http.ConnState) {
+	if c.pipeline != nil {
+		c.pipeline.serving = state == http.StateActive
+		c.arrivedAt = c.pipeline.arrivedAt
+	}
 	if state != http.StateIdle {
 		c.idleSince.Store(0)
 	} else if c.idleSince.Load() == 0 {
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -25,7 +25,19 @@
 	o.g.log.Info("request", "id", out.Meta.ID, "route", out.Meta.Service, "method", out.Method, "status", out.Status,
 		"code", code, "ran", ran, "failed_attempts", len(out.Meta.Attempts), "took", out.Duration,
 		"first_byte", out.FirstByte, "bytes_in", out.BytesIn, "bytes_out", out.BytesOut, "aborted", out.Aborted,
-		"nth", out.RequestNumber)
+		"nth", out.RequestNumber, "turn", out.TurnWait, "limit", out.Limit)
+}
+
+// ObserveLate implements caller.LateObserver.
+func (o observer) ObserveLate(l *caller.LateAnswer) {
+	waitedFor := "answer"
+	if l.TurnWait >= l.Limit {
+		waitedFor = "turn"
+	}
+	o.g.log.Warn("late answer", "id", l.ID, "route", l.Service, "limit", l.Limit, "took", l.Took, "turn", l.TurnWait, "waited_for", waitedFor, "status", l.Status)
+	if tel := o.g.opts.Telemetry; tel != nil {
+		tel.Scope().Tagged(map[string]string{"service": l.Service, "waited_for": waitedFor}).Counter("late_answers_total").Inc(1)
+	}
 }
 
 // logPlaced logs the target at which a request was placed, and the data behind that decision.
