Count a request's time from its arrival, not from its turn

What callers saw: of 24 requests that were sent at once on a connection with a timeout of 1 s, 51 of 72 were answered up to 3.87 s after they were sent; with four at a time, those that had been refused before their turn.

Cause: a request's time began when it was served. One that must wait for its turn, or was refused before it, began it anew then, and its target was told a time that ends after the caller's.

Change: the time begins when the request's last byte arrived, which the connection knows: it is read on while the requests before are served. Its objective, the time that targets are told and the lines of the log count from there too. One whose time is over in its turn is refused at once, as not run. Bytes that nobody could read, as those behind a body that waits, count as arrived when the connection was last read to its end.

--- a/caller/deadline.go
+++ b/caller/deadline.go
@@ -11,6 +11,7 @@
 var (
 	errBadDeadline    = fault.New(fault.BadRequest, "the deadline is neither milliseconds nor a duration such as 1.5s")
 	errDeadlinePassed = fault.New(fault.DeadlineUnmeetable, "the deadline had passed on arrival")
+	errTurnTooLate    = fault.New(fault.DeadlineUnmeetable, "the deadline passed while the request waited for those before it on its connection")
 )
 
 // timeLeft returns how long the request may wait for its answer to begin, at most the timeout
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -32,9 +32,9 @@
 	idValue, traceValue, forwardedValue [1]string
 	// outcome is passed to the observer.
 	outcome Outcome
-	began   time.Time
-	// turnWait is how long the request waited in its connection before began, and limit the time that it has for its answer,
-	// of its service and its caller; zero means no limit.
+	// began is when the request arrived, turnWait how long it then waited in its connection, and limit the time that it has for
+	// its answer, of its service and its caller; zero means no limit.
+	began           time.Time
 	turnWait, limit time.Duration
 	// requestNumber is the request's number on its connection, see Outcome.RequestNumber.
 	requestNumber int64
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -44,10 +44,11 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
 	x := &exchange{
-		handler: h, w: w, r: r, ctl: *http.NewResponseController(w), declared: -1, began: time.Now(),
+		handler: h, w: w, r: r, ctl: *http.NewResponseController(w), declared: -1, began: arrivalOf(w, r, now),
 	}
-	x.turnWait = x.began.Sub(arrivalOf(w, r, x.began))
+	x.turnWait = now.Sub(x.began)
 	if a := takePipelined(r); a != nil && a.deliver(x) {
 		return
 	}
@@ -76,7 +77,7 @@
 // serve checks whether the request can be accepted, extracts its fields and forwards it.
 func (x *exchange) serve(inFlight int64) *fault.Fault {
 	h := x.handler
-	x.meta.ID = requestID(x.r.Header, h.cfg.RequestIDHeader)
+	x.meta.ID, x.meta.Arrived = requestID(x.r.Header, h.cfg.RequestIDHeader), x.began
 	x.idValue[0] = x.meta.ID
 	x.w.Header()[h.cfg.RequestIDHeader] = x.idValue[:]
 	if inFlight > int64(h.cfg.MaxRequests) {
@@ -140,6 +141,11 @@
 	if left > 0 {
 		x.meta.Deadline = x.began.Add(left)
 	}
+	if left > 0 {
+		if left = time.Until(x.meta.Deadline); left <= 0 {
+			return nil, errTurnTooLate
+		}
+	}
 	x.attachContext()
 	if left > 0 {
 		if x.handler.cfg.LimitAnswers {
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -28,7 +28,8 @@
 		assert.Equal(t, path, "/stall-7/answers")
 		outcome := <-s.observer.outcomes
 		assert.Equal(t, got.Deadline, outcome.Began.Add(1500*time.Millisecond))
-		got.Deadline = time.Time{}
+		assert.Equal(t, got.Arrived, outcome.Began)
+		got.Arrived, got.Deadline = time.Time{}, time.Time{}
 		assert.DeepEqual(t, got, request.Meta{
 			ID: "id-1", Service: "faq-viewer", Model: 1, Key: "stall-7", Caller: "ramen-kai",
 			CallerLabels: map[string]string{"tier": "gold"}, Class: request.Batch, Repeatable: true,
--- a/caller/observer.go
+++ b/caller/observer.go
@@ -27,7 +27,7 @@
 	Fault *fault.Fault
 	// Aborted means that the caller's connection or stream was aborted.
 	Aborted bool
-	// Began is when the request's header had arrived. Duration is the time from then to the
+	// Began is when the request's header had arrived, however long it waited for its turn. Duration is the time from then to the
 	// end of the answer, and FirstByte the time to the beginning of the target's answer, or
 	// zero if there was none.
 	Began     time.Time
@@ -69,7 +69,7 @@
 // reportLate tells the observer if the answer of the request with the outcome, which x has sent, ended too late.
 func (x *exchange) reportLate(o *Outcome) {
 	observer, wanted := x.handler.observer.(LateObserver)
-	took := x.turnWait + time.Since(x.began)
+	took := time.Since(x.began)
 	if _, pipelined := x.w.(*pipelinedAnswer); !wanted || pipelined || o.Limit <= 0 || took < o.Limit+lateAfter {
 		return
 	}
--- a/caller/pipeline.go
+++ b/caller/pipeline.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
+
+	"tarragongw/internal/sockets"
 )
 
 const (
@@ -17,8 +20,8 @@
 	pipelineBufferBytes = 16 * kibibyte
 	// pipelineReadBytes is the size of a single read.
 	pipelineReadBytes = 4 * kibibyte
-	// immediateRead is how long a read takes at most if its bytes were there before.
-	immediateRead = time.Millisecond
+	// maxReadPause is the longest pause between two reads in which no bytes count as waiting.
+	maxReadPause = time.Millisecond
 )
 
 // pipeline starts the pipelined requests of an HTTP/1.1 connection, that is, those that the
@@ -37,8 +40,8 @@
 // with certainty.
 //
 // It also knows when the bytes of each request arrived, whether the request is started early or
-// not. They are read while the requests before it are served, up to pipelineBufferBytes; what
-// a caller sends beyond that counts as arrived when the reading paused.
+// not. They are read while the requests before it are served, up to pipelineBufferBytes. Bytes
+// that can't be read at once count as arrived when the connection had been read to its end.
 type pipeline struct {
 	conn *callerConn
 	// start starts a request before its turn, or returns nil if the request must wait for it.
@@ -57,8 +60,9 @@
 	currentLeft int
 	// arrivedAt is when the bytes arrived that were returned last.
 	arrivedAt time.Time
-	// pausedAt is when reading paused because the buffer was full; zero if it has not.
-	pausedAt time.Time
+	// readAt is when the last read from the connection ended, and drainedAt when there was nothing more to read for the
+	// last time; zero before the first read.
+	readAt, drainedAt time.Time
 	// scanned is the number of bytes in buffered that precede the next request to start.
 	// blocked means that this request must wait for its turn.
 	scanned int
@@ -152,25 +156,46 @@
 	return err
 }
 
-// readConn reads from the connection and returns when the bytes arrived.
+// readConn reads from the connection and returns when the bytes arrived. If they were there before the
+// read, that is at some time since drainedAt.
 func (p *pipeline) readConn(dst []byte) (n int, arrivedAt time.Time, err error) {
-	began := time.Now()
+	waited := p.bytesWait()
 	n, err = p.conn.Conn.Read(dst)
-	arrivedAt = time.Now()
-	if !p.pausedAt.IsZero() && arrivedAt.Sub(began) < immediateRead {
-		arrivedAt = p.pausedAt
+	p.readAt = time.Now()
+	arrivedAt = p.readAt
+	if waited {
+		arrivedAt = p.drainedAt
+	}
+	if !waited || err == nil && n < len(dst) {
+		p.drainedAt = p.readAt
 	}
-	p.pausedAt = time.Time{}
 	return n, arrivedAt, err
 }
 
+// bytesWait reports whether the connection has bytes that came while nobody read from it.
+func (p *pipeline) bytesWait() bool {
+	if p.readAt.IsZero() || p.drainedAt.Equal(p.readAt) && time.Since(p.readAt) < maxReadPause {
+		return false
+	}
+	socket, ok := p.conn.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	empty := true
+	err = raw.Control(func(fd uintptr) { empty = sockets.OpenAndEmpty(fd) })
+	return err == nil && !empty
+}
+
 // readAhead starts the requests that arrive behind the one being served, until the caller
 // closes the connection or the server interrupts the read by setting a deadline in the past.
 func (p *pipeline) readAhead(dst []byte) (int, error) {
 	for {
 		p.startBuffered()
 		if len(p.buffered.unused()) >= pipelineBufferBytes {
-			p.pausedAt = time.Now()
 			return p.readCurrent(dst) // the server does not read again before the end of the request
 		}
 		if err := p.readMore(); err != nil {
--- a/caller/shutdown.go
+++ b/caller/shutdown.go
@@ -119,7 +119,7 @@
 
 // noteState records since when the connection has been idle, and when the request arrived that is served next.
 func (c *callerConn) noteState(state http.ConnState) {
-	if c.pipeline != nil {
+	if c.pipeline != nil && !c.pipeline.raw {
 		c.pipeline.serving = state == http.StateActive
 		c.arrivedAt = c.pipeline.arrivedAt
 	}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -44,6 +44,8 @@
 	CallerLabels map[string]string
 	// Class is the priority class.
 	Class Class
+	// Arrived is when the request's header had arrived, which may be long before it could be served; zero if unknown.
+	Arrived time.Time
 	// Deadline is when the answer must have begun; the zero time means none.
 	Deadline time.Time
 	// Repeatable says whether the request may run more than once.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -41,7 +42,8 @@
 	service *service
 	key     *keyspace.Key
 	body    *replay.Body
-	began   time.Time
+	// began is when the request arrived.
+	began time.Time
 	// age is how long the caller has already waited in its earlier attempts.
 	age time.Duration
 	// sends counts how often the request was sent, sent remembers over which connections, and targets has the targets it was
@@ -111,7 +113,7 @@
 		return nil, fault.New(fault.NoOwner, "service "+name+" is not configured")
 	}
 	x := &exchange{
-		g: g, w: w, r: r, meta: meta, route: matched, service: s, body: replay.New(r, maxKeptBytes), began: time.Now(), targets: map[string]bool{},
+		g: g, w: w, r: r, meta: meta, route: matched, service: s, body: replay.New(r, maxKeptBytes), began: cmp.Or(meta.Arrived, time.Now()), targets: map[string]bool{},
 	}
 	x.age = g.callerAges.age(matched.Name, r.Header.Get(g.opts.Adapter.Headers.Deadline))
 	if s.byKey {
--- a/target/conn.go
+++ b/target/conn.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tarragongw/core/fault"
+	"tarragongw/internal/sockets"
 	"tarragongw/leasewrite"
 )
 
@@ -102,7 +103,7 @@
 		if sock, err := sc.SyscallConn(); err == nil {
 			c.sock = sock
 			c.leaseWriter, c.leaseExpiry = leasewrite.NewWriter(sock), c.expiryAfter
-			c.inspectSocket = func(fd uintptr) { c.socketClean = openAndEmpty(fd) }
+			c.inspectSocket = func(fd uintptr) { c.socketClean = sockets.OpenAndEmpty(fd) }
 		}
 	}
 	return c
--- a/target/peek_other.go
+++ /dev/null
@@ -1,7 +0,0 @@
-//go:build !unix
-
-package target
-
-// openAndEmpty can't inspect a socket on this system, so it always reports true. A stale
-// connection is then detected only when a write or read on it fails.
-func openAndEmpty(uintptr) bool { return true }
