Hold answers that must end in time back until they are whole

What callers saw: where a target sent the head of an answer and nothing else, a closed connection 0.36 s after the route's timeout; where it sent half of a short body, 200 with that half. Both had 0.4 s of grace first, in which nothing came.

Cause: an answer counted as begun with the head that its target had sent. From then on the deadline bounded nothing, and no other answer could be given, although the caller had nothing that is of use, or nothing at all.

Change: with serve, an answer of a request with a deadline begins when it is whole, or with the first byte beyond 64 KiB (of a longer one that says so, with its first byte). What isn't whole by the deadline is replaced by 504. Event streams, answers that say X-Accel-Buffering: no and those that announce trailers pass as before. A whole short answer is sent in one write; what was cut off at the deadline is logged as that, and its target no longer suspected of a crash.

--- a/caller/copy.go
+++ b/caller/copy.go
@@ -23,8 +23,9 @@
 // values are shared with resp, not copied.
 //
 // It returns a fault of kind AnswerTruncated if the answer broke off or does not have the
-// length it declared, and CallerGone if writing to w failed. In both cases the header was
-// already written, so the connection behind w must be aborted.
+// length it declared, DeadlineExceeded if the request's time was over before its end, and
+// CallerGone if writing to w failed. In all cases the header was already written, so the
+// connection behind w must be aborted.
 func CopyAnswer(w http.ResponseWriter, resp *http.Response) *fault.Fault {
 	defer resp.Body.Close()
 	announced := copyHeader(w.Header(), resp)
@@ -106,13 +107,18 @@
 
 const eventStream = "text/event-stream"
 
-// wantsFlush reports whether the answer is a stream, each part of which is flushed as it
-// arrives.
+// wantsFlush reports whether each part of the answer is flushed as it arrives.
 func wantsFlush(resp *http.Response) bool {
-	if resp.ContentLength == -1 {
+	return resp.ContentLength == -1 || isStream(resp.Header)
+}
+
+// isStream reports whether the parts of an answer are of use to the caller as they arrive: it is an
+// event stream, or asks proxies not to buffer it.
+func isStream(header http.Header) bool {
+	if values := header["X-Accel-Buffering"]; len(values) > 0 && values[0] == "no" {
 		return true
 	}
-	mediaType := resp.Header.Get("Content-Type")
+	mediaType := header.Get("Content-Type")
 	if len(mediaType) < len(eventStream) || !strings.EqualFold(mediaType[:len(eventStream)], eventStream) {
 		return false // avoids the parser and its allocation of a map for nearly all answers
 	}
@@ -132,8 +138,8 @@
 	return fault.New(fault.AnswerTruncated, "the target's answer does not have the length it declared")
 }
 
-// readFault distinguishes a caller that closed the connection, which cancels the request's
-// context and so the read, from an answer that broke off.
+// readFault distinguishes a caller that closed the connection and a deadline that passed, which
+// end the request's context and so the read, from an answer that broke off.
 func readFault(resp *http.Response, err error) *fault.Fault {
 	cause := err
 	if resp.Request != nil {
@@ -142,6 +148,9 @@
 	if errors.Is(cause, context.Canceled) {
 		return ranFully(fault.Wrap(fault.CallerGone, err, "while the answer was read"))
 	}
+	if errors.Is(cause, context.DeadlineExceeded) {
+		return ranFully(fault.Wrap(fault.DeadlineExceeded, err, "while the answer was read"))
+	}
 	return fault.Wrap(fault.AnswerTruncated, err, "")
 }
 
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -134,9 +134,7 @@
 	if x.status == 0 {
 		x.WriteHeader(http.StatusOK)
 	}
-	if x.held != nil {
-		x.held.body = append(x.held.body, p...)
-		x.written += int64(len(p))
+	if x.held != nil && x.hold(p) {
 		return len(p), nil
 	}
 	if !x.buffered(len(p)) {
