Share the processor between the parts of long bodies

Cause: a body whose reader and writer are fast never waits, so that each kept the processor for a turn of the scheduler, 10 ms, and the timers and requests behind them came some hundred turns later. Of the half second, 0.4 s were given to answers that had begun.

Change: a long body, of an answer or a request, yields the processor after each part. An answer that has begun has 0.2 s after its deadline.

--- a/caller/copy.go
+++ b/caller/copy.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,7 +15,12 @@
 	"tarragongw/core/fault"
 )
 
-const copyBufferBytes = 32 * kibibyte
+const (
+	copyBufferBytes = 32 * kibibyte
+	// yieldAfterBytes is how much of an answer is copied before the other requests of the process get the processor between the
+	// parts. Otherwise a few long answers at full speed would keep it for 10 ms each.
+	yieldAfterBytes = 64 * kibibyte
+)
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
@@ -87,6 +93,9 @@
 		if readErr != nil {
 			return readFault(resp, readErr)
 		}
+		if total > yieldAfterBytes {
+			runtime.Gosched()
+		}
 	}
 }
 
--- a/cmd/tarragongw/timeout_run_test.go
+++ b/cmd/tarragongw/timeout_run_test.go
@@ -25,9 +25,10 @@
 
 // Flags of longer runs, see the Makefile.
 var (
-	timeoutRounds  = flag.Int("timeout.rounds", 1, "how often TestRequestsEndSoonAfterTheirRoutesTimeout sends each kind of request")
+	timeoutRounds  = flag.Int("timeout.rounds", 1, "how often the tests of timeouts send each kind of request")
+	timeoutCopies  = flag.Int("timeout.copies", 1, "how many of each they send at the same time")
 	timeoutSeed    = flag.Uint64("timeout.seed", 1, "the seed of the order of these requests")
-	timeoutRouters = flag.Int("timeout.routers", 3, "how many routers get them")
+	timeoutRouters = flag.Int("timeout.routers", 3, "how many routers they have")
 	timeoutLogs    = flag.String("timeout.logs", "", "the folder for the logs of a failed run; empty for none")
 )
 
@@ -138,7 +139,7 @@
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":16777216,"header_timeout":"3000ms","idle_timeout":"15000ms"}}`, version, strings.Join(routes, ","))
 }
 
-func newTimeoutRun(t *testing.T, routers int) *timeoutRun {
+func newTimeoutRun(t *testing.T, routers, cores int) *timeoutRun {
 	t.Helper()
 	r := &timeoutRun{system: &system{t: t, bin: t.TempDir(), store: platformtest.NewStore(), bounds: configBounds}}
 	t.Cleanup(r.store.Close)
@@ -161,7 +162,7 @@
 		r.targets = append(r.targets, target)
 	}
 	for i, block := range freePortBlocks(t, routers) {
-		r.start(fmt.Sprintf("edge-%d", i), block)
+		onCores(t, cores, func() { r.start(fmt.Sprintf("edge-%d", i), block) })
 	}
 	for _, p := range r.routers {
 		eventually(t, p.name+" serves", func() bool { return r.getPath(p, "/read/whole", 0) == http.StatusOK })
@@ -242,7 +243,7 @@
 	_, _ = io.WriteString(conn, "0\r\n\r\n")
 }
 
-// round asks each router once in all ways for all kinds of answers.
+// round asks each router in all ways for all kinds of answers.
 func (r *timeoutRun) round(random *rand.Rand) {
 	var asking sync.WaitGroup
 	later := func(p *process, how way, path, kind string) {
@@ -252,7 +253,8 @@
 			r.ask(p, how, path, kind)
 		})
 	}
-	for _, p := range r.routers {
+	for i := range *timeoutCopies * len(r.routers) {
+		p := r.routers[i%len(r.routers)]
 		for _, how := range ways {
 			for _, a := range brokenAnswers {
 				later(p, how, "/"+how.route+"/"+strings.ReplaceAll(a.kind, " ", "-"), a.kind)
@@ -287,10 +289,10 @@
 	return found
 }
 
-// Guards against requests that have no final answer soon after the timeout of their route, whatever their target does and whatever
-// they wait for.
-func TestRequestsEndSoonAfterTheirRoutesTimeout(t *testing.T) {
-	r := newTimeoutRun(t, *timeoutRouters)
+// runTimeouts asks routers that share so many cores, and fails if any request has no final answer in time.
+func runTimeouts(t *testing.T, cores int) {
+	t.Helper()
+	r := newTimeoutRun(t, *timeoutRouters, cores)
 	random := rand.New(rand.NewPCG(*timeoutSeed, 0))
 	for range *timeoutRounds {
 		r.round(random)
@@ -304,3 +306,10 @@
 	}
 	assert.Equal(t, len(found), 0, "%s", strings.Join(found[:min(len(found), 200)], "\n"))
 }
+
+// Guards against requests that have no final answer soon after the timeout of their route, whatever their target does and whatever
+// they wait for.
+func TestRequestsEndSoonAfterTheirRoutesTimeout(t *testing.T) { runTimeouts(t, 0) }
+
+// Guards against long bodies that keep the processor from requests whose time is over.
+func TestRequestsEndSoonAfterTheirRoutesTimeoutOnOneCore(t *testing.T) { runTimeouts(t, 1) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -159,7 +159,7 @@
 const answerMargin = 40 * time.Millisecond
 
 // answerGrace is for how long after its deadline an answer that has begun may go on.
-const answerGrace = 400 * time.Millisecond
+const answerGrace = 200 * time.Millisecond
 
 func (g *Gateway) listen() error {
 	for _, l := range []struct {
--- a/target/conn.go
+++ b/target/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -295,6 +296,9 @@
 				return total, writeErr
 			}
 		}
+		if total > yieldAfterBytes {
+			runtime.Gosched()
+		}
 		if err == io.EOF {
 			return total, nil
 		}
@@ -306,6 +310,10 @@
 
 const copyBufferSize = 32 << 10
 
+// yieldAfterBytes is how much of a body is copied before the other requests of the process get the processor between the
+// parts. Otherwise a few long bodies at full speed would keep it for 10 ms each.
+const yieldAfterBytes = 64 << 10
+
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
 // reusable reports whether an idle connection may be used again: the target has neither
