End writes to callers that don't read soon after the deadline

What callers saw: an answer of which its caller read nothing stayed open for 30 s, beside a route's timeout of 0.3 s; its target was cut off in time, but the requests behind it on the connection were not answered and its memory was not freed.

Cause: the deadline ended the read from the target; a write to the caller had a bound of its own, that of progress.

Change: where answers end by a deadline, a write ends with the grace after it, or 0.2 s after it began for a whole answer whose turn comes later.

--- a/caller/config.go
+++ b/caller/config.go
@@ -71,10 +71,11 @@
 	// it pipelined behind the late one. It does not apply to a request with less than twice
 	// this time left.
 	DeadlineMargin time.Duration
-	// LimitAnswers has an answer that has begun end AnswerGrace after the request's deadline, so that the caller sees
-	// that it is incomplete. Otherwise an answer may go on for as long as it makes progress.
+	// LimitAnswers has answers end by the request's deadline: short ones begin only once they are whole, and one that
+	// has begun is cut off AnswerGrace after the deadline. Otherwise an answer may go on for as long as it makes progress.
 	LimitAnswers bool
-	AnswerGrace  time.Duration
+	// AnswerGrace leaves time for long answers that are nearly whole. Default 200 ms.
+	AnswerGrace time.Duration
 	// MaxPipelined is the number of pipelined requests of one clear-text connection that are
 	// served before their turn, see pipeline. Zero serves the requests of a connection one
 	// after the other.
@@ -114,6 +115,7 @@
 	orDefault(&c.BodyWindow, 30*time.Second)
 	orDefault(&c.BodyWindowBytes, 4*kibibyte)
 	orDefault(&c.AnswerWindow, 30*time.Second)
+	orDefault(&c.AnswerGrace, 200*time.Millisecond)
 	orDefault(&c.DrainBytes, mebibyte)
 	orDefault(&c.DrainTimeout, 2*time.Second)
 	orDefault(&c.MaxRequests, 16384)
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -111,7 +111,17 @@
 	if x.writeTimeout.setDeadline == nil {
 		x.writeTimeout.setDeadline = x.ctl.SetWriteDeadline
 	}
-	x.writeTimeout.start(time.Now(), x.handler.cfg.AnswerWindow)
+	x.writeTimeout.start(time.Now(), x.answerWindow())
+}
+
+// answerWindow returns for how long from now on the caller may take no byte of its answer.
+func (x *exchange) answerWindow() time.Duration {
+	cfg := &x.handler.cfg
+	if !cfg.LimitAnswers || x.meta.Deadline.IsZero() {
+		return cfg.AnswerWindow
+	}
+	// A whole answer whose turn comes after its deadline has the grace, too.
+	return min(cfg.AnswerWindow, max(time.Until(x.meta.Deadline), 0)+cfg.AnswerGrace)
 }
 
 // buffered reports whether a write of n bytes stays in the buffer of net/http, so that it
@@ -125,7 +135,7 @@
 // clears it before the next request.
 func (x *exchange) boundFinalFlush() {
 	if x.status != 0 {
-		_ = x.ctl.SetWriteDeadline(time.Now().Add(x.handler.cfg.AnswerWindow))
+		_ = x.ctl.SetWriteDeadline(time.Now().Add(x.answerWindow()))
 	}
 }
 
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -147,6 +147,9 @@
 		}
 	}
 	x.attachContext()
+	if a, pipelined := x.w.(*pipelinedAnswer); pipelined {
+		a.setDeadline(x.meta.Deadline)
+	}
 	if left > 0 {
 		if x.handler.cfg.LimitAnswers {
 			x.ctx.LimitAnswer(x.handler.cfg.AnswerGrace)
--- a/caller/pipelined.go
+++ b/caller/pipelined.go
@@ -30,6 +30,8 @@
 
 	mu      sync.Mutex
 	changed *sync.Cond
+	// deadline is that of the request; zero if it has none.
+	deadline time.Time
 	// status is zero until the final header was written; sentHeader is a copy of the header as
 	// it was then.
 	status     int
@@ -112,6 +114,13 @@
 	a.changed.Broadcast()
 }
 
+// setDeadline sets the deadline of the request.
+func (a *pipelinedAnswer) setDeadline(deadline time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deadline = deadline
+}
+
 // Header implements http.ResponseWriter.
 func (a *pipelinedAnswer) Header() http.Header { return a.header }
 
@@ -160,6 +169,7 @@
 	if a.refused {
 		return false
 	}
+	x.meta.Deadline = a.deadline
 	if status == 0 {
 		abort(x.r) // the caller closed the connection, or the handler wrote no answer
 	}
--- a/caller/slow_test.go
+++ b/caller/slow_test.go
@@ -193,3 +193,16 @@
 		time.Sleep(2 * window)
 	}
 }
+
+// Guards against answers that block for AnswerWindow after their request's time is over, as their caller reads nothing.
+func TestUnreadAnswerIsCutAtItsDeadline(t *testing.T) {
+	s := startServer(t, Config{LimitAnswers: true}, func(w http.ResponseWriter, r *http.Request, _ *request.Meta) *fault.Fault {
+		return CopyAnswer(w, &http.Response{StatusCode: 200, ContentLength: largeBytes, Body: io.NopCloser(io.LimitReader(zeros{}, largeBytes)), Request: r})
+	})
+	onBothVersions(t, func(t *testing.T, c *http.Client) {
+		do(t, c, "GET", s.url+"/faq/k/a", nil, "X-Deadline", "300")
+		outcome := <-s.observer.outcomes
+		assert.Assert(t, outcome.Aborted && outcome.BytesOut < largeBytes)
+		assert.Assert(t, outcome.Duration < 2*time.Second, "after %v", outcome.Duration)
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,7 +142,7 @@
 		RequestIDHeader:  http.CanonicalHeaderKey(g.opts.Adapter.Headers.RequestID),
 		OmitAddedHeaders: true, FractionalRetryAfter: true, StatusImpliesNotRun: true, CloseAfterAnswer: g.stopping.Load, Logger: g.log,
 		BeforeRouting: g.configFresh.await, MaxPipelined: lookAhead, DeadlineMargin: answerMargin,
-		LimitAnswers: true, AnswerGrace: answerGrace,
+		LimitAnswers: true,
 	}
 	if limits != nil {
 		c.ReadHeaderTimeout, c.IdleTimeout, c.MaxHeaderBytes = limits.HeaderTimeout, limits.IdleTimeout, limits.HeaderBytes
@@ -158,9 +158,6 @@
 // way to a caller in another region and a short wait for this router's processor.
 const answerMargin = 40 * time.Millisecond
 
-// answerGrace is for how long after its deadline an answer that has begun may go on.
-const answerGrace = 200 * time.Millisecond
-
 func (g *Gateway) listen() error {
 	for _, l := range []struct {
 		address string
