Keep the part of a split for a request that is served in its turn

What callers saw: on a route that is split by halves, the part with room got 0.68 of the requests while the other was short of room, where callers send seven at a time (CONFIG: what doesn't fit may be rejected, not moved).

Cause: a request that is refused before its turn on its connection is served again in it, as if it were new: a service was drawn for it once more, and it counted twice for the retries that its service may have, and for the load of its key.

Change: the choice goes with the request, as its arrival does. It is drawn again only if the configuration has changed and the route doesn't go there any more.

--- a/caller/pipelined.go
+++ b/caller/pipelined.go
@@ -167,6 +167,7 @@
 	defer a.cancelRequest()
 	status := a.awaitStatus()
 	if a.refused {
+		x.meta.Part = a.outcome.Meta.Part
 		return false
 	}
 	x.meta.Deadline = a.deadline
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -26,7 +26,7 @@
 }
 
 // Meta holds the properties of a request that the router extracted when it received it
-// from the caller. It is immutable except for Attempts.
+// from the caller. It is immutable except for Part and Attempts.
 type Meta struct {
 	// ID identifies the request in logs and explanations.
 	ID string
@@ -35,6 +35,9 @@
 	// Model is the revision of the model by which the service was found; zero if unknown. A later one may use the name for
 	// something else.
 	Model uint64
+	// Part is the service that was chosen among those over which the route is split; empty before the choice. A request
+	// that is refused before its turn on its connection has the choice still when it is served in its turn.
+	Part string
 	// Key is the key by which the request is routed; empty if the service doesn't divide its
 	// work by key.
 	Key string
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -75,7 +75,6 @@
 	if f != nil {
 		return f
 	}
-	x.service.countRequest()
 	x.body.RewindInto(x.r)
 	for {
 		f := x.attempt()
@@ -104,13 +103,13 @@
 	if limit := v.config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
 		return nil, fault.New(fault.TooLarge, "the body is longer than the configuration allows")
 	}
-	name, ok := matched.nextService()
-	if !ok {
+	isNew := meta.Part == ""
+	if !matched.choosePart(meta) {
 		return nil, fault.New(fault.NoOwner, "the route has no service with a weight")
 	}
-	s := g.service(name)
+	s := g.service(meta.Part)
 	if s == nil {
-		return nil, fault.New(fault.NoOwner, "service "+name+" is not configured")
+		return nil, fault.New(fault.NoOwner, "service "+meta.Part+" is not configured")
 	}
 	x := &exchange{
 		g: g, w: w, r: r, meta: meta, route: matched, service: s, body: replay.New(r, maxKeptBytes), began: cmp.Or(meta.Arrived, time.Now()), targets: map[string]bool{},
@@ -122,13 +121,23 @@
 			return nil, f
 		}
 		x.key = key
-		s.keyLoad.add(*key)
+	}
+	if isNew {
+		x.count()
 	}
 	x.guarded = g.newGuardRequest(x)
 	keepRequestURI(r)
 	return x, nil
 }
 
+// count counts the request for its service, and for its key's load.
+func (x *exchange) count() {
+	x.service.countRequest()
+	if x.key != nil {
+		x.service.keyLoad.add(*x.key)
+	}
+}
+
 // keepRequestURI makes net/http send the request's path and query as the caller wrote them. Parsing
 // and encoding them again could turn an unusual escape into another path.
 func keepRequestURI(r *http.Request) {
--- a/gateway/view.go
+++ b/gateway/view.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"tarragongw/core/model"
+	"tarragongw/core/request"
 	"tarragongw/core/routes"
 )
 
@@ -23,14 +25,21 @@
 	splitter *routes.Splitter
 }
 
-// nextService returns the service for the next request; false if there is none.
-func (r *route) nextService() (string, bool) {
+// choosePart sets the service of a request, unless it has one of the route already. It returns false if there is none.
+func (r *route) choosePart(meta *request.Meta) bool {
+	keeps := func(s routes.Share) bool { return s.Service == meta.Part && s.Weight > 0 }
+	if meta.Part != "" && slices.ContainsFunc(r.Shares, keeps) {
+		return true
+	}
 	if len(r.Shares) == 1 {
-		return r.Shares[0].Service, true
+		meta.Part = r.Shares[0].Service
+		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.splitter.Next()
+	part, found := r.splitter.Next()
+	meta.Part = part
+	return found
 }
 
 func newView(c *routes.Config, random *rand.Rand) *view {
