--- a/peer/relay/server.go
+++ b/peer/relay/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -219,6 +220,7 @@
 			c.far.Close()
 			return err
 		}
+		yieldAfter(n)
 	}
 }
 
@@ -245,6 +247,15 @@
 		case err != nil:
 			return err
 		}
+		yieldAfter(n)
+	}
+}
+
+// yieldAfter lets other requests have the processor after a read of n bytes that is part of a long body: at full speed its
+// copying would keep it for 10 ms.
+func yieldAfter(n int) {
+	if n == maxFrameData {
+		runtime.Gosched()
 	}
 }
 
