Bound the answers that are held back, all together

Parts of answers that must end in time are kept until the answer is whole, 64 KiB of each: with thousands in flight that would exceed the memory of a VM. 16 MiB of all together are held back; beyond that, answers begin before they are whole, as before.

TestHeldAnswersAreBoundedTogether.

--- a/caller/config.go
+++ b/caller/config.go
@@ -74,6 +74,9 @@
 	// LimitAnswers has answers end by the request's deadline: short ones begin only once they are whole, and one that
 	// has begun is cut off AnswerGrace after the deadline. Otherwise an answer may go on for as long as it makes progress.
 	LimitAnswers bool
+	// MaxHeldBytes bounds the parts of answers that are held back, of all requests together; beyond it answers begin
+	// before they are whole. Default 16 MiB.
+	MaxHeldBytes int64
 	// AnswerGrace leaves time for long answers that are nearly whole. Default 200 ms.
 	AnswerGrace time.Duration
 	// MaxPipelined is the number of pipelined requests of one clear-text connection that are
@@ -116,6 +119,7 @@
 	orDefault(&c.BodyWindowBytes, 4*kibibyte)
 	orDefault(&c.AnswerWindow, 30*time.Second)
 	orDefault(&c.AnswerGrace, 200*time.Millisecond)
+	orDefault(&c.MaxHeldBytes, 16*mebibyte)
 	orDefault(&c.DrainBytes, mebibyte)
 	orDefault(&c.DrainTimeout, 2*time.Second)
 	orDefault(&c.MaxRequests, 16384)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -19,6 +19,8 @@
 	observer  Observer
 	rules     atomic.Pointer[ruleSet]
 	inFlight  atomic.Int64
+	// heldBytes is the length of all parts of answers that are held back.
+	heldBytes atomic.Int64
 	// stopping means that new requests are refused.
 	stopping atomic.Bool
 }
--- a/caller/heldanswer.go
+++ b/caller/heldanswer.go
@@ -46,7 +46,7 @@
 func (x *exchange) hold(part []byte) bool {
 	body := x.held.body
 	whole := body == nil && int64(len(part)) == x.declared
-	if whole || x.declared > maxHeldBytes || len(body)+len(part) > maxHeldBytes {
+	if whole || x.declared > maxHeldBytes || len(body)+len(part) > maxHeldBytes || !x.handler.reserveHeld(len(part)) {
 		x.releaseHeld()
 		return false
 	}
@@ -58,10 +58,26 @@
 	return true
 }
 
-// releaseHeld begins the answer with what was held back.
-func (x *exchange) releaseHeld() {
+// reserveHeld counts n more bytes that are held back, unless these are too many.
+func (h *Handler) reserveHeld(n int) bool {
+	if h.heldBytes.Add(int64(n)) <= h.cfg.MaxHeldBytes {
+		return true
+	}
+	h.heldBytes.Add(-int64(n))
+	return false
+}
+
+// takeHeld ends the holding back and returns what was held.
+func (x *exchange) takeHeld() *heldAnswer {
 	held := x.held
+	x.handler.heldBytes.Add(-int64(len(held.body)))
 	x.held, x.written = nil, 0
+	return held
+}
+
+// releaseHeld begins the answer with what was held back.
+func (x *exchange) releaseHeld() {
+	held := x.takeHeld()
 	x.beginAnswer(x.status)
 	x.w.WriteHeader(x.status)
 	if len(held.body) == 0 {
@@ -82,7 +98,7 @@
 		x.releaseHeld()
 		return nil
 	}
-	x.held, x.written = nil, 0
+	x.takeHeld()
 	x.status, x.direct = 0, true
 	if f.Kind == fault.AnswerTruncated && x.ctx != nil && x.ctx.Expired() {
 		timedOut := *f
--- a/caller/heldanswer_test.go
+++ b/caller/heldanswer_test.go
@@ -12,6 +12,7 @@
 
 	"tarragongw/core/fault"
 	"tarragongw/core/request"
+	"tarragongw/internal/waittest"
 )
 
 // stalledAnswer is a target's answer that has the given part of its body, and then nothing until the request ends.
@@ -96,3 +97,24 @@
 		assert.Equal(t, resp.Header.Get("X-Sum"), "")
 	}
 }
+
+// Guards against answers that are held back and together fill the memory.
+func TestHeldAnswersAreBoundedTogether(t *testing.T) {
+	const limit = 4 * kibibyte
+	s := startServer(t, Config{LimitAnswers: true, MaxHeldBytes: limit}, func(w http.ResponseWriter, r *http.Request, _ *request.Meta) *fault.Fault {
+		return CopyAnswer(w, stalledAnswer(r, strings.Repeat("b", limit/2), limit, http.Header{}))
+	})
+	c := newClient(t, 1)
+	for range 2 {
+		go func() {
+			if resp, err := c.Get(s.url + "/faq/k/a"); err == nil {
+				resp.Body.Close()
+			}
+		}()
+	}
+	waittest.Until(t, "the bound is reached", func() bool { return s.server.heldBytes.Load() == limit })
+	resp := do(t, c, "GET", s.url+"/faq/k/a", nil, "X-Deadline", "5000")
+	_, err := io.ReadFull(resp.Body, make([]byte, limit/2))
+	assert.NilError(t, err)
+	assert.Equal(t, s.server.heldBytes.Load(), int64(limit))
+}
