Send nothing in a planned stop that may not end before it

Cause: a router that stops takes requests on for 2.9 s whatever they take, and cuts off at 5.3 s what has not ended. The same goes for one that waited for room, and for a second send.

Change: each route's longest work of the last half minute is known. In a stop a request is sent only if its deadline, or that time and an eighth, comes before the end; else it is refused as not run, before it waits for a place and again right before its first byte.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -156,19 +156,28 @@
 	if f := x.g.guard.Check(&x.guarded); f != nil {
 		return f
 	}
+	if f := x.g.stopEnd.check(x.route.Name, x.meta.Deadline); f != nil {
+		x.logRefused(f, 0)
+		return f
+	}
 	x.g.sends.await(x.r.Context())
 	x.table, _ = x.service.currentTable()
 	began := time.Now()
 	d, f := x.placeWithPermit()
 	if f != nil {
-		x.g.log.Info("refused", "id", x.meta.ID, "service", x.service.name, "config", x.route.version, "waited", time.Since(began),
-			"kind", f.Kind, "detail", f.Detail, "retry_after", f.Wait())
+		x.logRefused(f, time.Since(began))
 		return f
 	}
 	x.g.logPlaced(x, &d, time.Since(began))
 	return x.send(&d)
 }
 
+// logRefused logs that the request got no place.
+func (x *exchange) logRefused(f *fault.Fault, waited time.Duration) {
+	x.g.log.Info("refused", "id", x.meta.ID, "service", x.service.name, "config", x.route.version, "waited", waited,
+		"kind", f.Kind, "detail", f.Detail, "retry_after", f.Wait())
+}
+
 // dispatchRequest describes the request for placement.
 func (x *exchange) dispatchRequest() dispatch.Request {
 	q := dispatch.Request{
@@ -220,6 +229,7 @@
 		x.recordFailure(began, d, f)
 	} else if result == dispatch.Answered {
 		x.g.guard.Answered(&x.guarded)
+		x.g.stopEnd.record(x.route.Name, time.Since(began))
 	}
 	return f
 }
@@ -256,6 +266,9 @@
 
 // beforeRequest is called right before the request is written. It returns a fault if the request may not be sent now.
 func (x *exchange) beforeRequest(d *dispatch.Decision) *fault.Fault {
+	if f := x.g.stopEnd.check(x.route.Name, x.meta.Deadline); f != nil {
+		return f
+	}
 	if f := x.g.sends.check(&d.Target); f != nil {
 		return f
 	}
@@ -290,7 +303,7 @@
 	switch {
 	case errors.Is(f, errPathLost):
 		return dispatch.Abandoned
-	case f.Kind == fault.CallerGone, f.Kind == fault.DeadlineUnmeetable, f.Kind == fault.Quarantined:
+	case f.Kind == fault.CallerGone, f.Kind == fault.DeadlineUnmeetable, f.Kind == fault.Quarantined, f.Kind == fault.Stopping:
 		return dispatch.Abandoned
 	case f.Kind == fault.DeadlineExceeded:
 		return dispatch.TimedOut
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,7 @@
 	contacts            *contacts
 	succession          succession
 	sizes               sizes
+	stopEnd             stopEnd
 	callerAges          callerAges
 	guard               *crashguard.Guard
 	statements          *statements
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -22,13 +22,15 @@
 // requests that were cut off.
 func (g *Gateway) Stop() (cut int) {
 	began := time.Now()
+	end := began.Add(fraction(g.opts.Grace, drainShare))
+	g.stopEnd.set(end)
 	g.stopping.Store(true)
 	g.log.Info("stopping", "grace", g.opts.Grace)
 	g.paths.leave()
 	g.relayServer.Leave()
 	down := &stepDown{finished: make(chan struct{})}
 	g.leader.duty.Tell(down)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(fraction(g.opts.Grace, drainShare)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	acceptEnd := time.After(acceptTime(g.opts.Grace))
 	select {
