--- a/Makefile
+++ b/Makefile
@@ -88,6 +88,13 @@
 soak-config:
 	$(GO) test ./cmd/tarragongw -run TestChangesAreInForceInTimeBesideDisturbedConnections -count=1 -timeout 120m -v -config.seeds=$(SEEDS)
 
+# soak-timeouts runs real router processes on one core beside targets whose answers don't end and planned stops in series, each
+# ROUNDS times.
+.PHONY: soak-timeouts
+soak-timeouts:
+	$(GO) test ./cmd/tarragongw -run "TestRequestsEndSoon|TestEndlessAnswers|TestPlannedStopCutsNothingOff" -count=1 -timeout 120m -v \
+		-timeout.rounds=$(ROUNDS) -endless.for=60s -stop.rounds=$(ROUNDS) -stop.cores=1
+
 # fuzz runs each fuzz target for FUZZTIME on FUZZERS workers.
 .PHONY: fuzz
 FUZZTIME ?= 10s
--- a/cmd/tarragongw/timeout_run_test.go
+++ b/cmd/tarragongw/timeout_run_test.go
@@ -95,9 +95,12 @@
 	name, method, route string
 	pipelined           int
 	hasDeadline         bool
-	// body is the length of each body in bytes. slowly is the time over which it is sent, in chunks; zero for at once.
+	// body is the length of each body in bytes. slowly is the time over which it is sent, in chunks; zero for at once, negative
+	// for never.
 	body   int
 	slowly time.Duration
+	// expects has the caller wait for 100 Continue.
+	expects bool
 }
 
 var ways = []way{
@@ -106,6 +109,8 @@
 	{name: "four GETs at once", method: http.MethodGet, route: "read", pipelined: 4, hasDeadline: true},
 	{name: "POST", method: http.MethodPost, route: "pay", pipelined: 1, hasDeadline: true, body: 300},
 	{name: "slow POST", method: http.MethodPost, route: "pay", pipelined: 1, hasDeadline: true, body: 6000, slowly: 6 * time.Second},
+	{name: "POST without its body", method: http.MethodPost, route: "pay", pipelined: 1, hasDeadline: true, body: 300, slowly: -1},
+	{name: "POST that expects to continue", method: http.MethodPost, route: "pay", pipelined: 1, hasDeadline: true, body: 300, slowly: -1, expects: true},
 	{name: "upload", method: http.MethodPost, route: "pay", pipelined: 1, hasDeadline: true, body: 8 << 20},
 }
 
@@ -207,6 +212,9 @@
 		case how.body > 0:
 			fmt.Fprintf(&heads, "Content-Length: %d\r\n", how.body)
 		}
+		if how.expects {
+			heads.WriteString("Expect: 100-continue\r\n")
+		}
 		heads.WriteString("\r\n")
 	}
 	sent := time.Now()
@@ -216,7 +224,11 @@
 	in := bufio.NewReader(conn)
 	for _, id := range ids {
 		a := finalAnswer{id: id, kind: kind, way: how.name}
-		if resp, err := http.ReadResponse(in, nil); err == nil {
+		resp, err := http.ReadResponse(in, nil)
+		for err == nil && resp.StatusCode < http.StatusOK {
+			resp, err = http.ReadResponse(in, nil)
+		}
+		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
 			a.status, a.whole = resp.StatusCode, err == nil
 		}
@@ -229,7 +241,10 @@
 
 // sendBody sends the body of a request until the connection ends.
 func sendBody(conn net.Conn, how way) {
-	if how.slowly == 0 {
+	switch {
+	case how.slowly < 0:
+		return
+	case how.slowly == 0:
 		_, _ = conn.Write(make([]byte, how.body)) // the router may close the connection before
 		return
 	}
