Count each bound that an answer exceeds

Only heads and answers to orders had one, and a head of many lines had none where the line that was cut off looked malformed.

TestEndlessBytesInAHeadEndTheAttempt checks them; it failed for lines of a head.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -11,8 +11,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/internal/waittest"
 	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
+	"tarragongw/telemetry"
 )
 
 // writeEndlessly makes the target answer with a head and then with the same bytes again and again, until its caller closes the
@@ -49,21 +51,30 @@
 
 // Guards against bytes that are no answer, come without end, and are read until the deadline or for good.
 func TestEndlessBytesInAHeadEndTheAttempt(t *testing.T) {
-	for name, bytes := range map[string]struct{ head, again string }{
-		"no answer":          {"", "z"},
-		"a line of the head": {"HTTP/1.1 200 OK\r\nX-Fill: ", "a"},
-		"lines of the head":  {"HTTP/1.1 200 OK\r\n", "X-Fill: a\r\n"},
-		"interim answers":    {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-		"another's answer":   {"HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n"},
+	for name, bytes := range map[string]struct{ head, again, bound string }{
+		"no answer":          {"", "z", ""},
+		"a line of the head": {"HTTP/1.1 200 OK\r\nX-Fill: ", "a", "answer_head"},
+		"lines of the head":  {"HTTP/1.1 200 OK\r\n", "X-Fill: a\r\n", "answer_head"},
+		"interim answers":    {"", "HTTP/1.1 103 Early Hints\r\n\r\n", "interim_answers"},
+		"another's answer": {
+			"HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n", "earlier_answers",
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, 1, plainConfig, plainTarget("a"))
+			f := newFleet(t, 0, plainConfig, plainTarget("a"))
+			f.metrics = telemetry.New(telemetry.Config{Interval: time.Millisecond})
+			t.Cleanup(func() { assert.Check(t, f.metrics.Close()) })
+			waittest.Until(t, "the gateway is ready", f.start("router-0").synced.Load)
 			closed := writeEndlessly(f.targets["a"], func(string) string { return bytes.head }, bytes.again)
 			began := time.Now()
 			got := f.send(f.gateways[0], call{method: http.MethodPost, path: "/pay/1", key: -1, body: "body"})
 			assert.Equal(t, got.status, http.StatusBadGateway, "%v %v", got.err, time.Since(began))
 			assert.Assert(t, time.Since(began) < 900*time.Millisecond, "after %v", time.Since(began))
 			assertClosed(t, closed)
+			if bytes.bound != "" {
+				counted := fmt.Sprintf("tarragongw_answer_bounds_exceeded_total{bound=%q}", bytes.bound)
+				waittest.Until(t, "the bound is counted", func() bool { return strings.Contains(f.metricsPage(f.gateways[0]), counted) })
+			}
 		})
 	}
 }
--- a/gateway/observe.go
+++ b/gateway/observe.go
@@ -22,6 +22,9 @@
 	if tel := o.g.opts.Telemetry; tel != nil {
 		tel.RecordRequest(out.Meta.Service, out.Meta.Caller, out.Meta.Class, code, ran, out.Duration)
 	}
+	if out.Aborted && out.Fault != nil && out.Fault.Kind == fault.DeadlineExceeded {
+		o.g.countExceeded("answer_time")
+	}
 	o.g.log.Info("request", "id", out.Meta.ID, "route", out.Meta.Service, "method", out.Method, "status", out.Status,
 		"code", code, "ran", ran, "failed_attempts", len(out.Meta.Attempts), "took", out.Duration,
 		"first_byte", out.FirstByte, "bytes_in", out.BytesIn, "bytes_out", out.BytesOut, "aborted", out.Aborted,
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -20,7 +20,7 @@
 const maxInformational = 16
 
 var (
-	errTooManyInformational = errors.New("target: too many informational responses")
+	errTooManyInformational = &boundError{"target: too many informational responses", "interim_answers"}
 	errSwitchedProtocols    = errors.New("target: the target switched protocols without being asked")
 	errEarlyResponse        = errors.New("target: a response arrived before the request was sent")
 )
@@ -199,6 +199,9 @@
 	staleResponses := 0
 	for range maxInformational {
 		resp, err := http.ReadResponse(x.conn.br, r)
+		if err != nil && x.conn.headerLeft == 0 {
+			return nil, errHeadTooLong // net/http may take the line that was cut off for a malformed one
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -214,7 +217,7 @@
 			return nil, errUnidentified
 		case owner == othersAnswer:
 			if staleResponses++; staleResponses > maxStaleResponses || !skipResponse(resp) {
-				return nil, errStaleResponse
+				return nil, errStaleResponses
 			}
 			x.staleResponse = true
 			if x.pool.cfg.Dialect.Observe != nil {
--- a/target/conn.go
+++ b/target/conn.go
@@ -23,13 +23,16 @@
 	errLeaseExpired = errors.New("target: the lease to send has expired")
 )
 
-// headTooLongError ends an exchange whose response head exceeds PoolConfig.MaxHeaderBytes.
-type headTooLongError struct{}
+// boundError ends an exchange whose answer exceeds a bound.
+type boundError struct{ text, bound string }
 
-func (headTooLongError) Error() string { return "target: the response header is too large" }
+func (e *boundError) Error() string { return e.text }
 
 // Bound names the bound that was exceeded.
-func (headTooLongError) Bound() string { return "answer_head" }
+func (e *boundError) Bound() string { return e.bound }
+
+// errHeadTooLong ends an exchange whose response head exceeds PoolConfig.MaxHeaderBytes.
+var errHeadTooLong = &boundError{"target: the response header is too large", "answer_head"}
 
 // deadlineSlack is the divisor for the extra time, as a fraction of the progress timeout, by
 // which a deadline is set later than needed, so that most reads and writes needn't set a new
@@ -116,7 +119,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	if c.headerLeft == 0 {
-		return 0, headTooLongError{}
+		return 0, errHeadTooLong
 	}
 	if c.headerLeft > 0 && int64(len(b)) > c.headerLeft {
 		b = b[:c.headerLeft]
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -37,9 +37,9 @@
 const maxStaleResponses = 2
 
 var (
-	errStaleResponse = errors.New("target: the response belongs to an earlier request")
-	errUnsigned      = errors.New("target: a successful response lacks the target's signature")
-	errUnidentified  = errors.New("target: the response lacks the request's id, on a connection that has carried other requests")
+	errStaleResponses = &boundError{"target: the response belongs to an earlier request, and too much of such has come", "earlier_answers"}
+	errUnsigned       = errors.New("target: a successful response lacks the target's signature")
+	errUnidentified   = errors.New("target: the response lacks the request's id, on a connection that has carried other requests")
 )
 
 // answerOwner says to which request a response belongs.
