Believe a target that writes on after an entry with a later start

What callers saw: one entry of another writer under a live target's id, dated ahead, kept the target out at all routers for good, though it lived and wrote on.

Cause: of two instances under an id the one with the later start is believed, whoever wrote it, so that late writes of a former instance change nothing.

Change: reports of the earlier start that come later in the store are believed once the later one has written nothing for 10 s: an instance of its own would write on. Others are told by the leader, whose word counts by its revision. Logged as outlived, and counted.

--- a/core/directory/departed.go
+++ b/core/directory/departed.go
@@ -85,26 +85,40 @@
 // isBefore reports whether a revision is certainly before another.
 func isBefore(revision, other uint64) bool { return revision != 0 && revision < other }
 
+// contestTime is how long an instance must have written nothing for the reports of an earlier start, which come later in the
+// store, to be believed. It is longer than a write of the former instance may be late.
+const contestTime = 10 * time.Second
+
 // outdated reports whether a report says less than is known: it is of an earlier instance, or of a revision of the
-// store before the one in which the entry was last seen, or was gone.
-func (d *Directory) outdated(t *Target) bool {
+// store before the one in which the entry was last seen, or was gone. filtered means that another router has let it pass.
+func (d *Directory) outdated(now time.Time, t *Target, filtered bool) bool {
 	if e := d.entries[t.ID]; e != nil {
-		return olderThan(t, e)
+		return olderThan(now, t, e, filtered)
 	}
-	if gone, departed := d.departed[t.ID]; departed && olderThan(t, &gone.entry) {
+	if gone, departed := d.departed[t.ID]; departed && olderThan(now, t, &gone.entry, filtered) {
 		return true
 	}
 	return t.Revision != 0 && t.Revision <= d.revision // otherwise it would be among the entries
 }
 
 // olderThan reports whether a report is older than an entry, or than the removal of it.
-func olderThan(t *Target, e *entry) bool {
-	if t.StartUnixMilli != e.target.StartUnixMilli {
-		return t.StartUnixMilli < e.target.StartUnixMilli
+func olderThan(now time.Time, t *Target, e *entry, filtered bool) bool {
+	if t.StartUnixMilli < e.target.StartUnixMilli {
+		return !outlives(now, t, e, filtered)
+	}
+	if t.StartUnixMilli > e.target.StartUnixMilli {
+		return false
 	}
 	return isBefore(t.Revision, e.target.Revision) || t.Revision != 0 && t.Revision <= e.removedIn
 }
 
+// outlives reports whether an instance writes on after an entry with a later start, which is then another writer's: its own
+// instance would write too. Otherwise one such entry would keep the target out for good.
+func outlives(now time.Time, t *Target, e *entry, filtered bool) bool {
+	isLater := e.target.Revision != 0 && t.Revision > max(e.target.Revision, e.removedIn)
+	return isLater && (filtered || now.Sub(e.lastReport) >= contestTime)
+}
+
 // lastEntry returns the last entry of the instance that a report is about, be it departed or not; nil if there is none.
 func (d *Directory) lastEntry(t *Target) *entry {
 	e := d.entries[t.ID]
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -117,13 +117,17 @@
 //
 // A report that is older than what is known changes nothing. A target that has announced that it leaves never stays
 // after all: only another instance of it does.
-func (d *Directory) Put(now time.Time, t Target) bool {
+func (d *Directory) Put(now time.Time, t Target) bool { return d.put(now, t, false) }
+
+// put is Put; filtered means that the report comes from another router's directory.
+func (d *Directory) put(now time.Time, t Target, filtered bool) bool {
 	old, known := d.entries[t.ID]
 	answered := known && old.takeColdAnswer(now, &t)
-	if d.outdated(&t) {
+	if d.outdated(now, &t, filtered) {
 		d.noticeOutdated(&t)
 		return answered
 	}
+	d.noticeOutlived(&t)
 	t.ColdUntil = reportedCold(old, now, &t)
 	if t.Created == 0 && known && old.target.StartUnixMilli == t.StartUnixMilli {
 		t.Created = old.target.Created // the report is another router's
@@ -257,7 +261,7 @@
 		}
 	}
 	for _, t := range targets {
-		changed = d.Put(now, t) || changed
+		changed = d.put(now, t, true) || changed
 	}
 	for _, id := range removed {
 		if e := d.entries[id]; e != nil && !isBefore(revision, e.target.Revision) {
--- a/core/directory/doubt_test.go
+++ b/core/directory/doubt_test.go
@@ -55,3 +55,34 @@
 	assert.Assert(t, !d.Contradicts(&Target{ID: "a", Service: "other", StartUnixMilli: 6}), "a new instance")
 	assert.Assert(t, !d.Contradicts(&Target{ID: "b", Service: "other", StartUnixMilli: 5}))
 }
+
+// Guards against a live target that is kept out for good by one entry of another writer with a later start, and against reports
+// of a former instance that arrive late.
+func TestEntryWithALaterStartKeepsATargetOutForAWhileOnly(t *testing.T) {
+	real := func(seq uint64) Target {
+		return Target{ID: "a", StartUnixMilli: 5, Address: "real", Seq: seq, Revision: 10 * seq}
+	}
+	foreign := Target{ID: "a", StartUnixMilli: 4102444800000, Address: "foreign", Seq: 1, Revision: 11}
+	address := func(d *Directory) string { return d.Targets()[0].Address }
+	d, follower := New(), New()
+	for _, each := range []*Directory{d, follower} {
+		each.Put(at(0), real(1))
+		each.Put(at(1000), foreign)
+	}
+	d.Put(at(10_900), real(2))
+	assert.Equal(t, address(d), "foreign")
+	d.Put(at(11_000), real(3))
+	assert.Equal(t, address(d), "real")
+	follower.Adopt(at(11_010), false, d.Targets(), nil, 30)
+	assert.Equal(t, address(follower), "real")
+
+	late := New()
+	late.Put(at(0), foreign)
+	for i := range uint64(20) {
+		again := foreign
+		again.Seq, again.Revision = 2+i, 20+10*i
+		late.Put(at(1000*int(i)), again)
+		late.Put(at(1000*int(i)+500), Target{ID: "a", StartUnixMilli: 5, Address: "late", Seq: 99, Revision: 25 + 10*i})
+		assert.Equal(t, address(late), "foreign")
+	}
+}
--- a/core/directory/notice.go
+++ b/core/directory/notice.go
@@ -15,14 +15,17 @@
 	NoticeOutdated
 	// NoticeStated: the target has stated in an answer that it leaves.
 	NoticeStated
+	// NoticeOutlived: an instance with an earlier start than the known one writes on, so that the later start was another
+	// writer's.
+	NoticeOutlived
 )
 
 // String returns the kind as log lines have it.
 func (k NoticeKind) String() string {
-	return [...]string{"draining", "gone", "back", "outdated", "stated"}[k]
+	return [...]string{"draining", "gone", "back", "outdated", "stated", "outlived"}[k]
 }
 
-// Notice is what was learned about the leaving of one target.
+// Notice is what was learned about one target, its leaving in particular.
 type Notice struct {
 	Kind   NoticeKind
 	Target Target
@@ -56,3 +59,10 @@
 		d.notice(NoticeOutdated, t)
 	}
 }
+
+// noticeOutlived notes a report that is about to be recorded, if it takes an entry with a later start back.
+func (d *Directory) noticeOutlived(t *Target) {
+	if e := d.entries[t.ID]; e != nil && t.StartUnixMilli < e.target.StartUnixMilli {
+		d.notice(NoticeOutlived, t)
+	}
+}
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -367,6 +367,8 @@
 			message = "target is back"
 		case directory.NoticeOutdated:
 			message = "older report of a leaving target not used"
+		case directory.NoticeOutlived:
+			message = "entry with a later start not believed any more"
 		}
 		t := &n.Target
 		cs.g.log.Info(message, "target", t.ID, "born", t.StartUnixMilli, "service", t.Service, "how", n.Kind, "told_by", toldBy,
--- a/gateway/oddentries_test.go
+++ b/gateway/oddentries_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+// Guards against a live target that is kept out for good by one entry of another writer that is dated ahead.
+func TestEntryDatedAheadKeepsATargetOutForAWhileOnly(t *testing.T) {
+	f := newFleet(t, 3, plainConfig, plainTarget("a"))
+	target := f.targets["a"]
+	entry := strings.Replace(string(target.Entry()), `"born":1`, `"born":4102444800000`, 1)
+	f.store.Put(platform.TargetPrefix+"a", []byte(strings.Replace(entry, target.Address(), "127.0.0.1:1", 1)))
+	began := time.Now()
+	usable := func(g *Gateway) bool {
+		g.mu.RLock()
+		defer g.mu.RUnlock()
+		return slices.ContainsFunc(g.targets, func(t directory.Target) bool { return t.Address == target.Address() })
+	}
+	waittest.Until(t, "the entry is known", func() bool { return !slices.ContainsFunc(f.gateways, usable) })
+	for _, g := range f.gateways {
+		waittest.Until(t, "the target is used again", func() bool {
+			time.Sleep(100 * time.Millisecond)
+			target.Heartbeat(f.store)
+			return usable(g)
+		})
+		assert.Equal(t, f.send(g, call{method: "GET", path: "/read/1", key: -1}).status, http.StatusOK)
+	}
+	assert.Assert(t, time.Since(began) < 15*time.Second, "after %v", time.Since(began))
+}
+
 // maxRelistTime is how long a router may take to follow the list again; the race detector makes megabytes of JSON slow.
 const maxRelistTime = 15 * time.Second
 
