Replace a configuration whose version is far too high by later ones

What callers saw: a configuration that was valid but for a version far too high kept all later ones out; callers got the old routes for good.

Cause: a lower version never replaces a higher one, so that late answers and restored stores undo nothing.

Change: where the version in force is 2^20 or more ahead of the newest configuration, which no operator skips, the newest one is put in force after 10 s in which it stays the newest; followers, which get it from the leader, wait as long. Logged and counted. A version that is less ahead still stands until others pass it: it can't be told from an older one that comes back.

--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -37,6 +37,9 @@
 	// leaderTargets are the IDs of all targets that the leader has told of on its present feed.
 	leaderTargets map[string]bool
 	config        *routes.Config
+	// configSuccession decides what replaces config, and awaited is what may do so later.
+	configSuccession routes.Succession
+	awaited          *awaitedConfig
 	// tables are the key tables by service, with the revisions of their records.
 	tables map[string]feed.Table
 	// routers are the live routers by name.
@@ -97,6 +100,8 @@
 		if cs.knownPrefixes[cs.g.opts.Adapter.TargetPrefix] {
 			cs.publishTargets(true)
 		}
+	case *awaitedConfig:
+		cs.useAwaited(m)
 	case *leavingStated:
 		cs.useStatedLeaving(m)
 	case coldAnswers:
@@ -204,36 +209,72 @@
 	cs.markKnown(m.prefix)
 }
 
-// handleConfig applies a configuration unless a newer one is in force. One that can't be decoded, or that can't be put in
-// force, is refused, and the one in force stays whole.
+// awaitedConfig is a configuration that was the newest when it came, but has a version far below that in force.
+type awaitedConfig struct {
+	record kv.Record
+	toldBy string
+}
+
+// handleConfig applies the configuration of a change.
 func (cs *clusterState) handleConfig(c *change, toldBy string) {
 	for _, r := range c.records {
-		if r.Key != cs.g.opts.Adapter.ConfigKey || r.Deleted {
-			continue
-		}
-		config, err := cs.g.opts.Adapter.DecodeConfig(r.Value)
-		if err != nil {
-			cs.refuseConfig(reasonMalformed, err, r.Revision, toldBy)
-			continue
+		if r.Key == cs.g.opts.Adapter.ConfigKey && !r.Deleted {
+			cs.awaited = nil
+			cs.useConfig(r, toldBy)
 		}
-		if cs.config != nil && config.Version == cs.config.Version {
-			continue // sent again at the beginning of another leader's feed
-		}
-		if cs.config != nil && config.Version < cs.config.Version {
-			cs.g.log.Info("older configuration ignored", "version", config.Version, "in_force", cs.config.Version)
-			continue
-		}
-		var invalid *routes.CheckError
-		if errors.As(config.Check(), &invalid) {
-			cs.refuseConfig(invalid.Reason(), invalid, r.Revision, toldBy)
-			continue
+	}
+}
+
+// useAwaited puts a configuration in force that has been the newest for long enough.
+func (cs *clusterState) useAwaited(m *awaitedConfig) {
+	if cs.awaited == m {
+		cs.awaited = nil
+		cs.useConfig(m.record, m.toldBy)
+	}
+}
+
+// useConfig applies a configuration unless a newer one is in force. One that can't be decoded, or that can't be put in
+// force, is refused, and the one in force stays whole.
+func (cs *clusterState) useConfig(r kv.Record, toldBy string) {
+	config, err := cs.g.opts.Adapter.DecodeConfig(r.Value)
+	if err != nil {
+		cs.refuseConfig(reasonMalformed, err, r.Revision, toldBy)
+		return
+	}
+	replaces, wait := cs.configSuccession.Decide(time.Now(), cs.config, config)
+	if !replaces {
+		cs.setConfigAside(config, r, toldBy, wait)
+		return
+	}
+	var invalid *routes.CheckError
+	if errors.As(config.Check(), &invalid) {
+		cs.refuseConfig(invalid.Reason(), invalid, r.Revision, toldBy)
+		return
+	}
+	cs.config = config
+	cs.g.unreadStatements.report("configuration", cs.g.opts.Adapter.UnreadConfigFields(r.Value))
+	cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
+		"routes", len(config.Routes), "services", len(config.Services), "told_by", toldBy, "confirmed", cs.g.configAge.age())
+	cs.g.subscription.source.SetConfig(config.Version, r.Value)
+	cs.applyConfig(config)
+}
+
+// setConfigAside logs that a configuration is not put in force as its version is lower, and has it looked at again after the
+// wait, if there is one.
+func (cs *clusterState) setConfigAside(config *routes.Config, r kv.Record, toldBy string, wait time.Duration) {
+	switch {
+	case config.Version == cs.config.Version: // sent again at the beginning of another leader's feed
+	case wait <= 0:
+		cs.g.log.Info("older configuration ignored", "version", config.Version, "in_force", cs.config.Version)
+	default:
+		cs.g.log.Warn("configuration set aside, as its version is far below the one in force", "version", config.Version,
+			"in_force", cs.config.Version, "revision", r.Revision, "told_by", toldBy, "for", wait)
+		if tel := cs.g.opts.Telemetry; tel != nil {
+			tel.Scope().Counter("configurations_set_aside_total").Inc(1)
 		}
-		cs.config = config
-		cs.g.unreadStatements.report("configuration", cs.g.opts.Adapter.UnreadConfigFields(r.Value))
-		cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
-			"routes", len(config.Routes), "services", len(config.Services), "told_by", toldBy, "confirmed", cs.g.configAge.age())
-		cs.g.subscription.source.SetConfig(config.Version, r.Value)
-		cs.applyConfig(config)
+		m := &awaitedConfig{r, toldBy}
+		cs.awaited = m
+		time.AfterFunc(wait, func() { cs.duty.Tell(m) })
 	}
 }
 
--- a/gateway/invalidconfig_test.go
+++ b/gateway/invalidconfig_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/core/routes"
 	"tarragongw/internal/waittest"
 	"tarragongw/platform"
 )
@@ -63,3 +64,21 @@
 		waittest.Until(t, "the next valid one is in force", func() bool { return int(g.view.Load().config.Version) == f.version })
 	}
 }
+
+// Guards against a version that is far too high and keeps out all that an operator writes afterwards.
+func TestVersionFarTooHighKeepsLaterOnesOutForAWhileOnly(t *testing.T) {
+	f := newFleet(t, 3, plainConfig, plainTarget("a"))
+	f.store.Put(platform.ConfigKey, fmt.Appendf(nil, `{"version":"fffffff0",%s}`, plainConfig))
+	for _, g := range f.gateways {
+		waittest.Until(t, "the version is in force", func() bool { return g.view.Load().config.Version == 0xfffffff0 })
+	}
+	f.configure(strings.Replace(plainConfig, `"name":"read"`, `"name":"added","host":"h.example","prefix":"/added/","route_type":"safe","service":"any"},{"name":"read"`, 1))
+	added := call{method: "GET", path: "/added/1", key: -1}
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, f.send(f.gateways[0], added).status, http.StatusNotFound)
+	began := time.Now()
+	for _, g := range f.gateways {
+		waittest.Until(t, "the next version is in force", func() bool { return f.send(g, added).status == http.StatusOK })
+	}
+	assert.Assert(t, time.Since(began) < 2*routes.HoldTime+5*time.Second, "after %v", time.Since(began))
+}
