Let pipelined requests start once the one in its turn has its place

Cause: requests behind the one in its turn start from the read that watches its connection, which begins before its handler does. They took the slots; a request that is refused before its turn is served again in it, but the one in its turn is refused for good.

Change: they start once it has a place, waits for one or was refused, which the gateway tells by caller.Placer. With run and dev, and where requests wait in a queue, they start as before.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -19,3 +19,10 @@
 type Forwarder interface {
 	Forward(w http.ResponseWriter, r *http.Request, meta *request.Meta) *fault.Fault
 }
+
+// Placer is implemented by the ResponseWriter that a Forwarder gets. Placed tells that the request
+// has a place at a target, waits for one or was refused, so that the requests behind it on its
+// connection may start without taking its place.
+type Placer interface {
+	Placed()
+}
--- a/caller/config.go
+++ b/caller/config.go
@@ -83,6 +83,8 @@
 	// served before their turn, see pipeline. Zero serves the requests of a connection one
 	// after the other.
 	MaxPipelined int
+	// AwaitPlacement has them wait until the forwarder has told by Placer that the request in its turn has its place.
+	AwaitPlacement bool
 	// Admit returns a fault if the router itself refuses requests of the class, for example
 	// under overload. It must not block. Nil admits all.
 	Admit func(class request.Class) *fault.Fault
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -277,9 +277,19 @@
 				"request", x.meta.ID, "cause", cause, "stack", string(debug.Stack()))
 		}
 	}()
+	if !x.handler.cfg.AwaitPlacement {
+		x.Placed()
+	}
 	return x.handler.forwarder.Forward(x, r, &x.meta)
 }
 
+// Placed implements Placer.
+func (x *exchange) Placed() {
+	if c := connOf(x.r); c != nil && c.pipeline != nil {
+		c.pipeline.currentPlaced()
+	}
+}
+
 // answer writes the answer for a fault. It reports whether the caller's connection must be
 // aborted instead, because an answer had already begun or the caller is gone.
 func (x *exchange) answer(f *fault.Fault) (aborted bool) {
--- a/caller/pipeline.go
+++ b/caller/pipeline.go
@@ -51,18 +51,18 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	// The fields below are only accessed by the server's reads, of which there is one at a
-	// time.
+	// readAt is when the last read from the connection ended, and drainedAt when there was nothing more to read for the
+	// last time; zero before the first read. They are only accessed by the server's reads, of which there is one at a time.
+	readAt, drainedAt time.Time
 
+	// mu guards the fields below.
+	mu sync.Mutex
 	// buffered holds bytes that were read from the connection and not yet returned to the
 	// server; the first currentLeft of them belong to the request that is being returned.
 	buffered    readBuffer
 	currentLeft int
 	// arrivedAt is when the bytes arrived that were returned last.
 	arrivedAt time.Time
-	// readAt is when the last read from the connection ended, and drainedAt when there was nothing more to read for the
-	// last time; zero before the first read.
-	readAt, drainedAt time.Time
 	// scanned is the number of bytes in buffered that precede the next request to start.
 	// blocked means that this request must wait for its turn.
 	scanned int
@@ -70,13 +70,12 @@
 	// disabled means that requests can't be delimited any more, so that no more of them are
 	// started early; raw means that the connection isn't one of HTTP/1.
 	disabled, raw bool
-	// serving means that the server has read a request and not answered it yet.
-	serving bool
-
-	// mu guards started, the answers of the requests in buffered that were started, and
-	// handedOut, the answers of the requests that were returned to the server and whose
-	// handler has not been called yet; an entry is nil if its request was not started early.
-	mu        sync.Mutex
+	// serving means that the server has read a request and not answered it yet, and placed that
+	// those behind it may start.
+	serving, placed bool
+	// started are the answers of the requests in buffered that were started, and handedOut those
+	// of the requests that were returned to the server and whose handler has not been called yet; an
+	// entry is nil if its request was not started early.
 	started   []*pipelinedAnswer
 	handedOut []*pipelinedAnswer
 }
@@ -91,37 +90,41 @@
 // a single byte to detect that the caller closed the connection; pipeline uses that read to
 // start further requests.
 func (p *pipeline) Read(dst []byte) (int, error) {
-	if len(dst) == 1 && p.serving && !p.raw && (p.disabled || p.currentLeft == 0) {
+	if len(dst) == 1 && p.mayReadAhead() {
 		return p.readAhead(dst)
 	}
 	return p.readCurrent(dst)
 }
 
+func (p *pipeline) mayReadAhead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.serving && !p.raw && (p.disabled || p.currentLeft == 0)
+}
+
 // readCurrent returns bytes of at most one request, or of one read of the connection.
 func (p *pipeline) readCurrent(dst []byte) (int, error) {
-	if p.disabled && len(p.buffered.unused()) == 0 {
-		n, arrivedAt, err := p.readConn(dst)
-		p.arrivedAt = arrivedAt
-		return n, err
-	}
-	if p.currentLeft == 0 {
-		if err := p.advance(); err != nil {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.buffered.unused()) == 0 {
+		if p.disabled {
+			return p.readDirectly(dst)
+		}
+		if err := p.readMore(); err != nil {
 			return 0, err
 		}
 	}
+	if p.currentLeft == 0 {
+		p.advance()
+	}
 	n := p.buffered.take(dst[:min(len(dst), p.currentLeft)])
 	p.currentLeft -= n
 	return n, nil
 }
 
 // advance makes the next request the current one, whose bytes are returned to the server; or
-// those of the next read if requests can't be delimited.
-func (p *pipeline) advance() error {
-	if len(p.buffered.unused()) == 0 {
-		if err := p.readMore(); err != nil {
-			return err
-		}
-	}
+// those of the next read if requests can't be delimited. The caller holds the lock.
+func (p *pipeline) advance() {
 	if !p.disabled {
 		p.currentLeft = simpleRequestLength(p.buffered.unused())
 		p.disabled = p.currentLeft == 0
@@ -130,11 +133,9 @@
 	if p.disabled {
 		p.currentLeft = p.buffered.ofOneRead()
 		p.arrivedAt = p.buffered.arrivalOf(p.currentLeft)
-		return nil
+		return
 	}
 	p.arrivedAt = p.buffered.arrivalOf(p.currentLeft)
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	var answer *pipelinedAnswer
 	if len(p.started) > 0 {
 		answer, p.started = p.started[0], p.started[1:]
@@ -142,13 +143,13 @@
 	}
 	p.handedOut = append(p.handedOut, answer)
 	p.blocked = false
-	return nil
 }
 
-// readMore reads from the connection into the buffer.
+// readMore reads from the connection into the buffer. The caller holds the lock, which is
+// released meanwhile.
 func (p *pipeline) readMore() error {
 	var b [pipelineReadBytes]byte
-	n, arrivedAt, err := p.readConn(b[:])
+	n, arrivedAt, err := p.readUnlocked(b[:])
 	p.buffered.add(b[:n], arrivedAt)
 	if n > 0 {
 		return nil
@@ -156,6 +157,19 @@
 	return err
 }
 
+// readDirectly reads from the connection into dst, with the lock as in readMore.
+func (p *pipeline) readDirectly(dst []byte) (int, error) {
+	n, arrivedAt, err := p.readUnlocked(dst)
+	p.arrivedAt = arrivedAt
+	return n, err
+}
+
+func (p *pipeline) readUnlocked(dst []byte) (int, time.Time, error) {
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	return p.readConn(dst)
+}
+
 // readConn reads from the connection and returns when the bytes arrived. If they were there before the
 // read, that is at some time since drainedAt.
 func (p *pipeline) readConn(dst []byte) (n int, arrivedAt time.Time, err error) {
@@ -194,24 +208,62 @@
 // closes the connection or the server interrupts the read by setting a deadline in the past.
 func (p *pipeline) readAhead(dst []byte) (int, error) {
 	for {
-		p.startBuffered()
-		if len(p.buffered.unused()) >= pipelineBufferBytes {
+		full, err := p.startAndRead()
+		switch {
+		case full:
 			return p.readCurrent(dst) // the server does not read again before the end of the request
-		}
-		if err := p.readMore(); err != nil {
-			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				p.cancel()
-			}
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			p.cancel()
+			return 0, err
+		default:
 			return 0, err
 		}
 	}
 }
 
-// startBuffered starts the complete requests in the buffer.
+// startAndRead starts the requests in the buffer that may start, and reads more unless it is full.
+func (p *pipeline) startAndRead() (full bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.startBuffered()
+	if len(p.buffered.unused()) >= pipelineBufferBytes {
+		return true, nil
+	}
+	return false, p.readMore()
+}
+
+// setServing records whether a request is being served, which has just been read, and returns when that arrived.
+func (p *pipeline) setServing(serving bool) (arrivedAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.raw {
+		return time.Time{}
+	}
+	p.serving, p.placed = serving, false
+	return p.arrivedAt
+}
+
+// currentPlaced starts the requests behind the one being served.
+//
+// They must not start before that: where there is room for a part of them only, those behind would take it, and the one whose turn it
+// is would be refused for good, while they could be served in their turn.
+func (p *pipeline) currentPlaced() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.placed {
+		p.placed = true
+		p.startBuffered()
+	}
+}
+
+// startBuffered starts the complete requests in the buffer. The caller holds the lock: otherwise a
+// shutdown that begins meanwhile would find no outstanding request and announce the end of the
+// connection, which would cut them off.
 func (p *pipeline) startBuffered() {
-	for !p.blocked && !p.disabled {
+	for p.placed && !p.blocked && !p.disabled {
 		length := simpleRequestLength(p.buffered.unused()[p.scanned:])
-		if length == 0 || p.outstanding() >= p.maxStarted {
+		if length == 0 || p.outstandingLocked() >= p.maxStarted {
 			return
 		}
 		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(p.buffered.unused()[p.scanned : p.scanned+length])))
@@ -220,33 +272,25 @@
 			return
 		}
 		r.RemoteAddr = p.conn.RemoteAddr().String()
-		if !p.startRequest(r, p.buffered.arrivalOf(p.scanned+length)) {
+		answer := p.start(p.ctx, r, p.buffered.arrivalOf(p.scanned+length))
+		if answer == nil {
 			p.blocked = true
 			return
 		}
+		p.started = append(p.started, answer)
 		p.scanned += length
 	}
 }
 
-// startRequest starts a request and reports whether it did. It holds the lock throughout:
-// otherwise a shutdown that begins meanwhile would find no outstanding request and announce
-// the end of the connection, which would cut this request off.
-func (p *pipeline) startRequest(r *http.Request, arrivedAt time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	answer := p.start(p.ctx, r, arrivedAt)
-	if answer == nil {
-		return false
-	}
-	p.started = append(p.started, answer)
-	return true
-}
-
 // outstanding returns the number of requests that were started early and whose turn has not
 // come.
 func (p *pipeline) outstanding() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.outstandingLocked()
+}
+
+func (p *pipeline) outstandingLocked() int {
 	n := len(p.started)
 	for _, answer := range p.handedOut {
 		if answer != nil {
--- a/caller/pipelined.go
+++ b/caller/pipelined.go
@@ -165,6 +165,7 @@
 // produced. It returns false if the request has to be served now instead.
 func (a *pipelinedAnswer) deliver(x *exchange) bool {
 	defer a.cancelRequest()
+	x.Placed() // it was started before its turn
 	status := a.awaitStatus()
 	if a.refused {
 		x.meta.Part = a.outcome.Meta.Part
--- a/caller/shutdown.go
+++ b/caller/shutdown.go
@@ -119,9 +119,10 @@
 
 // noteState records since when the connection has been idle, and when the request arrived that is served next.
 func (c *callerConn) noteState(state http.ConnState) {
-	if c.pipeline != nil && !c.pipeline.raw {
-		c.pipeline.serving = state == http.StateActive
-		c.arrivedAt = c.pipeline.arrivedAt
+	if c.pipeline != nil {
+		if arrivedAt := c.pipeline.setServing(state == http.StateActive); !arrivedAt.IsZero() {
+			c.arrivedAt = arrivedAt
+		}
 	}
 	if state != http.StateIdle {
 		c.idleSince.Store(0)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,7 +142,7 @@
 	c := caller.Config{
 		RequestIDHeader:  http.CanonicalHeaderKey(g.opts.Adapter.Headers.RequestID),
 		OmitAddedHeaders: true, FractionalRetryAfter: true, StatusImpliesNotRun: true, CloseAfterAnswer: g.stopping.Load, Logger: g.log,
-		BeforeRouting: g.configFresh.await, MaxPipelined: lookAhead, DeadlineMargin: answerMargin,
+		BeforeRouting: g.configFresh.await, MaxPipelined: lookAhead, AwaitPlacement: true, DeadlineMargin: answerMargin,
 		LimitAnswers: true,
 	}
 	if limits != nil {
--- a/gateway/readahead.go
+++ b/gateway/readahead.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"tarragongw/caller"
 	"tarragongw/core/dispatch"
 	"tarragongw/core/fault"
 )
@@ -14,12 +15,20 @@
 
 // place places the request at a target, and waits for that if necessary.
 func (x *exchange) place() (dispatch.Decision, *fault.Fault) {
+	placed := func() {}
+	if p, ok := x.w.(caller.Placer); ok {
+		placed = p.Placed
+	}
+	defer placed()
 	if x.body == nil {
-		return x.service.acquire(x.r.Context(), x.dispatchRequest(), func() {})
+		return x.service.acquire(x.r.Context(), x.dispatchRequest(), placed)
 	}
 	ctx, cancel := context.WithCancel(x.r.Context())
 	defer cancel()
-	return x.service.acquire(ctx, x.dispatchRequest(), func() { go x.readAhead(cancel) })
+	return x.service.acquire(ctx, x.dispatchRequest(), func() {
+		placed()
+		go x.readAhead(cancel)
+	})
 }
 
 // readAhead reads the body of a request that waits for placement, and calls end if the body breaks off.
