--- a/caller/handler.go
+++ b/caller/handler.go
@@ -142,8 +142,6 @@
 	}
 	if left > 0 {
 		x.meta.Deadline = x.began.Add(left)
-	}
-	if left > 0 {
 		if left = time.Until(x.meta.Deadline); left <= 0 {
 			return nil, errTurnTooLate
 		}
