Forget the work times of routes that are gone

Cause: the longest work of a route is kept under its name. Routes come and go with each configuration, and nothing removed the names: a router that lives long would keep them all.

Change: kinds of which no time is known any more are removed when a new one is recorded.

TestKindsOfWorkThatEndedAreForgotten fails without the change.

--- a/core/worktime/worktime.go
+++ b/core/worktime/worktime.go
@@ -2,7 +2,10 @@
 // before a fixed end. It is not safe for concurrent use.
 package worktime
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Window is how long a time is remembered at least; it is forgotten after twice as long.
 const Window = 30 * time.Second
@@ -20,16 +23,22 @@
 func (l *Longest) Record(now time.Time, name string, took time.Duration) {
 	k := l.kinds[name]
 	if k == nil {
+		l.forget(now)
 		k = &kind{since: now}
-		if l.kinds == nil {
-			l.kinds = map[string]*kind{}
-		}
 		l.kinds[name] = k
 	}
 	k.advance(now)
 	k.current = max(k.current, took)
 }
 
+// forget removes the kinds of which no time is known any more.
+func (l *Longest) forget(now time.Time) {
+	if l.kinds == nil {
+		l.kinds = map[string]*kind{}
+	}
+	maps.DeleteFunc(l.kinds, func(_ string, k *kind) bool { return now.Sub(k.since) >= 2*Window })
+}
+
 // Of returns the longest recent time; false if none is known.
 func (l *Longest) Of(now time.Time, name string) (longest time.Duration, known bool) {
 	k := l.kinds[name]
--- a/core/worktime/worktime_test.go
+++ b/core/worktime/worktime_test.go
@@ -25,3 +25,11 @@
 	_, known = l.Of(began, "b")
 	assert.Assert(t, !known)
 }
+
+func TestKindsOfWorkThatEndedAreForgotten(t *testing.T) {
+	var l Longest
+	began := time.Unix(1000, 0)
+	l.Record(began, "a", time.Second)
+	l.Record(began.Add(2*Window), "b", time.Second)
+	assert.Equal(t, len(l.kinds), 1)
+}
