Free the grown read buffer of an idle connection

Cause: the buffer in which pipelined requests are read ahead grows to 16 KiB and more and stayed with its connection: with 4,000 idle connections that once pipelined, 64 MB of a VM's 284.

Change: once all of it is used, a buffer longer than one read is given back. The tests of caller pass.

--- a/caller/readbuffer.go
+++ b/caller/readbuffer.go
@@ -47,6 +47,9 @@
 	b.used += n
 	if b.used == len(b.data) {
 		b.data, b.reads, b.used = b.data[:0], b.reads[:0], 0
+		if cap(b.data) > pipelineReadBytes {
+			b.data = nil // idle connections keep little memory
+		}
 		return n
 	}
 	for b.reads[0].end <= b.used {
