--- a/core/routes/routes.go
+++ b/core/routes/routes.go
@@ -31,7 +31,7 @@
 	// Prefix begins and ends with a slash.
 	Prefix string
 	Repeat Repeat
-	// Timeout is the time within which the answer must begin; zero leaves it to the caller.
+	// Timeout is how long after its arrival a request may wait for its whole answer; zero leaves it to the caller.
 	Timeout time.Duration
 	// Objective is the latency within which an answer has its full value; zero means none.
 	Objective time.Duration
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -251,10 +251,11 @@
 		cs.refuseConfig(invalid.Reason(), invalid, r.Revision, toldBy)
 		return
 	}
+	changes := config.ChangesSince(cs.config)
 	cs.config = config
 	cs.g.unreadStatements.report("configuration", cs.g.opts.Adapter.UnreadConfigFields(r.Value))
-	cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision,
-		"routes", len(config.Routes), "services", len(config.Services), "told_by", toldBy, "confirmed", cs.g.configAge.age())
+	cs.g.log.Info("configuration in force", "version", config.Version, "revision", r.Revision, "routes", len(config.Routes),
+		"services", len(config.Services), "changes", changes, "told_by", toldBy, "confirmed", cs.g.configAge.age())
 	cs.g.subscription.source.SetConfig(config.Version, r.Value)
 	cs.applyConfig(config)
 }
