--- a/cmd/tarragongw/endless_run_test.go
+++ b/cmd/tarragongw/endless_run_test.go
@@ -33,32 +33,6 @@
 	otherPause   = 20 * time.Millisecond
 )
 
-// endlessAnswers are written without end at full speed.
-var endlessAnswers = []brokenAnswer{
-	{kind: "no answer", again: strings.Repeat("z", 4096)},
-	{kind: "a line of the head", begin: "HTTP/1.1 200 OK\r\nX-Fill: ", again: strings.Repeat("a", 4096)},
-	{kind: "lines of the head", begin: "HTTP/1.1 200 OK\r\n", again: strings.Repeat("X-Fill: a\r\n", 400)},
-	{kind: "short lines of the head", begin: "HTTP/1.1 200 OK\r\n", again: strings.Repeat("a:\r\n", 1000)},
-	{kind: "many names in the head", begin: "HTTP/1.1 200 OK\r\n", again: manyNames()},
-	{kind: "interim answers", again: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 100)},
-	{kind: "another's answer", begin: "HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": other\r\nTransfer-Encoding: chunked\r\n\r\n", again: strings.Repeat("1\r\nz\r\n", 500)},
-	{kind: "chunks", begin: answerHead("Transfer-Encoding: chunked"), again: "1000\r\n" + strings.Repeat("b", 4096) + "\r\n"},
-	{kind: "a chunk's extension", begin: answerHead("Transfer-Encoding: chunked") + "1;", again: strings.Repeat("b", 4096)},
-	{kind: "trailers", begin: answerHead("Transfer-Encoding: chunked") + "0\r\n", again: strings.Repeat("X-Fill: a\r\n", 400)},
-	{kind: "no length", begin: answerHead("Connection: close"), again: strings.Repeat("b", 4096)},
-	{kind: "more than its length", begin: answerHead("Content-Length: 4") + "body", again: strings.Repeat("b", 4096)},
-	{kind: "a refusal", begin: "HTTP/1.1 503 Service Unavailable\r\n" + platform.HeaderRequestID + ": ID\r\n" + platform.HeaderNotRun + ": 1\r\nTransfer-Encoding: chunked\r\n\r\n", again: "1000\r\n" + strings.Repeat("b", 4096) + "\r\n"},
-}
-
-// manyNames returns lines of a head that all have other names.
-func manyNames() string {
-	var b strings.Builder
-	for i := range 20000 {
-		fmt.Fprintf(&b, "%x:\r\n", i)
-	}
-	return b.String()
-}
-
 // endlessWays are the ways in which callers ask for them.
 var endlessWays = []way{
 	{name: "GET", method: http.MethodGet, route: "read", pipelined: 1, hasDeadline: true},
@@ -83,11 +57,8 @@
 		target.SetServiceTime(10 * time.Millisecond)
 		if service == "any" {
 			target.SetHandler(func(w http.ResponseWriter, req *http.Request) bool {
-				conn, _, err := http.NewResponseController(w).Hijack()
-				if err == nil {
-					go endlessAnswers[int(next.Add(1))%len(endlessAnswers)].write(conn, req.Header.Get(platform.HeaderRequestID))
-				}
-				return err == nil
+				platformtest.EndlessAnswers[int(next.Add(1))%len(platformtest.EndlessAnswers)].To(w, req)
+				return true
 			})
 		}
 		target.Register(r.store)
@@ -121,7 +92,7 @@
 		calling.Go(func() {
 			how := endlessWays[i%len(endlessWays)]
 			for ctx.Err() == nil {
-				r.ask(p, how, "/"+how.route+"/1", "endless")
+				r.ask(p, how, "/"+how.route+"/1", "endless", fallenTimeout)
 			}
 		})
 	}
--- a/cmd/tarragongw/timeout_run_test.go
+++ b/cmd/tarragongw/timeout_run_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,8 +32,9 @@
 )
 
 const (
-	// fallenTimeout is the timeout of all routes after the change, and finalWithin the time after it by which each request must
-	// have its final answer, or a closed connection where the answer had begun.
+	// firstTimeout is the timeout of all routes before the change and fallenTimeout after it. finalWithin is the time after it by
+	// which each request must have its final answer, or a closed connection where the answer had begun.
+	firstTimeout  = 6 * time.Second
 	fallenTimeout = time.Second
 	finalWithin   = 500 * time.Millisecond
 	// callerPatience is how long callers wait.
@@ -45,51 +45,6 @@
 	maxSendSpread = 500 * time.Millisecond
 )
 
-// brokenAnswer is an answer of a target that doesn't end, or that ends too late.
-type brokenAnswer struct {
-	kind  string
-	begin string
-	// again follows, again and again with the pause in between; empty for silence.
-	again string
-	pause time.Duration
-	// isShort is set if a caller must get a failure in place of the answer.
-	isShort bool
-}
-
-// answerHead is the head of an answer, of which the text is the rest.
-func answerHead(rest string) string {
-	return "HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": ID\r\n" + platform.HeaderStamp + ": stamp\r\n" + rest + "\r\n\r\n"
-}
-
-var brokenAnswers = []brokenAnswer{
-	{kind: "nothing", isShort: true},
-	{kind: "half a head", begin: "HTTP/1.1 200 OK\r\nContent-Le", isShort: true},
-	{kind: "head lines without end", begin: "HTTP/1.1 200 OK\r\n", again: strings.Repeat("X-Fill: a\r\n", 100), isShort: true},
-	{kind: "interim answers without end", again: "HTTP/1.1 103 Early Hints\r\n\r\n", pause: 50 * time.Millisecond, isShort: true},
-	{kind: "no answer", again: strings.Repeat("z", 1000), isShort: true},
-	{kind: "no body", begin: answerHead("Content-Length: 400"), isShort: true},
-	{kind: "half of a short body", begin: answerHead("Content-Length: 400") + strings.Repeat("b", 200), isShort: true},
-	{kind: "half a chunk", begin: answerHead("Transfer-Encoding: chunked") + "190\r\n" + strings.Repeat("b", 200), isShort: true},
-	{kind: "no last chunk", begin: answerHead("Transfer-Encoding: chunked") + "c8\r\n" + strings.Repeat("b", 200) + "\r\n", isShort: true},
-	{kind: "a byte each 50 ms", begin: answerHead("Content-Length: 400"), again: "b", pause: 50 * time.Millisecond, isShort: true},
-	{kind: "half of a long body", begin: answerHead("Content-Length: 400000") + strings.Repeat("b", 200000)},
-	{kind: "no length and no end", begin: answerHead("Connection: close"), again: strings.Repeat("b", 4096)},
-	{kind: "chunks without end", begin: answerHead("Transfer-Encoding: chunked"), again: "1000\r\n" + strings.Repeat("b", 4096) + "\r\n"},
-}
-
-// write writes the answer to a request until its caller closes the connection.
-func (a *brokenAnswer) write(conn net.Conn, id string) {
-	defer conn.Close()
-	_, err := io.WriteString(conn, strings.Replace(a.begin, "ID", id, 1))
-	for err == nil && a.again != "" {
-		_, err = io.WriteString(conn, a.again)
-		time.Sleep(a.pause)
-	}
-	if err == nil {
-		_, _ = io.Copy(io.Discard, conn) // until the connection ends
-	}
-}
-
 // way is how a caller sends requests over one connection.
 type way struct {
 	name, method, route string
@@ -120,7 +75,8 @@
 // finalAnswer is how a request ended at its caller.
 type finalAnswer struct {
 	id, kind, way string
-	took          time.Duration
+	// timeout is that of the route when the request was sent.
+	timeout, took time.Duration
 	status        int
 	whole         bool
 }
@@ -128,7 +84,9 @@
 // timeoutRun has real router processes, targets whose answers don't end, and callers that ask for these.
 type timeoutRun struct {
 	*system
-	nextID atomic.Int64
+	random  *rand.Rand
+	version int
+	nextID  atomic.Int64
 
 	mu      sync.Mutex
 	answers []finalAnswer
@@ -146,10 +104,13 @@
 
 func newTimeoutRun(t *testing.T, routers, cores int) *timeoutRun {
 	t.Helper()
-	r := &timeoutRun{system: &system{t: t, bin: t.TempDir(), store: platformtest.NewStore(), bounds: configBounds}}
+	r := &timeoutRun{
+		system: &system{t: t, bin: t.TempDir(), store: platformtest.NewStore(), bounds: configBounds},
+		random: rand.New(rand.NewPCG(*timeoutSeed, 0)),
+	}
 	t.Cleanup(r.store.Close)
 	buildCommands(t, r.bin)
-	r.store.Put(platform.ConfigKey, timeoutConfig(1, 6*fallenTimeout))
+	r.setTimeout(firstTimeout)
 	for i := range 15 {
 		service := "any"
 		if i >= 12 {
@@ -172,27 +133,33 @@
 	for _, p := range r.routers {
 		eventually(t, p.name+" serves", func() bool { return r.getPath(p, "/read/whole", 0) == http.StatusOK })
 	}
-	r.store.Put(platform.ConfigKey, timeoutConfig(2, fallenTimeout))
-	time.Sleep(configApply)
 	return r
 }
 
+// setTimeout writes a configuration in which all routes have the timeout.
+func (r *timeoutRun) setTimeout(timeout time.Duration) {
+	r.version++
+	r.store.Put(platform.ConfigKey, timeoutConfig(r.version, timeout))
+}
+
+// fall lowers the timeout of all routes, and waits until that must be in force.
+func (r *timeoutRun) fall() {
+	r.setTimeout(fallenTimeout)
+	time.Sleep(configApply)
+}
+
 // answerBroken answers requests whose path names a broken answer.
 func answerBroken(w http.ResponseWriter, r *http.Request) bool {
 	kind := strings.ReplaceAll(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:], "-", " ")
-	i := slices.IndexFunc(brokenAnswers, func(a brokenAnswer) bool { return a.kind == kind })
-	if i < 0 {
-		return false
+	answer := platformtest.AnswerOfKind(platformtest.UnfinishedAnswers, kind)
+	if answer != nil {
+		answer.To(w, r)
 	}
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err == nil {
-		go brokenAnswers[i].write(conn, r.Header.Get(platform.HeaderRequestID))
-	}
-	return err == nil
+	return answer != nil
 }
 
-// ask sends requests for a kind of answer over one connection, and records how each ends.
-func (r *timeoutRun) ask(p *process, how way, path, kind string) {
+// ask sends requests for a kind of answer over one connection, to a route with a timeout, and records how each ends.
+func (r *timeoutRun) ask(p *process, how way, path, kind string, timeout time.Duration) {
 	conn, err := net.Dial("tcp", p.caller)
 	assert.NilError(r.t, err)
 	defer conn.Close()
@@ -223,7 +190,7 @@
 	go sendBody(conn, how)
 	in := bufio.NewReader(conn)
 	for _, id := range ids {
-		a := finalAnswer{id: id, kind: kind, way: how.name}
+		a := finalAnswer{id: id, kind: kind, way: how.name, timeout: timeout}
 		resp, err := http.ReadResponse(in, nil)
 		for err == nil && resp.StatusCode < http.StatusOK {
 			resp, err = http.ReadResponse(in, nil)
@@ -258,21 +225,20 @@
 	_, _ = io.WriteString(conn, "0\r\n\r\n")
 }
 
-// round asks each router in all ways for all kinds of answers.
-func (r *timeoutRun) round(random *rand.Rand) {
-	var asking sync.WaitGroup
+// round asks each router in all ways for all kinds of answers, while routes have a timeout.
+func (r *timeoutRun) round(asking *sync.WaitGroup, timeout time.Duration) {
 	later := func(p *process, how way, path, kind string) {
-		wait := time.Duration(random.Int64N(int64(maxSendSpread)))
+		wait := time.Duration(r.random.Int64N(int64(maxSendSpread)))
 		asking.Go(func() {
 			time.Sleep(wait)
-			r.ask(p, how, path, kind)
+			r.ask(p, how, path, kind, timeout)
 		})
 	}
 	for i := range *timeoutCopies * len(r.routers) {
 		p := r.routers[i%len(r.routers)]
 		for _, how := range ways {
-			for _, a := range brokenAnswers {
-				later(p, how, "/"+how.route+"/"+strings.ReplaceAll(a.kind, " ", "-"), a.kind)
+			for _, a := range platformtest.UnfinishedAnswers {
+				later(p, how, "/"+how.route+"/"+strings.ReplaceAll(a.Kind, " ", "-"), a.Kind)
 			}
 		}
 		later(p, deepWay, "/read/nothing", "nothing")
@@ -281,20 +247,19 @@
 			later(p, deepWay, "/slow/1", "one slot")
 		}
 	}
-	asking.Wait()
 }
 
 // violations returns the requests that had no final answer in time.
 func (r *timeoutRun) violations() (found []string) {
 	for _, a := range r.answers {
-		broken := slices.IndexFunc(brokenAnswers, func(b brokenAnswer) bool { return b.kind == a.kind })
+		broken := platformtest.AnswerOfKind(platformtest.UnfinishedAnswers, a.kind)
 		why := ""
 		switch {
-		case a.took > fallenTimeout+finalWithin:
+		case a.took > a.timeout+finalWithin:
 			why = "too late"
-		case broken >= 0 && brokenAnswers[broken].isShort && (!a.whole || a.status < http.StatusInternalServerError):
+		case broken != nil && broken.Short && (!a.whole || a.status < http.StatusInternalServerError):
 			why = "not a whole failure"
-		case broken >= 0 && a.whole && a.status == http.StatusOK:
+		case broken != nil && a.whole && a.status == http.StatusOK:
 			why = "taken for a whole answer"
 		default:
 			continue
@@ -304,22 +269,30 @@
 	return found
 }
 
-// runTimeouts asks routers that share so many cores, and fails if any request has no final answer in time.
-func runTimeouts(t *testing.T, cores int) {
-	t.Helper()
-	r := newTimeoutRun(t, *timeoutRouters, cores)
-	random := rand.New(rand.NewPCG(*timeoutSeed, 0))
-	for range *timeoutRounds {
-		r.round(random)
-	}
+// check fails if any request had no final answer in time.
+func (r *timeoutRun) check() {
+	r.t.Helper()
 	found := r.violations()
-	t.Logf("%d requests, %d violations", len(r.answers), len(found))
+	r.t.Logf("%d requests, %d violations", len(r.answers), len(found))
 	if len(found) > 0 && *timeoutLogs != "" {
 		for _, p := range r.routers {
-			assert.NilError(t, os.WriteFile(filepath.Join(*timeoutLogs, p.name+".log"), []byte(p.output.String()), 0o600))
+			assert.NilError(r.t, os.WriteFile(filepath.Join(*timeoutLogs, p.name+".log"), []byte(p.output.String()), 0o600))
 		}
 	}
-	assert.Equal(t, len(found), 0, "%s", strings.Join(found[:min(len(found), 200)], "\n"))
+	assert.Equal(r.t, len(found), 0, "%s", strings.Join(found[:min(len(found), 200)], "\n"))
+}
+
+// runTimeouts asks routers that share so many cores.
+func runTimeouts(t *testing.T, cores int) {
+	t.Helper()
+	r := newTimeoutRun(t, *timeoutRouters, cores)
+	r.fall()
+	for range *timeoutRounds {
+		var asking sync.WaitGroup
+		r.round(&asking, fallenTimeout)
+		asking.Wait()
+	}
+	r.check()
 }
 
 // Guards against requests that have no final answer soon after the timeout of their route, whatever their target does and whatever
@@ -328,3 +301,23 @@
 
 // Guards against long bodies that keep the processor from requests whose time is over.
 func TestRequestsEndSoonAfterTheirRoutesTimeoutOnOneCore(t *testing.T) { runTimeouts(t, 1) }
+
+// Guards against the same for requests that are sent after the timeout fell, while others still have the longer one.
+func TestRequestsEndSoonAfterATimeoutThatFellBesideOthers(t *testing.T) {
+	for name, cores := range map[string]int{"all cores": 0, "one core": 1} {
+		t.Run(name, func(t *testing.T) {
+			r := newTimeoutRun(t, *timeoutRouters, cores)
+			for range *timeoutRounds {
+				r.setTimeout(firstTimeout)
+				time.Sleep(configApply)
+				var asking sync.WaitGroup
+				r.round(&asking, firstTimeout)
+				time.Sleep(maxSendSpread)
+				r.fall()
+				r.round(&asking, fallenTimeout)
+				asking.Wait()
+			}
+			r.check()
+		})
+	}
+}
