--- a/cmd/tarragongw/stop_run_test.go
+++ b/cmd/tarragongw/stop_run_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -32,8 +33,10 @@
 const (
 	// stopGrace is the grace in the settings of routers.
 	stopGrace = 6 * time.Second
-	// stopCallers is how many callers each kind of work has at each router.
+	// stopCallers is how many callers each kind of work has at each router, and stopStreams how many more that share a connection
+	// of HTTP/2.
 	stopCallers = 12
+	stopStreams = 4
 	// beforeStop is how long callers send before a router is stopped.
 	beforeStop = 5 * time.Second
 	// lostTime is how long after a request was sent its connection may end without an answer.
@@ -202,6 +205,33 @@
 	return true
 }
 
+// callHTTP2 sends requests as streams of one connection of HTTP/2, one after the other, for as long as a router accepts any.
+func (r *stopRun) callHTTP2(ctx context.Context, client *http.Client, p *process, w stopWork) {
+	for ctx.Err() == nil {
+		id := fmt.Sprintf("id-%d", r.nextID.Add(1))
+		req, err := http.NewRequest(http.MethodPost, "http://"+p.caller+"/"+w.route+"/1", strings.NewReader("body"))
+		assert.NilError(r.t, err)
+		req.Host = servedHost
+		req.Header.Set(platform.HeaderRequestID, id)
+		req.Header.Set(platform.HeaderDeadline, "8000")
+		sent := time.Now()
+		resp, err := client.Do(req)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		status, whole := 0, false
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			status, whole = resp.StatusCode, err == nil
+		}
+		r.record(p, w, id, sent, status, whole)
+		if status != http.StatusOK {
+			time.Sleep(retryPause)
+		}
+	}
+}
+
 // record records how a request ended. One that a target has begun must have its answer, and no other may wait for the end of its
 // connection.
 func (r *stopRun) record(p *process, w stopWork, id string, sent time.Time, status int, whole bool) {
@@ -219,7 +249,13 @@
 	ctx, cancel := context.WithTimeout(r.t.Context(), beforeStop+stopGrace+2*time.Second)
 	defer cancel()
 	var calling sync.WaitGroup
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	defer transport.CloseIdleConnections()
 	for _, w := range stopWorks {
+		for range stopStreams {
+			calling.Go(func() { r.callHTTP2(ctx, &http.Client{Transport: transport}, p, w) })
+		}
 		for i := range stopCallers {
 			atOnce := 1
 			if w.route == "read" && i%3 == 0 {
--- a/gateway/relays_test.go
+++ b/gateway/relays_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,3 +153,31 @@
 	assert.Assert(t, f.leader() == leader)
 	assert.Assert(t, !strings.Contains(f.log.String(), "leadership given up"))
 }
+
+// Guards against requests that a router goes on sending through one that stops, and that end with it.
+func TestRequestsThroughARouterThatStopsAreNotCut(t *testing.T) {
+	f, cut, leader := cutFollower(t, plainTarget("p0"), plainTarget("p1"))
+	for _, target := range f.targets {
+		target.SetServiceTime(600 * time.Millisecond)
+	}
+	var stopped atomic.Bool
+	var late atomic.Int64
+	var sending sync.WaitGroup
+	for range 8 {
+		sending.Go(func() {
+			for !stopped.Load() {
+				id := f.newID()
+				got := f.sendAs(cut, call{method: "POST", path: "/pay/1", key: -1}, id)
+				assert.Check(t, got.status == http.StatusOK || f.runsOf(id) == 0, "%s ran and got %d %v", id, got.status, got.err)
+				if leader.stopping.Load() && got.status == http.StatusOK {
+					late.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, leader.Stop(), 0)
+	stopped.Store(true)
+	sending.Wait()
+	assert.Assert(t, late.Load() > 0)
+}
