Campaign at longer intervals while the store refuses that

Symptom: without a leader, and with a store that doesn't let any router record itself, each of 30 routers asked for a lease 4.2 times a second (TestStoreLoad, a measurement): 127 writes a second of the 400 that the platform allows, and with 300 routers three times those.

Cause: the pause after a failed campaign was 150 ms, whatever had come of the campaigns before.

Change: it doubles up to 1.2 s, at random by half, and begins anew once another router leads.

--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -55,9 +55,10 @@
 	// longer than the grants' TTL.
 	lowCPUShare         = 0.25
 	lowCPUCampaignDelay = maxCampaignSpread + 100*time.Millisecond
-	// campaignRetryDelay is the pause after a failed campaign: another router leads by then, or
-	// the store is unreachable.
-	campaignRetryDelay = 150 * time.Millisecond
+	// campaignRetryDelay is the average pause after a failed campaign: another router leads by then, or the store is unreachable. It
+	// doubles with each further one up to maxCampaignRetryDelay, as a whole fleet may campaign at a store that refuses writes.
+	campaignRetryDelay    = 150 * time.Millisecond
+	maxCampaignRetryDelay = 1200 * time.Millisecond
 	// leaderCheckInterval is the longest time between two checks of what is due.
 	leaderCheckInterval = 700 * time.Millisecond
 	// rebalanceInterval is how often the leader looks for keys to move; a few dozen requests
@@ -249,9 +250,10 @@
 	observed       leaderStatus
 	leaderObserved bool
 	campaigning    bool
-	// campaignNotBefore is the earliest time of the next campaign, after a failed one. Without the
-	// delay, each router calls a store that refuses immediately about thirty times a second.
+	// campaignNotBefore is the earliest time of the next campaign, after a failed one, and nextCampaignRetry the pause after the
+	// next that fails. Without the delay, each router calls a store that refuses immediately about thirty times a second.
 	campaignNotBefore time.Time
+	nextCampaignRetry time.Duration
 	term              *term
 	// targets is nil until the targets are known.
 	targets  *targetStatus
@@ -472,11 +474,21 @@
 	return t, nil
 }
 
+// delayCampaign sets when this router campaigns again after a campaign that failed.
+func (l *leader) delayCampaign(err error) {
+	delay := max(l.nextCampaignRetry, campaignRetryDelay)
+	l.nextCampaignRetry = min(2*delay, maxCampaignRetryDelay)
+	if errors.Is(err, errOtherLeader) {
+		l.nextCampaignRetry = campaignRetryDelay
+	}
+	l.campaignNotBefore = time.Now().Add(time.Duration(float64(delay) * (0.5 + rand.Float64())))
+}
+
 func (l *leader) startTerm(m *campaignDone) {
 	l.campaigning = false
 	if m.err != nil {
 		l.g.log.Info("campaign failed", "err", m.err)
-		l.campaignNotBefore = time.Now().Add(campaignRetryDelay)
+		l.delayCampaign(m.err)
 		if !errors.Is(m.err, errOtherLeader) && l.g.leadPosition().IsStandby() {
 			l.g.succession.decline()
 		}
@@ -486,7 +498,7 @@
 		m.term.cancel()
 		return
 	}
-	l.term, l.costAt = m.term, time.Now()
+	l.term, l.costAt, l.nextCampaignRetry = m.term, time.Now(), 0
 	l.resetSuccession(time.Now())
 	promised := l.g.subscription.promisedToOther(leaderStatus{revision: m.term.revision()})
 	l.term.quorum = newQuorum(l.g.opts.Name, l.g.opts.Clock.Now()+promised)
