Place requests by a state that lasts until they are sent

What callers saw: 503, stale_route, for a request that came in the last millisecond before the limit of a router's knowledge of targets, here 1.85 s into an outage of the store (TestRequestsAndGrantsContinueDuringAStoreOutage, once): it was placed four times within 0.9 ms, and each time the right to send had lapsed before its first byte.

Cause: the check before the placement and the one at the first byte had the same limit, so that all tries that began right before it failed right after it.

Change: a request is placed only if 10 ms of the limit are left; else the state is confirmed first, or the limit lifted, as for one that comes later.

TestRequestsArePlacedByAStateThatLastsUntilTheyAreSent failed before and passes.

--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -11,6 +11,8 @@
 const (
 	// arrivalReserve is the part of a limit that is left for the way of a request to its target.
 	arrivalReserve = 150 * time.Millisecond
+	// sendReserve is how much of a limit a request must have left when it is placed, for the time until its first byte.
+	sendReserve = 10 * time.Millisecond
 	// maxStateWait is how long requests wait for a state that is too old to be confirmed. The store takes up to 250 ms
 	// for an answer while it is slow.
 	maxStateWait = 300 * time.Millisecond
@@ -70,7 +72,7 @@
 		return
 	}
 	f.confirmedAt.Store(int64(at))
-	if f.g.opts.Clock.Now() >= f.usableUntil(at) {
+	if f.g.opts.Clock.Now() >= f.usableUntil(at)-sendReserve {
 		return
 	}
 	if f.suspended.Swap(false) {
@@ -92,7 +94,7 @@
 // await returns once the state is young enough for requests to be served by it. If it is too old, as after a hold-up of
 // this process, it is read from the store; where that fails, requests are served all the same, as nobody can say more.
 func (f *freshness) await(ctx context.Context) {
-	if f.g.opts.Clock.Now() < f.expiry() {
+	if f.isUsable() {
 		return
 	}
 	select {
@@ -101,6 +103,9 @@
 	}
 }
 
+// isUsable reports whether a request that is placed now can be sent by the state.
+func (f *freshness) isUsable() bool { return f.g.opts.Clock.Now() < f.expiry()-sendReserve }
+
 // awaitState returns a channel that is closed when the state is confirmed or the limit is suspended. The first who
 // waits has the state read.
 func (f *freshness) awaitState() <-chan struct{} {
@@ -110,7 +115,7 @@
 		return f.confirmed
 	}
 	waiting := make(chan struct{})
-	if f.g.opts.Clock.Now() < f.expiry() {
+	if f.isUsable() {
 		close(waiting)
 		return waiting
 	}
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -97,6 +97,25 @@
 
 func (c *heldUpClock) hold(d time.Duration) { c.held.Add(int64(d)) }
 
+// Guards against a request that is placed by a state that ends before its first byte, tried again at once as often as it may be, and
+// refused.
+func TestRequestsArePlacedByAStateThatLastsUntilTheyAreSent(t *testing.T) {
+	g, _ := idleGateway(t)
+	c := &heldUpClock{}
+	g.opts.Clock = c
+	reads := 0
+	var f *freshness
+	f = newFreshness(g, "targets", time.Second, func() error {
+		reads++
+		f.confirm(c.Now())
+		return nil
+	})
+	c.hold(f.expiry() - c.Now() - sendReserve/2)
+	f.await(t.Context())
+	assert.Equal(t, reads, 1)
+	assert.Assert(t, f.expiry()-c.Now() > sendReserve)
+}
+
 // heldUpFleet has a follower whose process is held up while the only target leaves and another one joins.
 type heldUpFleet struct {
 	*fleet
