Wait for the next leader's feed before everything is read from the store

Cause: a router without a feed began to list and watch everything after 0.6 s. The lease of a leader that has crashed ends after up to 1.2 s, and the next one is there at about 1.5 s, so that nearly all of them listed everything right before they were fed again. The same where the leader has lost the store.

Change: a router without a feed waits 1.8 s, and meanwhile reads what is overdue, once, as it does beside a leader that is late: the configuration after 1.5 to 1.6 s and the targets after 1.65 to 1.75 s, on new connections. If that fails, or isn't answered in 0.15 s, it reads everything as before.

--- a/gateway/feedupdates.go
+++ b/gateway/feedupdates.go
@@ -84,7 +84,7 @@
 		sub.searchLeader(staleSearchDelay)
 	}
 	h.current = false
-	sub.scheduleFallback(sub.staleDelay())
+	sub.scheduleFallback(fallbackDelay())
 	if len(u.Tables) > 0 {
 		sub.g.state.duty.Tell(u)
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -88,6 +88,8 @@
 	tablesHeldUp atomic.Bool
 	// leaseOnly cuts the connection except for renewals and the end of a lease, whose answer is lost as is all after it.
 	leaseOnly atomic.Bool
+	// noLead refuses that this gateway records itself as the leader.
+	noLead atomic.Bool
 }
 
 func (w *storeLink) errIfCut() error {
@@ -134,6 +136,9 @@
 		<-ctx.Done()
 		return 0, nil, ctx.Err()
 	}
+	if w.noLead.Load() && slices.ContainsFunc(txn.Puts, func(p kv.Put) bool { return p.Key == leaderKey }) {
+		return 0, nil, kv.ErrUnavailable
+	}
 	return w.TxnStore.Commit(ctx, txn)
 }
 
--- a/gateway/storewatches.go
+++ b/gateway/storewatches.go
@@ -105,18 +105,9 @@
 	return time.Duration(float64(wait) * (1 - rareChangeJitter*rand.Float64()))
 }
 
-// fallbackDelay returns how long this router waits for a feed before it reads the state from the
-// store.
-func (sub *subscription) fallbackDelay() time.Duration {
-	delay := min(max(sub.g.opts.PropagationLimit-fallbackReserve, minFallbackDelay), maxFallbackDelay)
-	return delay + rand.N(fallbackJitter)
-}
-
-// staleDelay returns how long this router waits for another leader after its own has reported that it
-// can't reach the store. It is shorter, because the leader has needed freshnessLimit to notice that.
-func (sub *subscription) staleDelay() time.Duration {
-	return max(sub.fallbackDelay()-minFallbackDelay, 0)
-}
+// fallbackDelay returns how long this router waits for a feed before it reads the state from the store, if that isn't overdue
+// sooner.
+func fallbackDelay() time.Duration { return maxFallbackDelay + rand.N(fallbackJitter) }
 
 // restartWatches restarts all running watches.
 func (sub *subscription) restartWatches() {
@@ -197,19 +188,28 @@
 }
 
 // scheduleFallback records that no feed of a leader that reaches the store is up. Unless one comes up
-// within the delay, this router reads the state from the store; sooner if its state has to be confirmed sooner. A
+// within the delay, this router reads the state from the store; sooner if its state is overdue. A
 // delay that is pending is only shortened.
 func (sub *subscription) scheduleFallback(delay time.Duration) {
 	sub.mu.Lock()
 	defer sub.mu.Unlock()
 	sub.subscribed = false
-	delay = max(min(delay, sub.g.stateAge.untilOverdue()), 0)
-	due := time.Now().Add(delay)
-	if sub.watchesTables() || sub.fallbackPending && !due.Before(sub.fallbackDue) {
+	latest := time.Now().Add(delay)
+	if sub.watchesTables() || sub.fallbackPending && !latest.Before(sub.fallbackLatest) {
 		return
 	}
-	sub.fallbackPending, sub.fallbackDue = true, due
-	sub.fallBackAfter(delay, sub.fallbackGeneration)
+	sub.fallbackPending, sub.fallbackLatest = true, latest
+	sub.fallBackAfter(time.Until(sub.fallbackDue()), sub.fallbackGeneration)
+}
+
+// fallbackDue returns when a pending fallback is due. What is overdue is first read alone, once, which costs less: see
+// recheckState. The caller holds the lock.
+func (sub *subscription) fallbackDue() time.Time {
+	overdue := time.Now().Add(sub.g.stateAge.untilOverdue() + singleReadTime)
+	if overdue.Before(sub.fallbackLatest) {
+		return overdue
+	}
+	return sub.fallbackLatest
 }
 
 func (sub *subscription) fallBackAfter(delay time.Duration, generation int) {
@@ -218,11 +218,12 @@
 
 // postponeFallback postpones a pending fallback, because a leader was found; the caller holds the lock.
 func (sub *subscription) postponeFallback() {
-	if sub.fallbackPending && sub.g.opts.PropagationLimit >= fallbackReserve+maxFallbackDelay {
-		earliest := time.Now().Add(max(min(newLeaderGrace, sub.g.stateAge.untilOverdue()), 0))
-		if sub.fallbackDue.Before(earliest) {
-			sub.fallbackDue = earliest
-		}
+	if !sub.fallbackPending {
+		return
+	}
+	earliest := time.Now().Add(max(min(newLeaderGrace, sub.g.stateAge.untilOverdue()), 0))
+	if sub.fallbackLatest.Before(earliest) {
+		sub.fallbackLatest = earliest
 	}
 }
 
@@ -233,13 +234,13 @@
 }
 
 // fallBack starts to watch everything in the store. If the store is unreachable, it first waits until
-// the store answers again, and then for another fallback delay: the leader's feed may come up
-// within it, and a store that has just recovered is not read completely by a whole fleet at once.
+// the store answers again, and then for recoveryDelay: the leader's feed may come up within it, and
+// a store that has just recovered is not read completely by a whole fleet at once.
 func (sub *subscription) fallBack(generation int) {
 	if sub.g.gate.isShut() {
 		sub.g.goRun(func() {
 			if sub.g.gate.wait(sub.g.lifetime) {
-				sub.fallBackAfter(sub.fallbackDelay(), generation)
+				sub.fallBackAfter(recoveryDelay+rand.N(fallbackJitter), generation)
 			}
 		})
 		return
@@ -258,7 +259,7 @@
 	if generation != sub.fallbackGeneration {
 		return false
 	}
-	if early := time.Until(sub.fallbackDue); early > 0 {
+	if early := time.Until(sub.fallbackDue()); early > 0 {
 		sub.fallBackAfter(early, generation)
 		return false
 	}
@@ -335,9 +336,10 @@
 // leader of changes, and by other routers, as the store may not answer this one alone.
 func (sub *subscription) recheckConfig(int) {
 	sub.mu.Lock()
-	watched, subscribed := sub.configWatch, sub.subscribed
+	watched := sub.configWatch
+	readsAlone := watched != nil || sub.subscribed || sub.fallbackPending
 	sub.mu.Unlock()
-	if (subscribed || watched != nil) && !sub.g.gate.isShut() {
+	if readsAlone && !sub.g.gate.isShut() {
 		sub.g.goRun(sub.refreshConfig)
 	}
 	if watched != nil {
@@ -346,10 +348,13 @@
 	sub.g.contacts.ask()
 }
 
-// recheckState has this router's state confirmed, which is overdue: while it follows a leader, by reading the targets once,
-// and if that leader stays late, by watching everything in the store.
+// recheckState has this router's state confirmed, which is overdue: while it follows a leader or waits for the next one, by reading
+// the targets once, and if that leader stays late, by watching everything in the store.
 func (sub *subscription) recheckState(attempt int) {
-	if attempt > 0 || !sub.isSubscribed() {
+	sub.mu.Lock()
+	followsSoon := sub.subscribed || sub.fallbackPending
+	sub.mu.Unlock()
+	if attempt > 0 || !followsSoon {
 		sub.scheduleFallback(0)
 		return
 	}
--- a/gateway/subscription.go
+++ b/gateway/subscription.go
@@ -56,17 +56,16 @@
 	// initialFeedTimeout is how long a router waits for its first feed before it reads the state
 	// from the store.
 	initialFeedTimeout = 1500 * time.Millisecond
-	// minFallbackDelay and maxFallbackDelay bound how long a router that has lost its feed waits
-	// before it reads the state from the store. After a planned stop of the leader the next one is
-	// there sooner. Without the delay, all routers would list all targets at once after each
-	// planned stop.
-	minFallbackDelay = 600 * time.Millisecond
-	maxFallbackDelay = 1400 * time.Millisecond
-	// fallbackReserve is the part of Options.PropagationLimit that is reserved for noticing that
-	// the leader is lost and for reading the state from the store.
-	fallbackReserve = 1400 * time.Millisecond
+	// maxFallbackDelay is how long a router that has lost its feed waits at most before it reads the state from the store: until
+	// the lease of a leader that has crashed has ended and the next one has read the store itself. Without the delay, all
+	// routers would list everything at each change of the leader.
+	maxFallbackDelay = 1800 * time.Millisecond
+	// singleReadTime is how long a read of what is overdue may take before everything is read.
+	singleReadTime = 150 * time.Millisecond
+	// recoveryDelay is how long a router without a feed waits after the store has answered again.
+	recoveryDelay = 600 * time.Millisecond
 	// newLeaderGrace is how long a router at least waits for the feed of a leader that it has just
-	// found, if Options.PropagationLimit allows it: the new leader has to read the store first.
+	// found, unless its state is overdue sooner: the new leader has to read the store first.
 	newLeaderGrace = 300 * time.Millisecond
 	// fallbackJitter spreads the routers' calls when all lose their leader at once.
 	fallbackJitter = 100 * time.Millisecond
@@ -109,11 +108,11 @@
 	// connected is set while the feed of any leader is up, whether it reaches the store or not.
 	// searching is set while a delayed search for the leader is scheduled.
 	connected, searching bool
-	// fallbackPending is set while this router waits until fallbackDue for a feed, before it reads
+	// fallbackPending is set while this router waits until fallbackLatest at most for a feed, before it reads
 	// the state from the store. fallbackGeneration changes with each feed that comes up, so that
 	// the timers of earlier losses have no effect.
 	fallbackPending    bool
-	fallbackDue        time.Time
+	fallbackLatest     time.Time
 	fallbackGeneration int
 	// promisedTerm is the term of the leader to which this router has promised to follow no other
 	// leader until promisedUntil, see quorum.
@@ -197,7 +196,7 @@
 				sub.g.log.Info("feed lost", "leader", leader.name, "term", leader.revision, "confirmed", sub.g.configAge.age(), "err", err)
 			}
 			sub.searchLeader(0)
-			sub.scheduleFallback(sub.fallbackDelay())
+			sub.scheduleFallback(fallbackDelay())
 		}
 		sub.waitForChange(changed, leads)
 	}
