--- a/gateway/configloss_test.go
+++ b/gateway/configloss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -295,3 +296,41 @@
 	assert.Equal(t, forward().Kind, fault.NotReady)
 	assert.Equal(t, len(f.targets["p1"].Runs()), 0)
 }
+
+// Guards against changes that come into force late because single calls of the store are refused, or because the limit for changes is
+// short.
+func TestChangesAreInForceInTimeBesideRefusedCalls(t *testing.T) {
+	for _, c := range []struct {
+		limit   time.Duration
+		refused float64
+	}{{2 * time.Second, 0.1}, {time.Second, 0}, {time.Second, 0.1}} {
+		t.Run(fmt.Sprintf("limit %v, %.1f refused", c.limit, c.refused), func(t *testing.T) {
+			f := newFleet(t, 0, plainConfig, plainTarget("p0"))
+			f.knownWithin = c.limit
+			for i := range 4 {
+				f.start(routerName(i))
+			}
+			f.awaitSubscribed()
+			f.store.RefuseShare(http.StatusTooManyRequests, c.refused)
+			versions := watchVersions(f.gateways)
+			changed := map[int]time.Time{}
+			for range 30 {
+				f.configure(plainConfig)
+				changed[f.version] = time.Now()
+				time.Sleep(rand.N(500 * time.Millisecond))
+			}
+			time.Sleep(c.limit)
+			versions.end()
+			var worst time.Duration
+			for version, at := range changed {
+				for _, g := range f.gateways {
+					since, inForce := versions.since(g, version)
+					assert.Assert(t, inForce)
+					worst = max(worst, since.Sub(at))
+				}
+			}
+			t.Logf("%d changes at 4 routers, the last in force after %v", len(changed), worst)
+			assert.Assert(t, worst < c.limit, "after %v", worst)
+		})
+	}
+}
