End the belief that the store is unreachable when the leader disproves it

Cause: that the store is unreachable was believed until this router itself had an answer. What its leader told it in between, confirmed by the store, ended nothing.

Change: a state that was confirmed after the outage was last noticed ends it, whoever tells, as of then. Entries that expired in a real outage are still waited for, from there.

TestOutageThatTheLeaderHasDisprovedKeepsNoEntry failed before and passes.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -95,9 +95,10 @@
 	departed map[string]departedTarget
 	// stated are the instances that have stated in answers that they leave, and since when that is known.
 	stated map[keyspace.Holder]time.Time
-	// storeUnreachable reports whether the store is unreachable. storeReachableSince is when
-	// it last became reachable again.
+	// storeUnreachable reports whether the store is unreachable, and unreachableAt is when that was last noticed.
+	// storeReachableSince is when it last became reachable again.
 	storeUnreachable    bool
+	unreachableAt       time.Time
 	storeReachableSince time.Time
 	// revision is the revision of the store that was applied last; zero if unknown.
 	revision uint64
@@ -164,11 +165,17 @@
 	}
 }
 
-// Confirm records that the directory was up to date at a time.
-func (d *Directory) Confirm(at time.Time) {
+// Confirm records that the directory was up to date at a time. The store was reachable then, if only for another router: an outage that
+// this one had noticed before is over, which Confirm reports.
+func (d *Directory) Confirm(at time.Time) (outageOver bool) {
 	if at.After(d.confirmedAt) {
 		d.confirmedAt = at
 	}
+	if !d.storeUnreachable || !at.After(d.unreachableAt) {
+		return false
+	}
+	d.StoreReachable(at)
+	return true
 }
 
 // nextEntry returns the entry after report t. old is the entry before it, or nil.
@@ -298,8 +305,8 @@
 // Revision returns the revision of the store up to which the directory has all changes; zero if unknown.
 func (d *Directory) Revision() uint64 { return d.revision }
 
-// StoreUnreachable records that the store is unreachable.
-func (d *Directory) StoreUnreachable() { d.storeUnreachable = true }
+// StoreUnreachable records that the store was unreachable at a time.
+func (d *Directory) StoreUnreachable(at time.Time) { d.storeUnreachable, d.unreachableAt = true, at }
 
 // StoreReachable records that the store is reachable again.
 func (d *Directory) StoreReachable(now time.Time) {
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -41,7 +41,7 @@
 	d := New()
 	d.Put(at(0), Target{ID: "a"})
 	d.Put(at(0), Target{ID: "b"})
-	d.StoreUnreachable()
+	d.StoreUnreachable(at(0))
 	d.StoreReachable(at(5000))
 	assert.Assert(t, !d.Replace(at(5000), nil, 0))
 	assert.DeepEqual(t, targetIDs(d), []string{"a", "b"})
@@ -55,7 +55,7 @@
 func TestNoTargetIsRemovedWhileTheStoreIsUnreachable(t *testing.T) {
 	d := New()
 	d.Put(at(0), Target{ID: "a"})
-	d.StoreUnreachable()
+	d.StoreUnreachable(at(0))
 	d.Remove(at(10), "a", 0)
 	assert.Assert(t, !d.Tick(at(60_000)))
 	d.StoreReachable(at(60_000))
@@ -63,6 +63,20 @@
 	assert.Assert(t, d.Tick(at(60_000).Add(ReturnGrace)))
 }
 
+// Guards against a target that gets work for seconds after its entry was removed, since a call of this router's own was held up long before:
+// the store counted as unreachable until this router read it itself again, although its leader had told it of the store's state meanwhile.
+func TestOutageThatTheLeaderHasDisprovedKeepsNoEntry(t *testing.T) {
+	d := New()
+	d.Put(at(0), Target{ID: "a"})
+	d.Put(at(0), Target{ID: "b"})
+	d.StoreUnreachable(at(1000))
+	assert.Assert(t, !d.Confirm(at(900)))
+	assert.Assert(t, d.Confirm(at(1500)))
+	d.StoreReachable(at(5000))
+	assert.Assert(t, d.Replace(at(5000), []Target{{ID: "b"}}, 0))
+	assert.DeepEqual(t, targetIDs(d), []string{"b"})
+}
+
 // A target that restarts under its ID is another instance. Late reports of the earlier
 // instance are ignored.
 func TestReportsOfAnEarlierInstanceAreIgnored(t *testing.T) {
@@ -82,7 +96,7 @@
 	d := New()
 	d.Put(at(0), Target{ID: "a"})
 	d.Put(at(0), Target{ID: "b"})
-	d.StoreUnreachable()
+	d.StoreUnreachable(at(0))
 	d.StoreReachable(at(9000))
 	d.Replace(at(9000), []Target{{ID: "b", Seq: 7}}, 0)
 	assert.DeepEqual(t, targetIDs(d), []string{"a", "b"})
--- a/core/directory/restore_test.go
+++ b/core/directory/restore_test.go
@@ -12,7 +12,7 @@
 	d := New()
 	d.Put(at(0), Target{ID: "known", Seq: 5, Draining: true})
 	d.Put(at(0), Target{ID: "missing", Seq: 5})
-	d.StoreUnreachable()
+	d.StoreUnreachable(at(0))
 	d.StoreReachable(at(1000))
 	d.Restore(at(1000), []Target{{ID: "known", Seq: 2}, {ID: "left", Seq: 9}}, 0)
 	assert.DeepEqual(t, targetIDs(d), []string{"known", "missing"})
@@ -26,7 +26,7 @@
 // A router that starts after a restore knows no target, and accepts the listing as it is.
 func TestNewRouterAcceptsTheRestoredListing(t *testing.T) {
 	d := New()
-	d.StoreUnreachable()
+	d.StoreUnreachable(at(0))
 	d.StoreReachable(at(0))
 	assert.Assert(t, d.Restore(at(0), []Target{{ID: "a"}, {ID: "b"}}, 0))
 	assert.DeepEqual(t, targetIDs(d), []string{"a", "b"})
--- a/gateway/clusterstate.go
+++ b/gateway/clusterstate.go
@@ -163,7 +163,9 @@
 	if m.targets {
 		cs.g.stateAge.confirm(m.at)
 		cs.g.sends.confirm(m.at)
-		cs.directory.Confirm(time.Now().Add(m.at - cs.g.opts.Clock.Now()))
+		if cs.directory.Confirm(time.Now().Add(m.at - cs.g.opts.Clock.Now())) {
+			cs.publishTargets(false) // missing entries are waited for until a time now
+		}
 	}
 	if m.evacuations {
 		cs.confirmEvacuations(m.at)
@@ -184,7 +186,7 @@
 func (cs *clusterState) handleChange(m *prefixMessage) {
 	if outage, ok := m.message.(*storeUnreachable); ok {
 		if m.prefix == cs.g.opts.Adapter.TargetPrefix {
-			cs.directory.StoreUnreachable()
+			cs.directory.StoreUnreachable(time.Now())
 		}
 		cs.g.leader.duty.Tell(outage)
 		return
@@ -315,7 +317,7 @@
 	a := &cs.g.opts.Adapter
 	restored := c.listed && cs.g.restoredSince(c.at.Add(-directory.ReturnGrace))
 	if c.unreachableFor >= minOutage || restored {
-		cs.directory.StoreUnreachable()
+		cs.directory.StoreUnreachable(c.at)
 	}
 	cs.directory.StoreReachable(c.at)
 	if c.listed {
