Measure when a whole answer came, not when a busy test reads it

Trace: the routers' lines say 0.71 to 0.97 s for the same requests. On two cores for the test and three routers, with the times of both sides: the router reads each late request within 20 ms after it was sent, and ends it in time; the kernel says (TCP_INFO) that the answer had lain in the caller's socket for 0.37 to 0.78 s when the test read it.

Change: a whole answer counts from when its bytes had come, by TCP_INFO. The bound is the same, and a router that answers late is late in the same way; a request that is cut off still counts until the caller sees it.

--- a/cmd/tarragongw/timeout_run_test.go
+++ b/cmd/tarragongw/timeout_run_test.go
@@ -75,7 +75,8 @@
 // finalAnswer is how a request ended at its caller.
 type finalAnswer struct {
 	id, kind, way string
-	// timeout is that of the route when the request was sent.
+	// timeout is that of the route when the request was sent. took is until a whole answer had come, or until the caller saw that
+	// it was cut off.
 	timeout, took time.Duration
 	status        int
 	whole         bool
@@ -200,6 +201,9 @@
 			a.status, a.whole = resp.StatusCode, err == nil
 		}
 		a.took = time.Since(sent)
+		if a.whole {
+			a.took -= sinceLastBytes(r.t, conn) // on a busy machine callers read late what is there
+		}
 		r.mu.Lock()
 		r.answers = append(r.answers, a)
 		r.mu.Unlock()
