Match a route's prefix with its last slash

Cause: newRule cut off all slashes at the end of a prefix, because a prefix of 'run' stands for its path and all below it, however it is written. The platform's prefixes match the paths that begin with them. Slashes at their beginning were joined, too.

Change: Config.StrictPrefixes, which serve sets, takes prefixes as they are written. A rule knows whether the path must have a slash after it, for paths with escapes as for others.

Tests of caller pass.

--- a/caller/bench_test.go
+++ b/caller/bench_test.go
@@ -164,7 +164,7 @@
 }
 
 func BenchmarkExtract(b *testing.B) {
-	set := compile(testModel())
+	set := compile(testModel(), false)
 	u, _ := url.ParseRequestURI("/faq/stall-7/answers?repeat=true")
 	header := http.Header{"X-Caller": {"ramen-kai"}, "X-Class": {"batch"}, "X-Deadline": {"1500"}}
 	b.ReportAllocs()
--- a/caller/config.go
+++ b/caller/config.go
@@ -54,6 +54,9 @@
 	// OmitAddedHeaders turns off the headers Traceparent and X-Forwarded-For, which the router
 	// otherwise adds to a forwarded request.
 	OmitAddedHeaders bool
+	// StrictPrefixes has the prefix of a service match only paths that begin with it, its last slash included. Otherwise the last
+	// slash is optional, in the prefix and in the path that ends there.
+	StrictPrefixes bool
 	// FractionalRetryAfter makes Retry-After a decimal fraction of seconds, for callers that accept
 	// it; whole seconds are too coarse where a delay of 100 ms is enough.
 	FractionalRetryAfter bool
--- a/caller/extract_test.go
+++ b/caller/extract_test.go
@@ -33,7 +33,7 @@
 		{Name: "faq", PathPrefix: "/faq/"},
 		{Name: "photos", PathPrefix: "/faq/photos"},
 		{Name: "ledger", PathPrefix: "/pay", Hosts: []string{"Ledger.example", "[::1]"}},
-	}})
+	}}, false)
 	for _, example := range []struct{ host, target, want string }{
 		{"any", "/", "root /"},
 		{"any", "/faq", "faq "},
@@ -51,6 +51,34 @@
 	}
 }
 
+// Guards against a request that goes to a service whose prefix does not begin its path.
+func TestStrictPrefixIncludesItsLastSlash(t *testing.T) {
+	set := compile(&model.Model{Services: []model.Service{
+		{Name: "root", PathPrefix: "/", Hosts: []string{"shop"}},
+		{Name: "lots", PathPrefix: "/lots/", Hosts: []string{"shop", "pay"}},
+		{Name: "double", PathPrefix: "/lots//", Hosts: []string{"shop"}},
+		{Name: "second", PathPrefix: "//lots/", Hosts: []string{"shop"}},
+	}}, true)
+	for _, example := range []struct{ host, target, want string }{
+		{"shop", "/lots/", "lots /"},
+		{"shop", "/lots/7", "lots /7"},
+		{"shop", "/%6Cots/a%2Fb", "lots /a%2Fb"},
+		{"shop", "/lots//7", "double /7"},
+		{"shop", "//lots/7", "second /7"},
+		{"shop", "/lots", "root /lots"},
+		{"shop", "/lots?a=/lots/", "root /lots"},
+		{"shop", "/%6Cot%73%2F", "root /%6Cot%73%2F"},
+		{"shop", "/%6Cot%21", "root /%6Cot%21"},
+		{"shop", "/lot", "root /lot"},
+		{"pay", "/lots", ""},
+		{"pay", "/lots%2F", ""},
+		{"pay", "//lots/7", ""},
+		{"shop", "*", ""},
+	} {
+		assert.Equal(t, findRoute(t, set, example.host, example.target), example.want, example.target)
+	}
+}
+
 func TestFieldSources(t *testing.T) {
 	src := source{
 		header: http.Header{"X-Key": {"h"}, "X-Same": {"s", "s"}, "X-Two": {"a", "b"}},
@@ -112,7 +140,7 @@
 }
 
 func TestBadFieldsAreRefused(t *testing.T) {
-	set := compile(testModel())
+	set := compile(testModel(), false)
 	for _, example := range []struct {
 		target string
 		header http.Header
@@ -161,7 +189,7 @@
 	f.Add("/faq/a%2Fb/../c", "", "1s")
 	f.Add("/f%61q/%ff", "x\x00", "-1")
 	f.Add("/faq//a;b=c?repeat=a&repeat=b&%zz", "y", "9223372036854775807")
-	set := compile(testModel())
+	set := compile(testModel(), false)
 	f.Fuzz(func(t *testing.T, target, name, deadline string) {
 		u, err := url.ParseRequestURI(target)
 		if err != nil {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -36,7 +36,7 @@
 
 // SetModel sets the model for requests that arrive from now on. The model must not be changed
 // afterwards.
-func (h *Handler) SetModel(m *model.Model) { h.rules.Store(compile(m)) }
+func (h *Handler) SetModel(m *model.Model) { h.rules.Store(compile(m, h.cfg.StrictPrefixes)) }
 
 // closing reports whether callers' connections are to be closed after their current answers.
 func (h *Handler) closing() bool { return h.stopping.Load() || h.cfg.closing() }
--- a/caller/rules.go
+++ b/caller/rules.go
@@ -21,8 +21,10 @@
 
 // rule holds the extraction rules of one service.
 type rule struct {
-	service    *model.Service
+	service *model.Service
+	// prefix has no slash at its end. If slash is set, the path must have one there.
 	prefix     string
+	slash      bool
 	segments   []string
 	key        model.Extract
 	caller     model.Extract
@@ -31,10 +33,11 @@
 	repeatable model.Extract
 }
 
-func compile(m *model.Model) *ruleSet {
+// compile compiles a model. See Config.StrictPrefixes for strict.
+func compile(m *model.Model, strict bool) *ruleSet {
 	set := &ruleSet{model: m.Revision, byHost: map[string][]*rule{}, callers: make(map[string]map[string]string, len(m.Callers))}
 	for i := range m.Services {
-		set.add(newRule(&m.Services[i]))
+		set.add(newRule(&m.Services[i], strict))
 	}
 	sortRules(set.anyHost)
 	for _, rules := range set.byHost {
@@ -46,7 +49,7 @@
 	return set
 }
 
-func newRule(s *model.Service) *rule {
+func newRule(s *model.Service, strict bool) *rule {
 	r := &rule{
 		service:    s,
 		prefix:     strings.TrimRight("/"+strings.TrimLeft(s.PathPrefix, "/"), "/"),
@@ -56,6 +59,9 @@
 		deadline:   canonical(s.Deadline),
 		repeatable: canonical(s.Repeatable),
 	}
+	if strict {
+		r.prefix, r.slash = strings.CutSuffix(s.PathPrefix, "/")
+	}
 	if r.prefix != "" {
 		r.segments = strings.Split(r.prefix[1:], "/")
 	}
@@ -108,12 +114,17 @@
 	return nil, ""
 }
 
-func (r *rule) match(u *url.URL) (string, bool) {
+// match returns the rest of the path after the prefix. The rest is empty or begins with a slash.
+func (r *rule) match(u *url.URL) (rest string, ok bool) {
 	if u.RawPath != "" {
-		return r.matchEscaped(u.RawPath)
+		rest, ok = r.matchEscaped(u.RawPath)
+	} else {
+		rest, ok = strings.CutPrefix(u.Path, r.prefix)
+	}
+	if rest == "" {
+		return "", ok && !r.slash
 	}
-	rest, ok := strings.CutPrefix(u.Path, r.prefix)
-	return rest, ok && (rest == "" || rest[0] == '/')
+	return rest, ok && rest[0] == '/'
 }
 
 // matchEscaped compares segment by segment. An encoded slash is part of its segment; treating
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -322,9 +322,11 @@
 // call is a caller's request.
 type call struct {
 	method, path string
-	key          int
-	body         string
-	left         time.Duration
+	// host is the host of most routes if empty.
+	host string
+	key  int
+	body string
+	left time.Duration
 }
 
 // answer is the answer that the caller got.
@@ -361,7 +363,7 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+g.callerListener.Addr().String()+c.path, bytes.NewReader([]byte(c.body)))
 	assert.NilError(f.t, err)
-	req.Host = host
+	req.Host = cmp.Or(c.host, host)
 	req.Header.Set(platform.HeaderRequestID, id)
 	req.Header.Set(platform.HeaderDeadline, fmt.Sprint(c.left.Milliseconds()))
 	if f.credentials != "" {
