Take no broken connection for the end of an answer without a length

Cause: the kernel reports a reset once per socket, to whichever call comes first. The upload's write got it (ECONNRESET), and the read behind it found the end of the stream. target keeps the connection open after a failed write, because an early answer may still be read from it, and took that end for the answer's. Seen by a connection that noted the errors of its calls: in 50 of 50 exchanges 'write: reset, read: EOF'; after an orderly end and then a reset 'write: broken pipe, read: EOF'.

Change: a write that finds the connection broken is remembered, and the answer then ends with an error. EPIPE says that the target had ended the connection before, which is a sound end. A write in progress is ended first, so that its result is known. Answers with a length or chunks are as before.

--- a/target/attempt.go
+++ b/target/attempt.go
@@ -331,8 +331,8 @@
 // finishRead ends the exchange at an error or at the end of the response body. It returns the
 // error for the reader.
 func (x *exchange) finishRead(err error) error {
-	if err == io.EOF && x.unframed && x.pool.cfg.RequireFraming {
-		err = errUnframed
+	if err == io.EOF && x.unframed {
+		err = x.unframedEnd()
 	}
 	if err == io.EOF {
 		x.finish(fault.Internal)
@@ -344,6 +344,17 @@
 	return f
 }
 
+// unframedEnd returns io.EOF if the connection's end is that of the response, which has neither a length nor chunked encoding.
+func (x *exchange) unframedEnd() error {
+	switch {
+	case x.pool.cfg.RequireFraming:
+		return errUnframed
+	case !x.conn.endedByTarget():
+		return errBrokenEnd
+	}
+	return io.EOF
+}
+
 // Close implements io.Closer. If the response has not been read to its end, Close closes the
 // connection.
 func (x *exchange) Close() error {
--- a/target/conn.go
+++ b/target/conn.go
@@ -85,10 +85,12 @@
 	writeMu      sync.Mutex
 	writesClosed bool
 	// opts are those of the current exchange; started is set once bytes of its request have
-	// been written; writeFault is why no more may be written. All are guarded by writeMu.
+	// been written; writeFault is why no more may be written; reset is set when a write found the connection broken. All are
+	// guarded by writeMu.
 	opts       AttemptOptions
 	started    bool
 	writeFault *fault.Fault
+	reset      bool
 	// abort closes the raw connection and discards what was not sent.
 	abort func()
 
@@ -173,6 +175,7 @@
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.writeFailed.Store(true)
+			c.reset = c.reset || sockets.IsReset(err)
 			return total, err
 		}
 		if n > 0 || c.received.Load() != received {
@@ -265,6 +268,15 @@
 	c.writeMu.Unlock()
 }
 
+// endedByTarget reports whether the end of the stream that a read has found is the target's own, and not what is left of a broken
+// connection. It closes the connection.
+func (c *conn) endedByTarget() bool {
+	c.raw.Close() // ends a write in progress
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return !c.reset
+}
+
 // discardUnsent makes the next close reset the connection. Otherwise the kernel would go on sending an abandoned request, and
 // deliver it seconds later, once a lost path is back: by then the target may have left.
 func discardUnsent(raw net.Conn) {
--- a/target/faults.go
+++ b/target/faults.go
@@ -16,6 +16,9 @@
 // PoolConfig.RequireFraming is set.
 var errUnframed = errors.New("target: the response has neither a length nor chunked encoding, so its end can't be verified")
 
+// errBrokenEnd ends a response without a length whose connection was not ended by the target.
+var errBrokenEnd = errors.New("target: the connection broke, and the response's end can't be told without a length")
+
 // notRun returns a fault for a request that has provably not run.
 func notRun(kind fault.Kind, cause error, detail string) *fault.Fault {
 	return &fault.Fault{Kind: kind, Ran: fault.NotRun, Detail: detail, Cause: cause}
