Pass no broken connection on as the end of a relayed answer

Callers saw: the same part of an answer as a complete one where it came through another router.

Cause: that router copies in both directions at once, too. The write of the upload to the target got the reset, and the read found the end of the stream, for which a frame 'end' was sent on.

Change: at that end a write in progress is ended and its result looked at; a broken connection ends the relayed one by a reset, as a reset that the read finds does.

--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -13,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/internal/waittest"
 	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
 )
@@ -87,3 +88,21 @@
 	f.awaitTarget("b")
 	checkPart(t, f, f.gateways[0], "/pay/1")
 }
+
+// Guards against the same where the answer comes through another router.
+func TestRelayedPartOfAnAnswerIsNotPassedOnAsWhole(t *testing.T) {
+	f := newFleet(t, 1, longUploads, plainTarget("a"), plainTarget("b")) // this gateway's connections pass no other socket
+	f.cuttable = true
+	cut := f.start("cut")
+	waittest.Until(t, "the gateway is ready", cut.synced.Load)
+	f.awaitTarget("b")
+	f.paths["cut"].Sever(platformtest.Reset)
+	waittest.Until(t, "the paths count as lost", func() bool {
+		f.send(cut, call{method: "GET", path: "/read/1", key: -1})
+		return cut.lostPaths() == len(f.targets)
+	})
+	f.sendUntilServed(cut, call{method: "GET", path: "/read/1", key: -1})
+	before := f.relayedRequests()
+	checkPart(t, f, cut, "/pay/1")
+	assert.Assert(t, f.relayedRequests() > before)
+}
--- a/peer/relay/relay_test.go
+++ b/peer/relay/relay_test.go
@@ -137,6 +137,32 @@
 	}
 }
 
+// Guards against a part of an answer that passes for a whole one: the write of the upload is told of the target's reset.
+func TestResetBesideAnUploadIsNoEnd(t *testing.T) {
+	for range 20 {
+		router, target := newTestRelay(t).connect(t)
+		write(t, target, "part")
+		assert.Equal(t, read(t, router, 4), "part")
+		stop := make(chan struct{})
+		go func() {
+			defer close(stop)
+			for {
+				if _, err := router.Conn.Write(make([]byte, 64<<10)); err != nil {
+					return
+				}
+			}
+		}()
+		_, err := io.CopyN(io.Discard, target, 1<<20)
+		assert.NilError(t, err)
+		_ = target.(*net.TCPConn).SetLinger(0)
+		target.Close()
+		_, err = router.Read(make([]byte, 1))
+		assert.Assert(t, err != nil && err != io.EOF, "%v", err)
+		router.Close()
+		<-stop
+	}
+}
+
 // Guards against an answer of a target that ends before it has read a whole upload, and that the
 // router on the way loses with the rest of the upload.
 func TestAnswerBeforeTheWholeRequestArrives(t *testing.T) {
--- a/peer/relay/server.go
+++ b/peer/relay/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/internal/sockets"
 	"tarragongw/peer/feedpb"
 )
 
@@ -60,6 +61,9 @@
 	reader    *bufio.Reader
 	// writeMu is held while a frame is written to near.
 	writeMu sync.Mutex
+	// farMu is held while bytes are written to far; farReset is set when that found the connection broken.
+	farMu    sync.Mutex
+	farReset bool
 	// used is how long after began a byte was passed on last.
 	began  time.Time
 	used   atomic.Int64
@@ -197,7 +201,6 @@
 			return err
 		}
 	}
-	c.far.Close()
 	return c.near.SetReadDeadline(time.Now().Add(lingerTimeout))
 }
 
@@ -210,7 +213,7 @@
 		n, err := c.reader.Read(buffer[:])
 		if n > 0 {
 			c.used.Store(int64(time.Since(c.began)))
-			if _, writeErr := c.far.Write(buffer[:n]); writeErr != nil {
+			if writeErr := c.writeToTarget(buffer[:n]); writeErr != nil {
 				// The answer may have begun before the target refused the rest of the request.
 				_, err := io.Copy(io.Discard, c.reader)
 				return err
@@ -224,6 +227,28 @@
 	}
 }
 
+func (c *relayed) writeToTarget(b []byte) error {
+	c.farMu.Lock()
+	defer c.farMu.Unlock()
+	_, err := c.far.Write(b)
+	c.farReset = sockets.IsReset(err)
+	return err
+}
+
+// errTargetReset is the error of a connection that the target did not end in order.
+var errTargetReset = errors.New("relay: the connection to the target broke")
+
+// endOfTarget returns nil if the end of the stream that a read has found is the target's own. It closes the connection.
+func (c *relayed) endOfTarget() error {
+	c.far.Close() // ends a write in progress
+	c.farMu.Lock()
+	defer c.farMu.Unlock()
+	if c.farReset {
+		return errTargetReset
+	}
+	return nil
+}
+
 // passFromTarget copies frames to the router until the target ends; nil means that it did so without a
 // reset.
 func (c *relayed) passFromTarget() error {
@@ -242,7 +267,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return nil
+			return c.endOfTarget()
 		case errors.Is(err, os.ErrDeadlineExceeded) && time.Since(c.began)-time.Duration(c.used.Load()) < idleTimeout:
 		case err != nil:
 			return err
