Take only TLS's own end for the end of an answer without a length

A part of an answer passed for a whole one over TLS to targets, too: crypto/tls reports a connection that ends between two records like one that the target ended with an alert (RFC 8446 6.1), and anybody on the way can end a connection there. RFC 9112 9.8 has such an answer complete only with the alert.

Change: the end counts unless the raw connection was found at its end, which happens only if no alert was read before.

Measured: TestUnframedResponseOverTLSEndsWithAnAlert/no_alert failed before; all of target passes with -race.

--- a/target/conn.go
+++ b/target/conn.go
@@ -71,6 +71,8 @@
 	timedOut atomic.Bool
 	// writeFailed is set when a write on the raw connection failed.
 	writeFailed atomic.Bool
+	// readEnded is set when a read has found the end of the raw connection.
+	readEnded bool
 
 	// headerLeft is how many bytes may still be read of the response header; negative means no
 	// limit.
@@ -137,6 +139,7 @@
 			}
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.readEnded = err == io.EOF
 			return n, err
 		}
 		if c.timeoutPaused.Load() || c.sent.Load() != sent {
@@ -274,6 +277,9 @@
 	c.raw.Close() // ends a write in progress
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	if c.stream != net.Conn(c) {
+		return !c.readEnded // TLS has read the alert by which the target ends the stream
+	}
 	return !c.reset
 }
 
--- a/target/unframed_test.go
+++ b/target/unframed_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -95,3 +97,26 @@
 	})
 	checkEnd(t, attempt(t, newPool(t, s.addr(), nil), background, newRequest(t, http.MethodPut, endlessBody{})), true)
 }
+
+// Guards against a part of an answer that passes for a whole one over TLS, where anybody on the way may end the connection.
+func TestUnframedResponseOverTLSEndsWithAnAlert(t *testing.T) {
+	server := httptest.NewTLSServer(http.NotFoundHandler())
+	defer server.Close()
+	for name, end := range map[string]func(c *tls.Conn){
+		"alert":    func(c *tls.Conn) { c.Close() },
+		"no alert": func(c *tls.Conn) { endOutput(c.NetConn()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startTarget(t, func(conn net.Conn, _ *bufio.Reader) {
+				c := tls.Server(conn, &tls.Config{Certificates: server.TLS.Certificates})
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+				end(c)
+			})
+			p := newPool(t, s.addr(), func(cfg *PoolConfig) {
+				cfg.TLS = func() *tls.Config { return &tls.Config{InsecureSkipVerify: true} }
+			})
+			checkEnd(t, attempt(t, p, background, newRequest(t, http.MethodGet, nil)), name == "alert")
+		})
+	}
+}
