Refuse answers whose status line is malformed

Cause: net/http reads 000 to 099, +20 and -00 as numbers, versions other than HTTP/1, and control bytes in the reason. package target took a status below 200 for an informational response.

Change: wellformed.ReadResponse checks what net/http has read, wherever answers are read: from targets, by the router on their way, from other routers, and by wellformed.Transport for orders, status checks and calls of both stores. Such an answer fails like one that net/http refuses. Statuses from 600 on are passed on: RFC 9110 15 has them treated as server errors, which the router does, and the endpoint's status is to be returned as it is.

--- a/gateway/limitedconn.go
+++ b/gateway/limitedconn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragongw/core/directory"
+	"tarragongw/internal/wellformed"
 )
 
 // limitedConn is a connection to a target that this router opened for another one. It begins no request once the target
@@ -131,7 +132,7 @@
 	h.read = append(h.read, b[:min(len(b), maxAnswerHead-len(h.read))]...)
 	reader := bufio.NewReader(bytes.NewReader(h.read))
 	for {
-		resp, err := http.ReadResponse(reader, nil)
+		resp, err := wellformed.ReadResponse(reader, nil)
 		if err != nil {
 			return nil
 		}
--- /dev/null
+++ b/gateway/malformed_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"tarragongw/platform"
+	"tarragongw/platform/platformtest"
+)
+
+// answerRaw makes a target answer requests with the bytes, in which %s is the request's ID, and keep the connection.
+func answerRaw(target *platformtest.Target, text string) {
+	target.SetHandler(func(w http.ResponseWriter, r *http.Request) bool {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return false
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%s", r.Header.Get(platform.HeaderRequestID)))
+		time.AfterFunc(2*time.Second, func() { conn.Close() })
+		return true
+	})
+}
+
+// checkMalformed sends requests that a target in trouble answers, and then those that may be served by another one.
+func checkMalformed(t *testing.T, answers map[string]string) {
+	t.Helper()
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	g := f.gateways[0]
+	for name, text := range answers {
+		answerRaw(f.targets["a"], text)
+		began := time.Now()
+		got := f.send(g, call{method: http.MethodPost, path: "/pay/1", key: -1, body: "x"})
+		assert.Check(t, got.status == http.StatusBadGateway && got.header.Get(platform.HeaderStamp) == "", "%s: %d %q", name, got.status, got.body)
+		assert.Check(t, time.Since(began) < 800*time.Millisecond, "%s: after %v", name, time.Since(began))
+	}
+	f.add(plainTarget("b"))
+	f.awaitTarget("b")
+	for name, text := range answers {
+		answerRaw(f.targets["a"], text)
+		got := f.send(g, call{method: http.MethodGet, path: "/read/1", key: -1})
+		assert.Check(t, got.status == http.StatusOK && got.body == "b ran "+got.id, "%s: %d %q", name, got.status, got.body)
+	}
+	assert.Equal(t, len(g.statedLeaving.known), 0)
+}
+
+const (
+	oddHead  = headOfAnswer + "Server-Leaving: 1\r\n"
+	wholeOne = headOfAnswer + "Content-Length: 5\r\n\r\nother"
+)
+
+// Guards against an answer with status 000 that is taken for an informational one, and what comes next for the answer.
+func TestAnswersWithoutAStatusAreNotPassedOn(t *testing.T) {
+	checkMalformed(t, map[string]string{
+		"000":            strings.Replace(oddHead, "200", "000", 1) + "Content-Length: 4\r\n\r\nbody",
+		"000 alone":      strings.Replace(oddHead, "200", "000", 1) + "\r\n",
+		"000, then 200":  strings.Replace(oddHead, "200", "000", 1) + "\r\n" + wholeOne,
+		"099, then 200":  strings.Replace(oddHead, "200", "099", 1) + "\r\n" + wholeOne,
+		"+20, then 200":  strings.Replace(oddHead, "200", "+20", 1) + "\r\n" + wholeOne,
+		"HTTP/2.0":       strings.Replace(oddHead, "1.1", "2.0", 1) + "Content-Length: 4\r\n\r\nbody",
+		"control reason": strings.Replace(oddHead, "OK", "O\x01K", 1) + "Content-Length: 4\r\n\r\nbody",
+	})
+}
--- a/kv/httpstore/client.go
+++ b/kv/httpstore/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"tarragongw/internal/wellformed"
 	"tarragongw/kv"
 )
 
@@ -81,7 +82,7 @@
 type Client struct {
 	cfg       Config
 	scheme    string
-	transport *http.Transport
+	transport wellformed.Transport
 	// preferred counts the changes of the address. Modulo the number of addresses it is the
 	// index of the current one.
 	preferred atomic.Uint32
@@ -98,7 +99,7 @@
 		}
 	}
 	cfg = cfg.withDefaults()
-	c := &Client{cfg: cfg, scheme: "http", transport: newTransport(cfg)}
+	c := &Client{cfg: cfg, scheme: "http", transport: wellformed.Transport{RoundTripper: newTransport(cfg)}}
 	if cfg.TLS != nil || cfg.DialTLS != nil {
 		c.scheme = "https"
 	}
--- a/peer/roundtrip.go
+++ b/peer/roundtrip.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"tarragongw/core/fault"
+	"tarragongw/internal/wellformed"
 	"tarragongw/peer/peerpb"
 	"tarragongw/reqctx"
 )
@@ -191,7 +192,7 @@
 // readHeader returns the final header, skipping informational ones.
 func (x *exchange) readHeader(out *http.Request) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(x.reader, out)
+		resp, err := wellformed.ReadResponse(x.reader, out)
 		if err != nil {
 			return nil, err
 		}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"tarragongw/core/fault"
+	"tarragongw/internal/wellformed"
 	"tarragongw/reqctx"
 )
 
@@ -198,7 +199,7 @@
 	defer func() { x.conn.headerLeft = -1 }()
 	staleResponses := 0
 	for range maxInformational {
-		resp, err := http.ReadResponse(x.conn.br, r)
+		resp, err := wellformed.ReadResponse(x.conn.br, r)
 		if err != nil && x.conn.headerLeft == 0 {
 			return nil, errHeadTooLong // net/http may take the line that was cut off for a malformed one
 		}
@@ -331,8 +332,8 @@
 // finishRead ends the exchange at an error or at the end of the response body. It returns the
 // error for the reader.
 func (x *exchange) finishRead(err error) error {
-	if err == io.EOF && x.unframed {
-		err = x.unframedEnd()
+	if err == io.EOF {
+		err = x.checkEnd()
 	}
 	if err == io.EOF {
 		x.finish(fault.Internal)
@@ -344,9 +345,11 @@
 	return f
 }
 
-// unframedEnd returns io.EOF if the connection's end is that of the response, which has neither a length nor chunked encoding.
-func (x *exchange) unframedEnd() error {
+// checkEnd returns io.EOF if the response is whole at the end of its body.
+func (x *exchange) checkEnd() error {
 	switch {
+	case !x.unframed:
+		return io.EOF
 	case x.pool.cfg.RequireFraming:
 		return errUnframed
 	case !x.conn.endedByTarget():
