Refuse answers with a malformed field name

Cause: textproto accepts names with blanks, keeps them as they are, and so net/http doesn't know the fields by which such an answer is framed. In HTTP/1.0 it deletes a transfer coding unseen, with the same result. Names in trailers are read by the same code.

Change: names that are no tokens make a head malformed, of informational responses too, and a trailer with one ends the answer as broken. wellformed.ReadResponse looks for a coding in heads of HTTP/1.0 before net/http reads them. Folded lines, bare line feeds, and a length beside chunks stay as RFC 9112 allows them.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -65,3 +65,28 @@
 		"control reason": strings.Replace(oddHead, "OK", "O\x01K", 1) + "Content-Length: 4\r\n\r\nbody",
 	})
 }
+
+// Guards against an answer with a blank in the name of a field, which is passed on without that field, or with another body.
+func TestAnswersWithMalformedNamesAreNotPassedOn(t *testing.T) {
+	checkMalformed(t, map[string]string{
+		"blank":                  oddHead + "X Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"blank before the colon": oddHead + "X : 1\r\nContent-Length: 4\r\n\r\nbody",
+		"chunks":                 oddHead + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"chunks and a length":    oddHead + "Transfer-Encoding : chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"lengths":                oddHead + "Content-Length : 2\r\nContent-Length: 4\r\n\r\nbody",
+		"length":                 oddHead + "Content-Length : 2\r\n\r\nbody",
+		"control byte":           oddHead + "X\x01Y: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"interim answer":         "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n" + wholeOne,
+		"HTTP/1.0 in chunks":     strings.Replace(oddHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	})
+}
+
+// Guards against a malformed trailer that makes a part of an answer look whole.
+func TestAnswersWithMalformedTrailersAreNotPassedOn(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	for _, trailer := range []string{"X Y: 1", "X : 1", "X\x01: 1"} {
+		answerRaw(f.targets["a"], headOfAnswer+"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+trailer+"\r\n\r\n")
+		got := f.send(f.gateways[0], call{method: http.MethodGet, path: "/read/1", key: -1})
+		assert.Check(t, got.err != nil || got.status != http.StatusOK, "%q: %d %q", trailer, got.status, got.body)
+	}
+}
--- a/internal/wellformed/response_test.go
+++ b/internal/wellformed/response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -44,3 +45,23 @@
 		}
 	}
 }
+
+// Guards against an error that the end of the stream hides.
+func TestCutHeadIsNoEnd(t *testing.T) {
+	const whole = "HTTP/1.0 200 OK\r\nX: 1\r\n\r\n"
+	for n := range len(whole) {
+		_, err := read(whole[:n])
+		assert.Check(t, errors.Is(err, io.ErrUnexpectedEOF) || err != nil && err != io.EOF, "%d bytes: %v", n, err)
+	}
+}
+
+// Guards against an answer with a name that is no token: net/http allows blanks in it, and frames the body without that field.
+func TestMalformedFieldNamesAreRefused(t *testing.T) {
+	for _, field := range []string{
+		"X Y: 1", "X : 1", "Content-Length : 4", "Transfer-Encoding : chunked", "X\t: 1", "X\x00Y: 1", "X\x01Y: 1", "X\x7fY: 1", "X\rY: 1", "X\xe9Y: 1", "X(Y: 1", ": 1", "X",
+		"Trailer: X Y\r\nTransfer-Encoding: chunked",
+	} {
+		checkMalformed(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n")
+	}
+	checkMalformed(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.0 200 OK\r\nX: 1\r\ntransfer-encoding:x\r\n")
+}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -35,6 +35,7 @@
 	stopContextWatch func() bool
 	aborter          *Aborter
 	upload           *upload
+	resp             *http.Response
 	body             io.ReadCloser
 
 	// sentBefore is the connection's count of sent bytes before the request, which is its first one if first is set.
@@ -297,7 +298,7 @@
 		return
 	}
 	x.unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	x.body = resp.Body
+	x.resp, x.body = resp, resp.Body
 	resp.Body = x
 }
 
@@ -347,6 +348,9 @@
 
 // checkEnd returns io.EOF if the response is whole at the end of its body.
 func (x *exchange) checkEnd() error {
+	if err := wellformed.CheckFields(x.resp.Trailer); err != nil {
+		return err
+	}
 	switch {
 	case !x.unframed:
 		return io.EOF
