Heed nothing that unsigned answers state of a target

Cause: a success without the target's signature is refused as no answer of it, but what it stated (a limit, leaving, a rest, its load) had been recorded before, by package target and by a router on the way. Found while looking for places that take a field from a header before the answer is known to be one; not seen by a caller.

Change: both check the signature first. Refusals have none and are heeded as before.

Measured: TestUnsignedAnswersStateNothing failed before (the target got no more work). Tests of target pass.

--- a/gateway/limitedconn.go
+++ b/gateway/limitedconn.go
@@ -53,10 +53,14 @@
 	if c.head == nil {
 		return
 	}
-	if resp := c.head.add(answer); resp != nil {
+	resp := c.head.add(answer)
+	if resp == nil {
+		return
+	}
+	c.head = nil
+	if c.g.opts.Adapter.Dialect.Check(resp) == nil {
 		said := c.g.opts.Adapter.DecodeAnswer(resp)
 		c.g.statements.observe(&c.target, &said)
-		c.head = nil
 	}
 }
 
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,8 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/core/directory"
 	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
+	"tarragongw/target"
 )
 
 // answerRaw makes a target answer requests with the bytes, in which %s is the request's ID, and keep the connection.
@@ -40,6 +43,11 @@
 	}
 	f.add(plainTarget("b"))
 	f.awaitTarget("b")
+	f.targets["a"].SetHandler(nil)
+	g.service("any").setShare(1)
+	for range 40 { // they earn retries
+		f.sendUntilServed(g, call{method: http.MethodGet, path: "/read/1", key: -1})
+	}
 	for name, text := range answers {
 		answerRaw(f.targets["a"], text)
 		got := f.send(g, call{method: http.MethodGet, path: "/read/1", key: -1})
@@ -90,3 +98,18 @@
 		assert.Check(t, got.err != nil || got.status != http.StatusOK, "%q: %d %q", trailer, got.status, got.body)
 	}
 }
+
+// Guards against a target that gets no more work because of bytes that only look like its answer.
+func TestUnsignedAnswersStateNothing(t *testing.T) {
+	unsigned := strings.Replace(oddHead, platform.HeaderStamp, "X", 1) + "Content-Length: 4\r\n\r\nbody"
+	checkMalformed(t, map[string]string{"own": unsigned, "another's": strings.Replace(unsigned, "%s", "another", 1) + unsigned})
+	g, _ := idleGateway(t)
+	g.opts.Adapter.Dialect = target.Dialect{Signature: platform.HeaderStamp}
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := &limitedConn{Conn: near, g: g, head: &answerHead{}, target: directory.Target{ID: "a", StartUnixMilli: 1}}
+	go func() { _, _ = io.WriteString(far, unsigned) }()
+	_, err := conn.Read(make([]byte, len(unsigned)))
+	assert.NilError(t, err)
+	assert.Equal(t, len(g.statedLeaving.known), 0)
+}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -147,7 +147,7 @@
 		x.finishRefused(resp)
 		return nil, f
 	}
-	if err := p.cfg.Dialect.check(resp); err != nil {
+	if err := p.cfg.Dialect.Check(resp); err != nil {
 		return nil, x.failInvalid(err)
 	}
 	x.startBody(r, resp)
@@ -159,9 +159,7 @@
 	if idleLimit := keepAliveTimeout(resp.Header); idleLimit > 0 {
 		p.idleLimit.Store(int64(idleLimit - idleLimit/idleTimeoutMargin))
 	}
-	if p.cfg.Dialect.Observe != nil {
-		p.cfg.Dialect.Observe(resp, sentAt)
-	}
+	p.cfg.Dialect.observe(resp, sentAt)
 }
 
 // failInvalid ends an exchange whose response can't come from the target itself.
@@ -222,9 +220,7 @@
 				return nil, errStaleResponses
 			}
 			x.staleResponse = true
-			if x.pool.cfg.Dialect.Observe != nil {
-				x.pool.cfg.Dialect.Observe(resp, time.Time{})
-			}
+			x.pool.cfg.Dialect.observe(resp, time.Time{})
 			x.conn.headerLeft = x.pool.cfg.MaxHeaderBytes
 			continue
 		case resp.StatusCode >= http.StatusOK:
--- a/target/dialect.go
+++ b/target/dialect.go
@@ -27,8 +27,8 @@
 	// Signature is a header field that every successful response from the target itself has;
 	// empty means that there is none.
 	Signature string
-	// Observe, if not nil, is called with each response, before refusals and the signature are checked,
-	// and with when the request's first byte was about to be written; the zero time if the response
+	// Observe, if not nil, is called with each response that can come from the target itself, before refusals are
+	// checked, and with when the request's first byte was about to be written; the zero time if the response
 	// belongs to an earlier request. It must not read the body.
 	Observe func(resp *http.Response, sentAt time.Time)
 }
@@ -82,8 +82,8 @@
 // requestIDOf returns the id that the response echoes; empty if it has none.
 func (d *Dialect) requestIDOf(resp *http.Response) string { return resp.Header.Get(d.RequestID) }
 
-// check returns an error for a response that can't come from the target itself.
-func (d *Dialect) check(resp *http.Response) error {
+// Check returns an error for a response that can't come from the target itself.
+func (d *Dialect) Check(resp *http.Response) error {
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if d.Signature != "" && success && resp.Header.Get(d.Signature) == "" {
 		return errUnsigned
@@ -91,6 +91,12 @@
 	return nil
 }
 
+func (d *Dialect) observe(resp *http.Response, sentAt time.Time) {
+	if d.Observe != nil && d.Check(resp) == nil {
+		d.Observe(resp, sentAt)
+	}
+}
+
 // refusal returns a fault if the response states that the request was not run, or nil.
 func (d *Dialect) refusal(resp *http.Response) *fault.Fault {
 	if d.NotRun == "" {
