Write a router's own record in place of the one that is there

Cause: the record was written without a condition. A write whose answer was lost was repeated with a new lease; when the store carried out the first one later, the record hung on the first lease, which nobody renewed, and was gone for good with it. The write of a killed process did the same to its successor's.

Change: the write has the revision that it replaces as its condition, none at first, and that of the present record after a conflict. Whichever of two writes comes first, the other has no effect or is seen and replaced.

Measured: TestRecordThatIsWrittenLateLeavesTheRouterCounted and TestRecordOfAFormerProcessLeavesTheRouterCounted failed before and pass.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -90,6 +90,9 @@
 	leaseOnly atomic.Bool
 	// noLead refuses that this gateway records itself as the leader.
 	noLead atomic.Bool
+	// lateWanted keeps the next write of the gateway's own record in lateRecord. The gateway gets no answer.
+	lateWanted atomic.Bool
+	lateRecord atomic.Pointer[kv.Txn]
 }
 
 func (w *storeLink) errIfCut() error {
@@ -136,6 +139,10 @@
 		<-ctx.Done()
 		return 0, nil, ctx.Err()
 	}
+	if len(txn.Puts) > 0 && strings.HasPrefix(txn.Puts[0].Key, routerPrefix) && w.lateWanted.CompareAndSwap(true, false) {
+		w.lateRecord.Store(&txn)
+		return 0, nil, kv.ErrUnknown
+	}
 	if w.noLead.Load() && slices.ContainsFunc(txn.Puts, func(p kv.Put) bool { return p.Key == leaderKey }) {
 		return 0, nil, kv.ErrUnavailable
 	}
--- a/gateway/membership.go
+++ b/gateway/membership.go
@@ -25,6 +25,8 @@
 	// renewJitter is the largest share by which that interval is shortened at random, to spread the
 	// calls of routers that were started together.
 	renewJitter = 0.25
+	// maxRecordTries bounds how often the record is written at once because another one was there.
+	maxRecordTries = 3
 	// probeInterval is the average pause between calls to a store that doesn't answer, and
 	// maxProbePause its upper limit for a router that learns in another way that the store answers
 	// again: by its leader, or by the renewals of its own lease if it leads. The leader may be cut
@@ -153,8 +155,7 @@
 	if err != nil {
 		return err
 	}
-	_, _, err = m.g.storeFor(purposeOwnRecord).Commit(ctx, kv.Txn{Puts: []kv.Put{{Key: routerPrefix + m.g.opts.Name, Value: m.g.ownRecord(), Lease: lease}}})
-	if err != nil {
+	if err := m.write(ctx, lease); err != nil {
 		return err
 	}
 	m.lease, m.ttl = lease, ttl
@@ -162,6 +163,24 @@
 	return nil
 }
 
+// write writes the record, with the lease, in place of the one that is in the store. A write that the store carries out late, of
+// this process or of a former one of the router, then finds another record and has no effect. Otherwise the record would hang on
+// a lease that nobody renews, and be gone for good with it.
+func (m *membership) write(ctx context.Context, lease kv.LeaseID) error {
+	own := kv.Put{Key: routerPrefix + m.g.opts.Name, Value: m.g.ownRecord(), Lease: lease}
+	present := kv.Condition{Key: own.Key}
+	var err error
+	for range maxRecordTries {
+		var current []kv.Record
+		_, current, err = m.g.storeFor(purposeOwnRecord).Commit(ctx, kv.Txn{Conditions: []kv.Condition{present}, Puts: []kv.Put{own}})
+		if !errors.Is(err, kv.ErrConflict) || len(current) == 0 {
+			return err
+		}
+		present.Revision = current[0].Revision
+	}
+	return err
+}
+
 // remove removes the record for good.
 func (m *membership) remove(ctx context.Context) {
 	m.mu.Lock()
