Await the content of uploads that crash targets early

Cause: a fingerprint needs 16 KiB of the body, or all of it. The targets crashed before as much had been read, and a crash without a fingerprint counted for no request.

Change: such a send counts under a fingerprint of its head, which is listed at the first crash and refuses nothing. Routers await the first 16 KiB of requests that resemble a listed one before they send them, so that the next crash has a fingerprint.

Tests of core/quarantine and crashguard pass.

--- a/core/quarantine/fingerprint.go
+++ b/core/quarantine/fingerprint.go
@@ -67,6 +67,22 @@
 	return Fingerprint(sum[:FingerprintBytes])
 }
 
+// headMark is what the fingerprints of heads begin with.
+var headMark = [4]byte{'h', 'e', 'a', 'd'}
+
+// HeadFingerprint returns the fingerprint of a request of whose body too little is known for one of its content.
+func (c *Content) HeadFingerprint() Fingerprint {
+	head := *c
+	head.Body = nil
+	f := head.Fingerprint()
+	copy(f[:], headMark[:])
+	return f
+}
+
+// OfHead reports whether the fingerprint is that of a head. No request with such an entry is refused, but requests with its URI
+// are sent only once their content is known.
+func (f Fingerprint) OfHead() bool { return [len(headMark)]byte(f[:]) == headMark }
+
 // HashURI returns the checksum of a request's path and query. A router compares it first, so that
 // it needs no fingerprint of a request that resembles none of the suspected ones.
 func HashURI(uri string) uint64 { return xxhash.Sum64String(uri) }
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -68,6 +68,9 @@
 	e.Instances = append(slices.Clone(e.Instances), crashed)
 	e.Instances = e.Instances[max(len(e.Instances)-maxInstances, 0):]
 	e.Crashes++
+	if e.Fingerprint.OfHead() {
+		e.Crashes = listedCrashes
+	}
 	e.Last = now
 	e.TrialRouter, e.triedUntil = "", time.Time{}
 	return true
@@ -215,12 +218,15 @@
 
 func compareEntries(a, b Entry) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) }
 
+// listedCrashes is the number of crashes from which on the routers need an entry.
+const listedCrashes = 2
+
 // Entries returns the entries that the routers need, in order of their fingerprints: those with more
-// than one crash. Most requests that are in flight at a crash are never in flight at another one.
+// than one crash, and all of heads. Most requests that are in flight at a crash are never in flight at another one.
 func (t *Tracker) Entries() []Entry {
 	var all []Entry
 	for _, e := range t.entries {
-		if e.Crashes > 1 {
+		if e.Crashes >= listedCrashes {
 			all = append(all, e.Entry)
 		}
 	}
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -47,6 +47,22 @@
 
 // Guards against one crash that counts as several because several routers had the request in flight, or
 // told of it again.
+// Guards against an upload that crashes targets before enough of it is known: routers learn after the first crash to await its content.
+func TestHeadIsListedAtTheFirstCrashAndNeverRefused(t *testing.T) {
+	tracker := NewTracker()
+	head := Suspect{Fingerprint: (&Content{Method: "POST", URI: "/upload"}).HeadFingerprint(), URIHash: HashURI("/upload")}
+	for n := range 2 * Threshold {
+		c := Crash{Service: "s", Instance: instanceOf(n), Suspects: []Suspect{head}}
+		_, refused := tracker.Observe(epoch.Add(time.Duration(n)*time.Second), "router", &Observations{Crashes: []Crash{c}})
+		assert.Equal(t, len(refused), 0)
+		set := NewSet(tracker.Entries())
+		assert.Assert(t, set.Resembles("/upload") && !set.Find(head).Refused())
+	}
+	tracker.Observe(epoch.Add(time.Minute+suspectTTL), "router", &Observations{})
+	assert.Equal(t, len(tracker.Entries()), 0)
+	assert.Assert(t, !(&Content{Method: "POST", URI: "/upload"}).Fingerprint().OfHead())
+}
+
 func TestCrashThatSeveralRoutersReportCountsOnce(t *testing.T) {
 	tracker := NewTracker()
 	for range 2 * Threshold {
--- a/crashguard/guard.go
+++ b/crashguard/guard.go
@@ -208,7 +208,7 @@
 }
 
 // Failed records a failed send, and has the target checked if it broke off the request. It returns the
-// request's fingerprint for the log; empty if the target didn't, or if there is none.
+// request's fingerprint for the log; empty if the target didn't.
 func (g *Guard) Failed(r *Request, t *Target, f *fault.Fault) string {
 	if f.Kind == fault.TargetUnreachable {
 		g.watch.connectFailed(t, f)
@@ -217,10 +217,7 @@
 		return ""
 	}
 	r.broken++
-	suspect, known := r.Fingerprint()
-	if !known {
-		return ""
-	}
+	suspect := r.asSuspect()
 	g.watch.brokeOff(t, suspect)
 	return suspect.Fingerprint.String()
 }
--- a/crashguard/request.go
+++ b/crashguard/request.go
@@ -45,12 +45,23 @@
 	if !known {
 		return quarantine.Suspect{}, false
 	}
-	content := &quarantine.Content{
+	r.suspect = &quarantine.Suspect{Fingerprint: r.content(head).Fingerprint(), URIHash: quarantine.HashURI(r.HTTP.RequestURI)}
+	return *r.suspect, true
+}
+
+func (r *Request) content(body []byte) *quarantine.Content {
+	return &quarantine.Content{
 		Method: r.HTTP.Method, Scope: r.Scope, URI: r.HTTP.RequestURI, Caller: r.Caller,
-		Credentials: strings.Join(r.HTTP.Header[headerAuthorization], headerSeparator), Key: r.Key, Body: head,
+		Credentials: strings.Join(r.HTTP.Header[headerAuthorization], headerSeparator), Key: r.Key, Body: body,
 	}
-	r.suspect = &quarantine.Suspect{Fingerprint: content.Fingerprint(), URIHash: quarantine.HashURI(r.HTTP.RequestURI)}
-	return *r.suspect, true
+}
+
+// asSuspect returns the request's fingerprint, or that of its head if too little of its body has been read.
+func (r *Request) asSuspect() quarantine.Suspect {
+	if suspect, known := r.Fingerprint(); known {
+		return suspect
+	}
+	return quarantine.Suspect{Fingerprint: r.content(nil).HeadFingerprint(), URIHash: quarantine.HashURI(r.HTTP.RequestURI)}
 }
 
 // awaitFingerprint is Fingerprint after as much of the body has been read as it needs.
--- a/gateway/crashingrequest_test.go
+++ b/gateway/crashingrequest_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -10,7 +12,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"tarragongw/core/quarantine"
 	"tarragongw/internal/waittest"
+	"tarragongw/platform"
 	"tarragongw/platform/platformtest"
 )
 
@@ -122,3 +126,56 @@
 		})
 	}
 }
+
+// slowUpload sends an upload whose first bytes come at once, and the others a little later, until it is answered.
+func slowUpload(t *testing.T, g *Gateway, id string) {
+	conn, err := net.Dial("tcp", g.callerListener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", deadlyPath, host, platform.HeaderRequestID, id, 8*len(uploadPart))
+	assert.NilError(t, err)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		_, _ = http.ReadResponse(bufio.NewReader(conn), nil)
+	}()
+	for range 8 {
+		if _, err := conn.Write(uploadPart); err != nil {
+			break
+		}
+		select {
+		case <-answered:
+			return
+		case <-time.After(60 * time.Millisecond):
+		}
+	}
+	<-answered
+}
+
+// uploadPart is less than a fingerprint covers.
+var uploadPart = make([]byte, quarantine.BodyBytes/2)
+
+// Guards against an upload that is never refused, because it crashes targets before as much of it has come as a fingerprint covers.
+func TestUploadThatCrashesTargetsEarlyReachesFewMore(t *testing.T) {
+	targets := newCrashingTargets(9, plainTarget)
+	for _, target := range targets.all {
+		target.SetEarlyHandler(func(http.ResponseWriter, *http.Request) {
+			targets.reached.Add(1)
+			target.Crash()
+		})
+	}
+	f := newFleet(t, 3, patientConfig, targets.all...)
+	f.awaitTarget("t-8")
+	send := func(n int) { slowUpload(t, f.gateways[n%len(f.gateways)], f.newID()) }
+	for n := 0; targets.crashed() < crashThreshold; n++ {
+		send(n)
+		assert.Assert(t, n < 3*crashThreshold, "the upload crashes nothing")
+	}
+	time.Sleep(stabilityWindow)
+	before := targets.reached.Load()
+	for n := range 12 {
+		send(n)
+	}
+	assert.Assert(t, targets.reached.Load()-before <= maxSendsAfter, "reached targets %d times more", targets.reached.Load()-before)
+	assert.Assert(t, targets.crashed() < len(targets.all))
+}
