Compare prefixes of routes in plain form

Cause: plain paths were compared with the prefix as it is written.

Change: the prefix is unescaped, too, and compared by segments if one of them has an encoded slash.

--- a/caller/extract_test.go
+++ b/caller/extract_test.go
@@ -79,6 +79,20 @@
 	}
 }
 
+// Guards against a route that is never found, because its prefix is compared with plain paths as it is escaped.
+func TestPrefixWithAnEscapeIsFound(t *testing.T) {
+	set := compile(&model.Model{Services: []model.Service{
+		{Name: "root", PathPrefix: "/"}, {Name: "fish", PathPrefix: "/%E9%AD%9A/"}, {Name: "slash", PathPrefix: "/a%2fb/"},
+		{Name: "raw", PathPrefix: "/|{1}/"}, {Name: "wrong", PathPrefix: "/%zz/"},
+	}}, true)
+	for target, want := range map[string]string{
+		"/%E9%AD%9A/1": "fish /1", "/%e9%ad%9a/1": "fish /1", "/\u9b5a/1": "fish /1", "/%E9%AD%9A": "root /\u9b5a", "/%E9%AD%9A1/": "root /\u9b5a1/",
+		"/a%2Fb/1": "slash /1", "/a%2Fb%21/1": "root /a%2Fb%21/1", "/a/b/1": "root /a/b/1", "/|{1}/1": "raw /1", "/%7C%7B1%7D/1": "raw /1",
+	} {
+		assert.Equal(t, findRoute(t, set, "any", target), want, target)
+	}
+}
+
 func TestFieldSources(t *testing.T) {
 	src := source{
 		header: http.Header{"X-Key": {"h"}, "X-Same": {"s", "s"}, "X-Two": {"a", "b"}},
--- a/caller/rules.go
+++ b/caller/rules.go
@@ -23,14 +23,16 @@
 type rule struct {
 	service *model.Service
 	// prefix has no slash at its end. If slash is set, the path must have one there.
-	prefix     string
-	slash      bool
-	segments   []string
-	key        model.Extract
-	caller     model.Extract
-	class      model.Extract
-	deadline   model.Extract
-	repeatable model.Extract
+	prefix string
+	slash  bool
+	// segments are those of the prefix. If encodedSlash is set, one of them has a slash, and paths are compared by them only.
+	segments     []string
+	encodedSlash bool
+	key          model.Extract
+	caller       model.Extract
+	class        model.Extract
+	deadline     model.Extract
+	repeatable   model.Extract
 }
 
 // compile compiles a model. See Config.StrictPrefixes for strict.
@@ -65,9 +67,23 @@
 	if r.prefix != "" {
 		r.segments = strings.Split(r.prefix[1:], "/")
 	}
+	r.unescapePrefix()
 	return r
 }
 
+// unescapePrefix has the prefix compared in plain form, as paths are.
+func (r *rule) unescapePrefix() {
+	plain, err := url.PathUnescape(r.prefix)
+	if err != nil || plain == r.prefix {
+		return // a prefix with a wrong escape begins no path
+	}
+	r.encodedSlash = strings.Count(plain, "/") > len(r.segments)
+	r.prefix = plain
+	for i, segment := range r.segments {
+		r.segments[i], _ = url.PathUnescape(segment) // the whole could be unescaped
+	}
+}
+
 func canonical(e model.Extract) model.Extract {
 	if e.From == model.FromHeader {
 		e.Name = textproto.CanonicalMIMEHeaderKey(e.Name)
@@ -116,9 +132,12 @@
 
 // match returns the rest of the path after the prefix. The rest is empty or begins with a slash.
 func (r *rule) match(u *url.URL) (rest string, ok bool) {
-	if u.RawPath != "" {
+	switch {
+	case u.RawPath != "":
 		rest, ok = r.matchEscaped(u.RawPath)
-	} else {
+	case r.encodedSlash:
+		rest, ok = r.matchEscaped(u.EscapedPath())
+	default:
 		rest, ok = strings.CutPrefix(u.Path, r.prefix)
 	}
 	if rest == "" {
