Forward ids and paths as callers sent them

Cause: caller replaces ids that aren't fit for a log line. net/url writes a scheme before an opaque URI that begins with two slashes, so that these paths were left to its encoder.

Change: Config.KeepRequestID, which serve sets, forwards ids as they are, and logs name them escaped and cut; two ids are refused with 400. target writes the request line of such paths itself.

--- a/caller/config.go
+++ b/caller/config.go
@@ -51,6 +51,9 @@
 	// RequestIDHeader is the header that carries the request ID chosen by the caller, in
 	// canonical form. Default X-Request-Id.
 	RequestIDHeader string
+	// KeepRequestID has an ID that the caller chose forwarded as it is. Otherwise one that is longer than 128 bytes or has other than
+	// visible ASCII characters is replaced.
+	KeepRequestID bool
 	// OmitAddedHeaders turns off the headers Traceparent and X-Forwarded-For, which the router
 	// otherwise adds to a forwarded request.
 	OmitAddedHeaders bool
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -79,9 +79,10 @@
 // serve checks whether the request can be accepted, extracts its fields and forwards it.
 func (x *exchange) serve(inFlight int64) *fault.Fault {
 	h := x.handler
-	x.meta.ID, x.meta.Arrived = requestID(x.r.Header, h.cfg.RequestIDHeader), x.began
-	x.idValue[0] = x.meta.ID
-	x.w.Header()[h.cfg.RequestIDHeader] = x.idValue[:]
+	x.meta.Arrived = x.began
+	if f := x.identify(); f != nil {
+		return f
+	}
 	if inFlight > int64(h.cfg.MaxRequests) {
 		return fault.New(fault.RouterBusy, "")
 	}
--- a/caller/id.go
+++ b/caller/id.go
@@ -4,8 +4,13 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
+
+	"tarragongw/core/fault"
 )
 
+var errTwoIDs = fault.New(fault.BadRequest, "the request has two ids")
+
 // maxIDBytes bounds the length of a request ID that a caller sends.
 const maxIDBytes = 128
 
@@ -16,6 +21,31 @@
 	traceNotSampled = "-00"
 )
 
+// identify sets the request's ID, by which logs name it, and the one that is forwarded.
+func (x *exchange) identify() *fault.Fault {
+	cfg := &x.handler.cfg
+	sent := x.r.Header[cfg.RequestIDHeader]
+	x.meta.ID = requestID(x.r.Header, cfg.RequestIDHeader)
+	x.idValue[0] = x.meta.ID
+	if cfg.KeepRequestID && len(sent) > 0 && sent[0] != "" {
+		x.meta.ID, x.idValue[0] = logID(sent[0]), sent[0]
+	}
+	x.w.Header()[cfg.RequestIDHeader] = x.idValue[:]
+	if cfg.KeepRequestID && len(sent) > 1 {
+		return errTwoIDs
+	}
+	return nil
+}
+
+// logID returns a request ID in a form that is fit for a log line.
+func logID(id string) string {
+	if validID(id) {
+		return id
+	}
+	escaped := url.PathEscape(id)
+	return escaped[:min(len(escaped), maxIDBytes)]
+}
+
 // requestID returns the caller's request ID, or a new one if it sends none or one that is not
 // fit for a log line.
 func requestID(h http.Header, name string) string {
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -141,7 +142,7 @@
 // keepRequestURI makes net/http send the request's path and query as the caller wrote them. Parsing
 // and encoding them again could turn an unusual escape into another path.
 func keepRequestURI(r *http.Request) {
-	if len(r.RequestURI) > 1 && r.RequestURI[0] == '/' && r.RequestURI[1] != '/' {
+	if strings.HasPrefix(r.RequestURI, "/") {
 		u := *r.URL
 		u.Opaque, u.RawQuery, u.ForceQuery = r.RequestURI, "", false
 		r.URL = &u
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -141,7 +141,7 @@
 func (g *Gateway) callerConfig(limits *routes.CallerLimits) caller.Config {
 	c := caller.Config{
 		RequestIDHeader:  http.CanonicalHeaderKey(g.opts.Adapter.Headers.RequestID),
-		OmitAddedHeaders: true, StrictPrefixes: true, FractionalRetryAfter: true, StatusImpliesNotRun: true, CloseAfterAnswer: g.stopping.Load, Logger: g.log,
+		OmitAddedHeaders: true, KeepRequestID: true, StrictPrefixes: true, FractionalRetryAfter: true, StatusImpliesNotRun: true, CloseAfterAnswer: g.stopping.Load, Logger: g.log,
 		BeforeRouting: g.configFresh.await, MaxPipelined: lookAhead, AwaitPlacement: true, DeadlineMargin: answerMargin,
 		LimitAnswers: true,
 	}
--- a/gateway/request_test.go
+++ b/gateway/request_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
@@ -33,6 +34,41 @@
 	assert.Assert(t, runs[0].DeadlineMillis > 0 && runs[0].DeadlineMillis <= 1000, "the route's timeout bounds what is left")
 }
 
+// Guards against a request that is run under an ID or a path which nobody sent.
+func TestUnusualRequestsPassUnchanged(t *testing.T) {
+	f := newFleet(t, 1, strings.Replace(plainConfig, `"prefix":"/pay/"`, `"prefix":"/"`, 1), plainTarget("a"))
+	for i, uri := range []string{"//menu/\u9b5a|{1}?q=|", "//", "///x//", "/pay/\u9b5a|{1}?", "/"} {
+		for _, body := range []string{"", "x", strings.Repeat("photo", 10_000)} {
+			id := fmt.Sprint(strings.Repeat("long ", 40), "\xe9 ", i, len(body))
+			conn, err := net.Dial("tcp", f.gateways[0].callerListener.Addr().String())
+			assert.NilError(t, err)
+			fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", uri, host, platform.HeaderRequestID, id, len(body), body)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK, uri)
+			assert.Equal(t, resp.Header.Get(platform.HeaderRequestID), id)
+			runs := f.targets["a"].Runs()
+			last := runs[len(runs)-1]
+			assert.Equal(t, last.ID+" "+last.URI, id+" "+uri)
+			assert.Equal(t, last.Body, body)
+			conn.Close()
+		}
+	}
+}
+
+// Guards against a request that two callers' IDs name, of which a target sees one.
+func TestRequestWithTwoIDsIsRefused(t *testing.T) {
+	f := newFleet(t, 1, plainConfig, plainTarget("a"))
+	conn, err := net.Dial("tcp", f.gateways[0].callerListener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /read/1 HTTP/1.1\r\nHost: %s\r\n%s: a\r\n%s: b\r\n\r\n", host, platform.HeaderRequestID, platform.HeaderRequestID)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	assert.Equal(t, len(f.targets["a"].Runs()), 0)
+}
+
 // Guards against a new connection to a target for each request of callers without keep-alive: the end of
 // the caller's connection closed the target's connection too, see the same test of package caller.
 func TestCallersWithoutKeepAliveShareTargetConnections(t *testing.T) {
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -184,7 +184,7 @@
 // writeRequest writes a request without a body, or with an inline body, in the caller's
 // goroutine.
 func (x *exchange) writeRequest(r *http.Request) error {
-	err := r.Write(x.conn.bw)
+	err := writeRequest(x.conn.bw, r)
 	if err == nil {
 		err = x.conn.bw.Flush()
 	}
--- a/target/upload.go
+++ b/target/upload.go
@@ -95,7 +95,7 @@
 }
 
 func (u *upload) write(r *http.Request) {
-	err := r.Write(u.conn.bw)
+	err := writeRequest(u.conn.bw, r)
 	if err == nil {
 		err = u.conn.bw.Flush()
 	}
