Name what breaks a connection, and what sets a request's id

Cause: IsReset covers lost connections as well as resets, and identify was the name of two methods. Done: renames only. Measured: the tests around them pass.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -80,7 +80,7 @@
 func (x *exchange) serve(inFlight int64) *fault.Fault {
 	h := x.handler
 	x.meta.Arrived = x.began
-	if f := x.identify(); f != nil {
+	if f := x.setRequestID(); f != nil {
 		return f
 	}
 	if inFlight > int64(h.cfg.MaxRequests) {
--- a/caller/id.go
+++ b/caller/id.go
@@ -21,8 +21,8 @@
 	traceNotSampled = "-00"
 )
 
-// identify sets the request's ID, by which logs name it, and the one that is forwarded.
-func (x *exchange) identify() *fault.Fault {
+// setRequestID sets the request's ID, by which logs name it, and the one that is forwarded.
+func (x *exchange) setRequestID() *fault.Fault {
 	cfg := &x.handler.cfg
 	sent := x.r.Header[cfg.RequestIDHeader]
 	x.meta.ID = requestID(x.r.Header, cfg.RequestIDHeader)
--- a/peer/relay/server.go
+++ b/peer/relay/server.go
@@ -61,9 +61,9 @@
 	reader    *bufio.Reader
 	// writeMu is held while a frame is written to near.
 	writeMu sync.Mutex
-	// farMu is held while bytes are written to far; farReset is set when that found the connection broken.
-	farMu    sync.Mutex
-	farReset bool
+	// farMu is held while bytes are written to far; farBroken is set when that found the connection broken.
+	farMu     sync.Mutex
+	farBroken bool
 	// used is how long after began a byte was passed on last.
 	began  time.Time
 	used   atomic.Int64
@@ -231,20 +231,20 @@
 	c.farMu.Lock()
 	defer c.farMu.Unlock()
 	_, err := c.far.Write(b)
-	c.farReset = sockets.IsReset(err)
+	c.farBroken = sockets.IsBroken(err)
 	return err
 }
 
-// errTargetReset is the error of a connection that the target did not end in order.
-var errTargetReset = errors.New("relay: the connection to the target broke")
+// errTargetConnBroken is the error of a connection that the target did not end in order.
+var errTargetConnBroken = errors.New("relay: the connection to the target broke")
 
 // endOfTarget returns nil if the end of the stream that a read has found is the target's own. It closes the connection.
 func (c *relayed) endOfTarget() error {
 	c.far.Close() // ends a write in progress
 	c.farMu.Lock()
 	defer c.farMu.Unlock()
-	if c.farReset {
-		return errTargetReset
+	if c.farBroken {
+		return errTargetConnBroken
 	}
 	return nil
 }
--- a/target/conn.go
+++ b/target/conn.go
@@ -87,12 +87,12 @@
 	writeMu      sync.Mutex
 	writesClosed bool
 	// opts are those of the current exchange; started is set once bytes of its request have
-	// been written; writeFault is why no more may be written; reset is set when a write found the connection broken. All are
+	// been written; writeFault is why no more may be written; broken is set when a write found the connection broken. All are
 	// guarded by writeMu.
 	opts       AttemptOptions
 	started    bool
 	writeFault *fault.Fault
-	reset      bool
+	broken     bool
 	// abort closes the raw connection and discards what was not sent.
 	abort func()
 
@@ -178,7 +178,7 @@
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.writeFailed.Store(true)
-			c.reset = c.reset || sockets.IsReset(err)
+			c.broken = c.broken || sockets.IsBroken(err)
 			return total, err
 		}
 		if n > 0 || c.received.Load() != received {
@@ -280,7 +280,7 @@
 	if c.stream != net.Conn(c) {
 		return !c.readEnded // TLS has read the alert by which the target ends the stream
 	}
-	return !c.reset
+	return !c.broken
 }
 
 // discardUnsent makes the next close reset the connection. Otherwise the kernel would go on sending an abandoned request, and
